--- /dev/null
+++ b/api/endpoint/paths.go
@@ -0,0 +1,24 @@
+package endpoint
+
+// HTTP paths of the endpoint protocol.
+const (
+	// PathAnnounce is served by entry daemons: POST Announcement.
+	PathAnnounce = "/endpoint/v1/announce"
+	// PathWithdraw is served by entry daemons: POST Withdrawal.
+	PathWithdraw = "/endpoint/v1/withdraw"
+	// PathCacheEvents is served by entry daemons: POST CacheEvents.
+	PathCacheEvents = "/endpoint/v1/cache"
+
+	// PathGenerate is served by engines: POST GenerateRequest, answered by frames.
+	PathGenerate = "/engine/v1/generate"
+	// PathCancel is served by engines: POST CancelRequest.
+	PathCancel = "/engine/v1/cancel"
+	// PathKVExport is served by engines: POST KVExportRequest, answered by KVHandle.
+	PathKVExport = "/engine/v1/kv/export"
+	// PathKVImport is served by engines: POST KVImportRequest.
+	PathKVImport = "/engine/v1/kv/import"
+	// PathOrder is served by engines: POST Order, answered by OrderResult.
+	PathOrder = "/engine/v1/order"
+	// PathPing is served by engines: GET, answered with status 204.
+	PathPing = "/engine/v1/ping"
+)
--- /dev/null
+++ b/internal/core/conf/store.go
@@ -0,0 +1,54 @@
+package conf
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Active is the generation that a daemon works by.
+type Active struct {
+	// Generation is the number of the promoted configuration.
+	Generation uint64
+	Document   *Document
+	Digest     string
+	// InstalledAt is when this daemon put the generation in force.
+	InstalledAt time.Time
+}
+
+// Store holds the active generation of one daemon. Invariant: the generation
+// number never decreases. Reads take no lock.
+type Store struct {
+	mu      sync.Mutex
+	active  atomic.Pointer[Active]
+	changed chan struct{}
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{changed: make(chan struct{})}
+}
+
+// Current returns the active generation, or nil before the first one.
+func (s *Store) Current() *Active { return s.active.Load() }
+
+// Install puts a generation in force. It reports false and changes nothing
+// when the store already holds this generation or a higher one.
+func (s *Store) Install(generation uint64, doc *Document, digest string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current := s.active.Load(); current != nil && current.Generation >= generation {
+		return false
+	}
+	s.active.Store(&Active{Generation: generation, Document: doc, Digest: digest, InstalledAt: now})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+// Changed returns a channel that is closed at the next installation.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
--- /dev/null
+++ b/internal/core/route/errors.go
@@ -0,0 +1,15 @@
+package route
+
+import "fmt"
+
+// NoEndpointError says that no endpoint can serve a request now.
+type NoEndpointError struct {
+	Model string
+	// Known counts the endpoints that were looked at.
+	Known int
+}
+
+// Error implements error.
+func (e *NoEndpointError) Error() string {
+	return fmt.Sprintf("none of %d endpoints can serve model %q", e.Known, e.Model)
+}
--- /dev/null
+++ b/internal/entry/errors.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+)
+
+// RefusalType classifies why a request was not answered.
+type RefusalType string
+
+// Types of refusal.
+const (
+	RefusedOverload    RefusalType = "overloaded"
+	RefusedDeadline    RefusalType = "deadline_unreachable"
+	RefusedNoEndpoint  RefusalType = "no_endpoint"
+	RefusedQuarantine  RefusalType = "quarantined"
+	RefusedRetryBudget RefusalType = "retries_exhausted"
+	RefusedShutdown    RefusalType = "shutting_down"
+	RefusedNoQuorum    RefusalType = "no_quorum"
+	RefusedKeyReused   RefusalType = "idempotency_key_reused"
+	RefusedInvalid     RefusalType = "invalid_request"
+	RefusedUpstream    RefusalType = "endpoint_error"
+	RefusedOutcome     RefusalType = "outcome_unknown"
+)
+
+// RefusalError says that a request was not answered, and whether it was run.
+type RefusalError struct {
+	Type RefusalType
+	// Run is NotRun only where every attempt is proven not run.
+	Run endpoint.RunState
+	// RetryAfter is when a retry may succeed; 0 means no advice.
+	RetryAfter time.Duration
+	Message    string
+	Err        error
+}
+
+// Error implements error.
+func (e *RefusalError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("request refused (%s, %s): %s: %v", e.Type, e.Run, e.Message, e.Err)
+	}
+	return fmt.Sprintf("request refused (%s, %s): %s", e.Type, e.Run, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *RefusalError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/port/ledger.go
@@ -0,0 +1,155 @@
+package port
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Generation is a promoted configuration.
+type Generation struct {
+	// Number increases by one with each promotion, starting at 1.
+	Number uint64 `json:"number"`
+	// Document is the operators' document as it was promoted.
+	Document []byte `json:"document"`
+	// Digest is the SHA-256 of Document in hexadecimal.
+	Digest      string `json:"digest"`
+	Operator    string `json:"operator"`
+	OperationID string `json:"operation_id"`
+}
+
+// PromoteRequest asks for a new generation by compare-and-set.
+type PromoteRequest struct {
+	// OperationID makes a resend recognisable: it gets the first outcome.
+	OperationID string `json:"operation_id"`
+	// Expect is the number of the generation that the operator saw; 0 means none.
+	Expect   uint64 `json:"expect"`
+	Document []byte `json:"document"`
+	Operator string `json:"operator"`
+}
+
+// ConflictError says that another generation won the compare-and-set.
+type ConflictError struct {
+	Expect  uint64
+	Current uint64
+	// Operator promoted the current generation.
+	Operator string
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("generation %d expected, but generation %d by %q is current", e.Expect, e.Current, e.Operator)
+}
+
+// OperationReusedError says that an operation ID came with another request before.
+type OperationReusedError struct{ OperationID string }
+
+// Error implements error.
+func (e *OperationReusedError) Error() string {
+	return fmt.Sprintf("operation %q was used for another request", e.OperationID)
+}
+
+// NoQuorumError says that the replicated log could not be reached or did not
+// answer. Proposed tells whether the command may still take effect.
+type NoQuorumError struct {
+	Group    string
+	Proposed bool
+	Err      error
+}
+
+// Error implements error.
+func (e *NoQuorumError) Error() string {
+	return fmt.Sprintf("no quorum in group %q (proposed=%t): %v", e.Group, e.Proposed, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NoQuorumError) Unwrap() error { return e.Err }
+
+// ClaimState is the state of a claim as a caller of Claim finds it.
+type ClaimState string
+
+// States of a claim.
+const (
+	// ClaimGranted means the caller of Claim owns the call and must send it once.
+	ClaimGranted ClaimState = "granted"
+	// ClaimRunning means another owner has the call and may still finish it.
+	ClaimRunning ClaimState = "running"
+	// ClaimDone means the call ended; Result holds its recorded result.
+	ClaimDone ClaimState = "done"
+	// ClaimUnknown means the owner is gone and nobody knows whether the call ran.
+	ClaimUnknown ClaimState = "unknown"
+	// ClaimMismatch means the key was used with another body.
+	ClaimMismatch ClaimState = "mismatch"
+)
+
+// ClaimRequest claims a non-idempotent call.
+type ClaimRequest struct {
+	// Group names the claims group that decides; today there is one, "main".
+	Group     string `json:"group"`
+	Workspace string `json:"workspace"`
+	// Key is the idempotency key of the caller.
+	Key string `json:"key"`
+	// BodyHash covers method, path and body.
+	BodyHash string `json:"body_hash"`
+	// Owner and Incarnation name the entry daemon that claims.
+	Owner       string `json:"owner"`
+	Incarnation uint64 `json:"incarnation"`
+	// Attempt is unique per claim request, so that a resent proposal of the same owner is recognised.
+	Attempt string `json:"attempt"`
+}
+
+// ClaimResult answers a ClaimRequest.
+type ClaimResult struct {
+	State  ClaimState  `json:"state"`
+	Result *CallResult `json:"result,omitempty"`
+	// Owner holds the claim while it runs.
+	Owner string `json:"owner,omitempty"`
+}
+
+// CallResult is the recorded result of a non-idempotent call.
+type CallResult struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	// Truncated is set when the body was longer than what is recorded.
+	Truncated bool `json:"truncated,omitempty"`
+	// Unknown is set when the owner lost the answer: the call may have run.
+	Unknown bool `json:"unknown,omitempty"`
+	// Released is set when the call is proven not run: the claim is removed.
+	Released bool `json:"released,omitempty"`
+}
+
+// CompleteRequest records the end of a claimed call. Only the attempt that was granted the claim can complete it.
+type CompleteRequest struct {
+	Group     string     `json:"group"`
+	Workspace string     `json:"workspace"`
+	Key       string     `json:"key"`
+	Attempt   string     `json:"attempt"`
+	Result    CallResult `json:"result"`
+}
+
+// LeaseGrant answers a lease request.
+type LeaseGrant struct {
+	Granted bool `json:"granted"`
+	// Holder is the current holder.
+	Holder string `json:"holder"`
+	// FencingNumber is the log index of the grant.
+	FencingNumber uint64 `json:"fencing_number"`
+	// TTL is how long the grant lasts, counted by the holder from before it asked.
+	TTL time.Duration `json:"ttl"`
+}
+
+// Ledger is the client side of the replicated state. Errors are one of the
+// types of this file; NoQuorumError wherever the group does not answer.
+type Ledger interface {
+	Promote(ctx context.Context, req PromoteRequest) (Generation, error)
+	// Current returns the newest generation by a linearizable read; number 0 means none.
+	Current(ctx context.Context) (Generation, error)
+	// History returns the newest generations first, at most limit.
+	History(ctx context.Context, limit int) ([]Generation, error)
+	Claim(ctx context.Context, req ClaimRequest) (ClaimResult, error)
+	Complete(ctx context.Context, req CompleteRequest) error
+	// AcquireLease acquires or renews the lease of the given name.
+	AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (LeaseGrant, error)
+	ReleaseLease(ctx context.Context, name, holder string) error
+}
--- /dev/null
+++ b/internal/port/peer.go
@@ -0,0 +1,21 @@
+package port
+
+import "context"
+
+// PeerHandler answers one method of the protocol between daemons. Params and
+// result are encoded by the codec of the package that owns the method.
+type PeerHandler func(ctx context.Context, params []byte) ([]byte, error)
+
+// PeerServer registers methods that other daemons can call. Methods are
+// registered before the server starts.
+type PeerServer interface {
+	Handle(method string, handler PeerHandler)
+}
+
+// PeerCaller calls methods of other daemons by their address (IP:port). A
+// connection that goes silent is replaced within a bounded time.
+type PeerCaller interface {
+	Call(ctx context.Context, address, method string, params []byte) ([]byte, error)
+	// Notify sends without waiting for an answer; delivery is not assured.
+	Notify(ctx context.Context, address, method string, params []byte) error
+}
--- /dev/null
+++ b/standin/engine/text.go
@@ -0,0 +1,32 @@
+package engine
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tokenAlphabet is the number of different tokens.
+const tokenAlphabet = 4096
+
+// Token returns the token at an index of the answer to a prompt.
+func Token(seed uint64, index int) string {
+	mixed := (seed ^ uint64(index)*0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9
+	return " w" + strconv.FormatUint((mixed>>32)%tokenAlphabet, 36)
+}
+
+// Seed returns the seed of the answer to a prompt.
+func Seed(model, adapter, prompt string) uint64 {
+	return xxhash.Sum64String(model + "\x00" + adapter + "\x00" + prompt)
+}
+
+// Answer returns the first count tokens of the answer to a prompt.
+func Answer(model, adapter, prompt string, count int) string {
+	seed := Seed(model, adapter, prompt)
+	var text strings.Builder
+	for i := range count {
+		text.WriteString(Token(seed, i))
+	}
+	return text.String()
+}
