Complete the caller interface and add the load generator package

Cause: callers need plain services, continuation of a stream after a lost connection, passing on by an overloaded daemon, readiness, and typed answers to every bad input. Performance goals need a generator that verifies answers. Conclusion: bad input of each kind listed gets its status and a typed body.

--- a/internal/adapter/callerhttp/completions.go
+++ b/internal/adapter/callerhttp/completions.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/boragelead/boragelead/api/endpoint"
@@ -16,44 +15,70 @@
 func (s *Server) completions(style style) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		arrived := time.Now()
-		id := s.newID()
+		id := s.NewID()
 		w.Header().Set(headerRequestID, id)
-		req, body, err := s.accept(w, r, style)
+		accepted, err := s.accept(w, r, style)
 		if err != nil {
 			writeError(w, id, err)
 			return
 		}
-		req.ID = id
-		req.Arrived = arrived
-		reply := newReply(w, style, body, req)
-		result, err := s.completer.Complete(r.Context(), req, reply)
-		if err != nil {
-			reply.fail(err)
+		if s.passOn(w, r, accepted.data) {
 			return
 		}
-		reply.finish(result)
+		accepted.req.ID = id
+		accepted.req.Arrived = arrived
+		reply := newReply(w, style, accepted.body, accepted.req)
+		result, err := s.Completer.Complete(r.Context(), accepted.req, reply)
+		switch {
+		case err == nil:
+			reply.finish(result)
+		case isMoved(err):
+			reply.moved()
+		default:
+			reply.fail(err)
+		}
 	}
 }
 
+// passOn hands a new request to a peer with room, when this daemon is near its
+// own limit. A request is passed on once at most.
+func (s *Server) passOn(w http.ResponseWriter, r *http.Request, data []byte) bool {
+	if r.Header.Get(HeaderForwarded) != "" {
+		return false
+	}
+	base := s.OverloadPeer()
+	return base != "" && s.forward(w, r, base, data)
+}
+
+// acceptedRequest is a checked request in the forms of the caller and of the pipeline.
+type acceptedRequest struct {
+	data []byte
+	body *completionRequest
+	req  *entry.Request
+}
+
 // accept checks a request and turns it into the form of the pipeline.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request, style style) (*entry.Request, *completionRequest, error) {
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, style style) (*acceptedRequest, error) {
 	if err := requireMethod(r, http.MethodPost); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	who, err := s.authenticate(r)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	data, err := readBody(w, r, who.doc.Limits)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	body := new(completionRequest)
 	if err := json.Unmarshal(data, body); err != nil {
-		return nil, nil, invalid("malformed_json", "", "the body is not valid JSON: "+err.Error())
+		return nil, invalid("malformed_json", "", "the body is not valid JSON: "+err.Error())
 	}
 	req, err := who.request(r, body, style)
-	return req, body, err
+	if err != nil {
+		return nil, err
+	}
+	return &acceptedRequest{data: data, body: body, req: req}, nil
 }
 
 func (who identity) request(r *http.Request, body *completionRequest, style style) (*entry.Request, error) {
@@ -81,6 +106,8 @@
 		Version:      model.Version,
 		Prompt:       prompt,
 		PromptTokens: endpoint.EstimateTokens(prompt),
+		Chat:         style == chatStyle{},
+		Resumable:    r.Header.Get(headerResumable) != "",
 		Stop:         body.Stop,
 		Temperature:  body.Temperature,
 		TopP:         body.TopP,
@@ -92,14 +119,13 @@
 	return req, setMaxTokens(req, model, body)
 }
 
-// model finds a model by name, or by "model:adapter".
+// model finds a model that the workspace may use.
 func (who identity) model(name string) (*conf.Model, error) {
 	if name == "" {
 		return nil, invalid("missing_model", "model", "a model is required")
 	}
-	base, _, _ := strings.Cut(name, ":")
-	model := who.doc.Model(base)
-	if model == nil || !who.workspace.AllowsModel(base) {
+	model := who.doc.Model(name)
+	if model == nil || !who.workspace.AllowsModel(name) {
 		return nil, &requestError{status: http.StatusNotFound, kind: "invalid_request_error", code: "model_not_found", param: "model", message: fmt.Sprintf("the model %q does not exist", name)}
 	}
 	return model, nil
--- a/internal/adapter/callerhttp/reply.go
+++ b/internal/adapter/callerhttp/reply.go
@@ -1,14 +1,19 @@
 package callerhttp
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/boragelead/boragelead/internal/entry"
 )
 
+// callerWriteTimeout is how long a write to a caller may block before the caller counts as gone.
+const callerWriteTimeout = 30 * time.Second
+
 // reply writes the answer of one request, streamed or whole. It implements entry.Sink.
 type reply struct {
 	writer  http.ResponseWriter
@@ -20,6 +25,10 @@
 	started bool
 	text    strings.Builder
 	buffer  []byte
+	// chunkHead and chunkTail enclose the text of a chunk of tokens.
+	chunkHead, chunkTail []byte
+	// resumedAt is the offset of the first token that this connection sends.
+	resumedAt int
 }
 
 func newReply(w http.ResponseWriter, style style, body *completionRequest, req *entry.Request) *reply {
@@ -42,7 +51,11 @@
 	if err := r.start(); err != nil {
 		return err
 	}
-	return r.event(offset+count, r.style.delta(text, nil), nil)
+	r.buffer = appendEventID(r.buffer[:0], offset+count)
+	r.buffer = append(r.buffer, r.chunkHead...)
+	r.buffer = appendJSONString(r.buffer, text)
+	r.buffer = append(r.buffer, r.chunkTail...)
+	return r.flush()
 }
 
 // start sends the header and, for a chat, the chunk that names the role.
@@ -55,12 +68,30 @@
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
 	r.writer.WriteHeader(http.StatusOK)
+	r.prepareChunk()
 	if _, isChat := r.style.(chatStyle); !isChat {
 		return nil
 	}
 	choice := r.style.delta("", nil)
 	choice.Delta.Role = "assistant"
-	return r.event(0, choice, nil)
+	return r.event(r.resumedAt, choice, nil)
+}
+
+// prepareChunk encodes what is the same in all chunks of tokens once: encoding
+// each chunk in full took most of the time per token.
+func (r *reply) prepareChunk() {
+	const placeholder = "\x00text\x00"
+	chunk := r.envelope(true)
+	chunk.Choices = []chatChoice{r.style.delta(placeholder, nil)}
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		// The types of a chunk are all marshalable.
+		panic(err)
+	}
+	quoted, _ := json.Marshal(placeholder)
+	head, tail, _ := bytes.Cut(data, quoted)
+	r.chunkHead = append([]byte("data: "), head...)
+	r.chunkTail = append(tail, "\n\n"...)
 }
 
 // event sends one chunk. The event ID is the number of tokens sent so far.
@@ -76,17 +107,42 @@
 	if err != nil {
 		return err
 	}
-	r.buffer = append(r.buffer[:0], "id: "...)
-	r.buffer = strconv.AppendInt(r.buffer, int64(id), 10)
-	r.buffer = append(r.buffer, "\ndata: "...)
+	r.buffer = appendEventID(r.buffer[:0], id)
+	r.buffer = append(r.buffer, "data: "...)
 	r.buffer = append(r.buffer, data...)
 	r.buffer = append(r.buffer, "\n\n"...)
+	return r.flush()
+}
+
+// flush writes the buffer within the time that a stalled caller is given.
+func (r *reply) flush() error {
+	_ = r.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if _, err := r.writer.Write(r.buffer); err != nil {
 		return err
 	}
 	return r.control.Flush()
 }
 
+func appendEventID(buffer []byte, id int) []byte {
+	buffer = append(buffer, "id: "...)
+	buffer = strconv.AppendInt(buffer, int64(id), 10)
+	return append(buffer, '\n')
+}
+
+// appendJSONString appends a text as a JSON string. Plain ASCII needs no escapes.
+func appendJSONString(buffer []byte, text string) []byte {
+	for i := range len(text) {
+		c := text[i]
+		if c < 0x20 || c >= 0x7f || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			quoted, _ := json.Marshal(text)
+			return append(buffer, quoted...)
+		}
+	}
+	buffer = append(buffer, '"')
+	buffer = append(buffer, text...)
+	return append(buffer, '"')
+}
+
 func (r *reply) envelope(chunk bool) completionResponse {
 	return completionResponse{
 		ID:      r.style.idPrefix() + r.req.ID,
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -46,3 +46,14 @@
 
 // Unwrap returns the cause.
 func (e *RefusalError) Unwrap() error { return e.Err }
+
+// MovedError says that a peer continues the request.
+type MovedError struct {
+	RequestID string
+	Peer      string
+}
+
+// Error implements error.
+func (e *MovedError) Error() string {
+	return fmt.Sprintf("request %s is continued by %s", e.RequestID, e.Peer)
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -15,6 +15,11 @@
 	Rank      string
 	RankIndex int
 
+	// Chat tells the two completion paths apart.
+	Chat bool
+	// Resumable requests go on for a grace period when the caller disconnects.
+	Resumable bool
+
 	Model, Version, Adapter string
 	Prompt                  string
 	// PromptTokens is an estimate.
--- /dev/null
+++ b/internal/load/target.go
@@ -0,0 +1,235 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+)
+
+// Call is one generation to ask for.
+type Call struct {
+	Key, Model, Rank, User string
+	Prompt                 string
+	MaxTokens              int
+}
+
+// Observer sees the tokens of an answer as they arrive.
+type Observer interface {
+	Tokens(now time.Time, count int, text string)
+}
+
+// Target answers calls.
+type Target interface {
+	// Do runs a call. The error is a *RefusedError, a *BrokenError or that of the context.
+	Do(ctx context.Context, call Call, observer Observer) error
+}
+
+// RefusedError is an answer with an error status.
+type RefusedError struct {
+	Status int
+	Code   string
+	Run    string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused with status %d: %s (%s)", e.Status, e.Code, e.Run)
+}
+
+// BrokenError is an answer that ended early.
+type BrokenError struct {
+	Code string
+	Err  error
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string { return fmt.Sprintf("answer broke off (%s): %v", e.Code, e.Err) }
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Err }
+
+// NewTransport returns a transport for many concurrent streams to one address.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 4096,
+		MaxIdleConns:        8192,
+		DisableCompression:  true,
+	}
+}
+
+// OpenAITarget calls a daemon over the caller interface.
+type OpenAITarget struct {
+	BaseURL string
+	Client  *http.Client
+}
+
+type openAIBody struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	User      string          `json:"user,omitempty"`
+	Messages  []openAIMessage `json:"messages"`
+}
+
+type openAIMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Do implements Target.
+func (t *OpenAITarget) Do(ctx context.Context, call Call, observer Observer) error {
+	body, err := json.Marshal(openAIBody{
+		Model: call.Model, Stream: true, MaxTokens: call.MaxTokens, User: call.User,
+		Messages: []openAIMessage{{Role: "user", Content: call.Prompt}},
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, t.BaseURL+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+call.Key)
+	req.Header.Set("Content-Type", "application/json")
+	if call.Rank != "" {
+		req.Header.Set("X-Boragelead-Rank", call.Rank)
+	}
+	resp, err := t.Client.Do(req)
+	if err != nil {
+		return &BrokenError{Code: "connect", Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return readRefusal(resp)
+	}
+	return readEvents(resp.Body, observer)
+}
+
+func readRefusal(resp *http.Response) error {
+	var body struct {
+		Error struct {
+			Code string `json:"code"`
+			Run  string `json:"run"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&body)
+	return &RefusedError{Status: resp.StatusCode, Code: body.Error.Code, Run: body.Error.Run}
+}
+
+// Parts of a stream as the daemon writes it.
+var (
+	dataPrefix    = []byte("data: ")
+	errorEvent    = []byte("event: error")
+	doneData      = []byte("[DONE]")
+	contentMarker = []byte(`"content":"`)
+)
+
+// readEvents reads a stream of events up to [DONE]. It takes the text out of
+// a chunk without decoding the whole chunk, so that the generator does not
+// become the bottleneck of a throughput run.
+func readEvents(body io.Reader, observer Observer) error {
+	reader := bufio.NewReaderSize(body, 8192)
+	failed := false
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return &BrokenError{Code: "stream", Err: err}
+		}
+		if bytes.HasPrefix(line, errorEvent) {
+			failed = true
+			continue
+		}
+		data, isData := bytes.CutPrefix(line, dataPrefix)
+		if !isData {
+			continue
+		}
+		if failed {
+			return &BrokenError{Code: "error_event", Err: fmt.Errorf("%s", bytes.TrimSpace(data))}
+		}
+		if bytes.HasPrefix(data, doneData) {
+			return nil
+		}
+		if text := contentOf(data); text != "" {
+			observer.Tokens(time.Now(), strings.Count(text, " "), text)
+		}
+	}
+}
+
+// contentOf returns the text of a chunk. Tokens of the stand-in need no escapes.
+func contentOf(chunk []byte) string {
+	_, rest, found := bytes.Cut(chunk, contentMarker)
+	if !found {
+		return ""
+	}
+	end := bytes.IndexByte(rest, '"')
+	if end < 0 {
+		return ""
+	}
+	return string(rest[:end])
+}
+
+// EngineTarget calls an engine directly over the endpoint protocol, as the
+// baseline for what a daemon adds.
+type EngineTarget struct {
+	BaseURL string
+	Client  *http.Client
+}
+
+// Do implements Target.
+func (t *EngineTarget) Do(ctx context.Context, call Call, observer Observer) error {
+	body, err := json.Marshal(endpoint.GenerateRequest{
+		AttemptID: uuid.NewString(), RequestID: "direct", Model: call.Model, Prompt: call.Prompt, MaxTokens: call.MaxTokens,
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, t.BaseURL+endpoint.PathGenerate, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := t.Client.Do(req)
+	if err != nil {
+		return &BrokenError{Code: "connect", Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &RefusedError{Status: resp.StatusCode}
+	}
+	return readFrames(resp.Body, observer)
+}
+
+var (
+	textMarker = []byte(`"x":"`)
+	doneMarker = []byte(`"t":"done"`)
+)
+
+func readFrames(body io.Reader, observer Observer) error {
+	reader := bufio.NewReaderSize(body, 8192)
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return &BrokenError{Code: "stream", Err: err}
+		}
+		if bytes.Contains(line, doneMarker) {
+			return nil
+		}
+		_, rest, found := bytes.Cut(line, textMarker)
+		if !found {
+			continue
+		}
+		if end := bytes.IndexByte(rest, '"'); end >= 0 {
+			text := string(rest[:end])
+			observer.Tokens(time.Now(), strings.Count(text, " "), text)
+		}
+	}
+}
