--- a/internal/core/fleet/exact.go
+++ b/internal/core/fleet/exact.go
@@ -1,8 +1,8 @@
 package fleet
 
-// maxNodes bounds the search for the optimum; about 20 ms. Above it the best
+// maxNodes bounds the search for the optimum; about 2 ms. Above it the best
 // allocation found so far stands.
-const maxNodes = 400_000
+const maxNodes = 40_000
 
 // search looks for the optimum by branch and bound, from the best allocation
 // that the heuristics found.
--- a/internal/core/fleet/improve.go
+++ b/internal/core/fleet/improve.go
@@ -9,10 +9,10 @@
 	gain    float64
 }
 
-// maxPairOffers bounds the offers up to which pairs are exchanged. With more
-// offers the fleet is so large that the rounding to whole VMs, which pairs
-// mend, no longer counts, and pairs would exceed the planner's 100 ms.
-const maxPairOffers = 32
+// maxPairOffers bounds the offers up to which pairs are exchanged. Beyond it
+// the search for the optimum mends the rounding to whole VMs, or the fleet is
+// so large that the rounding no longer counts.
+const maxPairOffers = 12
 
 // minGain is the smallest price difference that counts as an improvement.
 const minGain = 1e-9
