Route by estimated seconds with filters, scorers and a picker

Cause: the router compared in-flight counts only; it knew neither speed, price, cache nor failure domain.

--- a/internal/core/route/candidate.go
+++ b/internal/core/route/candidate.go
@@ -21,9 +21,10 @@
 	// Load is the newest load report and LoadAt the local time at which its figures were true.
 	Load   endpoint.Load
 	LoadAt time.Time
-	// InFlight counts what this entry sent and has not seen end.
-	InFlight int
+	// Expires is when the lease ends; the zero time means no lease is known.
+	Expires time.Time
 	// PeerInFlight counts what other entries say they have in flight there.
+	// The larger of it and the merged summaries counts.
 	PeerInFlight int
 }
 
@@ -35,7 +36,9 @@
 		if m.Name != model || (version != "" && m.Version != version) {
 			continue
 		}
-		return adapter == "" || containsString(m.Adapters, adapter)
+		if adapter == "" || containsString(m.Adapters, adapter) {
+			return true
+		}
 	}
 	return false
 }
@@ -52,16 +55,22 @@
 // Request is what the router needs to know of a request.
 type Request struct {
 	Model, Version, Adapter string
+	// Role is the part of the generation to place; empty means the whole.
+	Role endpoint.Role
 	// PromptTokens counts prompt and already emitted tokens.
 	PromptTokens int
 	// OutputTokens is the expected number of tokens still to generate.
 	OutputTokens int
 	PrefixHashes []uint64
 	RankIndex    int
-	// FailureDomain is that of the entry.
+	// FailureDomain is that of the entry; empty treats all domains alike.
 	FailureDomain string
 	// Avoid lists endpoints that earlier attempts failed on.
 	Avoid []string
+	// Alone asks for an endpoint that runs nothing else, for a suspect request.
+	Alone bool
+	// Explain asks for reasons; without it the decision allocates none.
+	Explain bool
 }
 
 // Reason explains one step of a decision.
@@ -76,6 +85,17 @@
 type Decision struct {
 	Endpoint *Candidate
 	// Score is the estimated cost in seconds.
-	Score   float64
-	Reasons []Reason
+	Score float64
+	// CachedTokens is the part of the prompt expected in the prefix cache.
+	CachedTokens int
+	// Probe is set when a straggler was chosen to learn whether it recovered.
+	Probe bool
+	// WaitIdle is set when a suspect request must wait until its endpoint,
+	// which the caller isolates, has run empty.
+	WaitIdle bool
+	Reasons  []Reason
+
+	state  *state
+	tokens int
+	work   int
 }
--- /dev/null
+++ b/internal/core/route/picker.go
@@ -0,0 +1,69 @@
+package route
+
+import "math/rand/v2"
+
+// nearEqual is how far above the best score a candidate may lie to share its
+// load, as a share of the best score. docs/decisions.md gives the measurement.
+const nearEqual = 0.15
+
+// LeastPicker takes the lowest score.
+type LeastPicker struct{}
+
+// Pick implements Picker.
+func (LeastPicker) Pick(list []Scored, _ *rand.Rand) int { return least(list) }
+
+// NearEqualPicker chooses at random among the scores close to the best,
+// weighted by closeness. Entries with the same lagged view therefore do not
+// all choose the same endpoint. It leaves the failure domain only when the
+// best endpoint lies outside.
+type NearEqualPicker struct{}
+
+// Pick implements Picker.
+func (NearEqualPicker) Pick(list []Scored, random *rand.Rand) int {
+	best := least(list)
+	bound := list[best].Score * (1 + nearEqual)
+	total := 0.0
+	for i := range list {
+		total += closeness(&list[i], &list[best], bound)
+	}
+	if total <= 0 {
+		return best
+	}
+	draw := random.Float64() * total
+	for i := range list {
+		draw -= closeness(&list[i], &list[best], bound)
+		if draw < 0 {
+			return i
+		}
+	}
+	return best
+}
+
+func closeness(s, best *Scored, bound float64) float64 {
+	if s.Score >= bound || (s.Remote && !best.Remote) {
+		return 0
+	}
+	return bound - s.Score
+}
+
+// TwoChoicesPicker takes the better of two candidates drawn at random.
+type TwoChoicesPicker struct{}
+
+// Pick implements Picker.
+func (TwoChoicesPicker) Pick(list []Scored, random *rand.Rand) int {
+	a, b := random.IntN(len(list)), random.IntN(len(list))
+	if list[b].Score < list[a].Score {
+		return b
+	}
+	return a
+}
+
+func least(list []Scored) int {
+	best := 0
+	for i := range list {
+		if list[i].Score < list[best].Score {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/core/route/snapshot.go
@@ -0,0 +1,165 @@
+package route
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+)
+
+// stragglerFactor is how much slower than the median of its class an endpoint
+// must be, between tokens or in prefill, to count as a straggler.
+const stragglerFactor = 1.5
+
+// Snapshot is an immutable list of candidates, prepared for many decisions.
+// It is rebuilt when the registry changes, and at least with each load report.
+type Snapshot struct {
+	entries []entry
+	// config is the configuration that prices and priors come from.
+	config *config
+	mu     sync.RWMutex
+	pools  map[poolKey]*pool
+}
+
+// entry is a candidate with what is computed once per snapshot.
+type entry struct {
+	*Candidate
+	state     *state
+	base      counts
+	loadAt    int64
+	expiresAt int64
+	price     float64
+	straggler bool
+}
+
+// poolKey names the requests that the same candidates can serve.
+type poolKey struct {
+	model, version, adapter string
+	role                    endpoint.Role
+}
+
+// pool lists the entries that pass the static filters, ordered by failure domain.
+type pool struct {
+	entries    []*entry
+	domains    map[string][2]int
+	stragglers []int32
+}
+
+// Snapshot prepares candidates for decisions. The candidates must not change after.
+func (r *Router) Snapshot(candidates []*Candidate) *Snapshot {
+	cfg := r.config.Load()
+	s := &Snapshot{entries: make([]entry, len(candidates)), config: cfg, pools: make(map[poolKey]*pool)}
+	for i, c := range candidates {
+		st := r.endpoint(c, cfg)
+		st.reported.Store(int64(c.Load.Running))
+		s.entries[i] = entry{Candidate: c, state: st, base: st.at(c.LoadAt), price: cfg.price(c)}
+		if !c.LoadAt.IsZero() {
+			s.entries[i].loadAt = c.LoadAt.UnixNano()
+		}
+		if !c.Expires.IsZero() {
+			s.entries[i].expiresAt = c.Expires.UnixNano()
+		}
+	}
+	slices.SortStableFunc(s.entries, func(a, b entry) int {
+		if n := strings.Compare(a.FailureDomain, b.FailureDomain); n != 0 {
+			return n
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	s.markStragglers()
+	return s
+}
+
+// markStragglers compares each endpoint with the median of its class.
+func (s *Snapshot) markStragglers() {
+	classes := make(map[string][]*entry)
+	for i := range s.entries {
+		classes[s.entries[i].Class] = append(classes[s.entries[i].Class], &s.entries[i])
+	}
+	for _, list := range classes {
+		prefill := make([]float64, 0, len(list))
+		between := make([]float64, 0, len(list))
+		for _, e := range list {
+			speed := e.state.learner.speed()
+			prefill = append(prefill, speed.PrefillS)
+			between = append(between, speed.Between(max(e.Slots/2, 1)))
+		}
+		p, b := median(prefill), median(between)
+		for _, e := range list {
+			speed := e.state.learner.speed()
+			e.straggler = speed.PrefillS > stragglerFactor*p || speed.Between(max(e.Slots/2, 1)) > stragglerFactor*b
+		}
+	}
+}
+
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// pool returns the candidates for a kind of request. The first request of a
+// kind computes them.
+func (s *Snapshot) pool(key poolKey) *pool {
+	s.mu.RLock()
+	p := s.pools[key]
+	s.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	p = &pool{domains: make(map[string][2]int)}
+	for i := range s.entries {
+		e := &s.entries[i]
+		if !static(key, e.Candidate) {
+			continue
+		}
+		at := len(p.entries)
+		bounds, known := p.domains[e.FailureDomain]
+		if !known {
+			bounds[0] = at
+		}
+		p.domains[e.FailureDomain] = [2]int{bounds[0], at + 1}
+		if e.straggler {
+			p.stragglers = append(p.stragglers, int32(at))
+		}
+		p.entries = append(p.entries, e)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pools) < maxPools {
+		s.pools[key] = p
+	}
+	return p
+}
+
+// maxPools bounds the cached kinds; callers could name any version or adapter.
+const maxPools = 256
+
+// view fills v with the present state of the entry.
+func (e *entry) view(v *View, ctx *Input) {
+	s := e.state
+	v.Candidate, v.state, v.expiresAt, v.Price = e.Candidate, s, e.expiresAt, e.price
+	v.Speed = s.learner.speed()
+	v.Remote = ctx.Request.FailureDomain != "" && e.FailureDomain != ctx.Request.FailureDomain
+	known := s.inFlight.Load() + max(s.peerInFlight.Load(), int64(e.PeerInFlight))
+	changed := (s.started.Load() - e.base.started) - (s.done.Load() - e.base.done)
+	v.Queue = int(max(known, int64(e.Load.Running+e.Load.Waiting)+changed, 0))
+	v.WaitTokens = e.waitTokens(ctx, &v.Speed)
+	v.CachedTokens = 0
+}
+
+// waitTokens estimates the prefill work ahead: the reported work less what was
+// done since, and what was sent since. It is at least what this entry and its
+// peers know to be waiting.
+func (e *entry) waitTokens(ctx *Input, speed *Speed) int {
+	s := e.state
+	waiting := 0.0
+	if e.Load.WaitingTokens > 0 {
+		age := float64(ctx.nowNano-e.loadAt) / float64(time.Second)
+		waiting = max(float64(e.Load.WaitingTokens)-age/speed.PrefillS, 0)
+	}
+	sent := (s.startedTokens.Load() - e.base.startedTokens) - (s.donePrefill.Load() - e.base.donePrefill)
+	waiting += float64(max(sent, 0))
+	return int(max(waiting, float64(s.pending.Load()+s.peerPending.Load())))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,7 +103,7 @@
 		list = append(list, &route.Candidate{
 			ID: e.ID, Incarnation: e.Incarnation, BaseURL: e.BaseURL, FailureDomain: e.FailureDomain,
 			Class: e.Class, Role: e.Role, State: e.State, Models: e.Models, Slots: e.Slots,
-			Reclaimable: e.Reclaimable, Load: e.Load, LoadAt: e.LoadAt,
+			Reclaimable: e.Reclaimable, Load: e.Load, LoadAt: e.LoadAt, Expires: e.Expires,
 		})
 	}
 	return list
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -68,11 +69,15 @@
 // attempt runs one attempt. It returns done for a whole answer, an error when
 // no further attempt makes sense, and neither when another may succeed.
 func (g *generation) attempt(ctx context.Context) (bool, error) {
-	decision, err := g.service.router.Route(g.routeRequest(), g.service.endpoints.Candidates(g.req.Model))
+	router := g.service.router
+	snapshot := router.Snapshot(g.service.endpoints.Candidates(g.req.Model))
+	decision, err := router.Route(g.routeRequest(), snapshot, time.Now(), route.SharedRandom)
 	if err != nil {
 		return false, g.refusal(RefusedNoEndpoint, "no endpoint can serve the model", err)
 	}
 	g.result.Attempts++
+	flight := decision.Start(time.Now())
+	defer func() { flight.Done(time.Now()) }()
 	engineReq := g.engineRequest()
 	stream, err := g.service.engine.Generate(ctx, decision.Endpoint.BaseURL, engineReq)
 	if err != nil {
