--- /dev/null
+++ b/internal/core/retry/backoff.go
@@ -0,0 +1,26 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/boragelead/boragelead/internal/core/conf"
+)
+
+// maxDoublings keeps the shift of the backoff inside its type.
+const maxDoublings = 20
+
+// Backoff returns the pause before a retry: full jitter between 0 and a bound
+// that doubles with each retry, 0 being the first.
+func Backoff(config conf.Retry, retry int, random *rand.Rand) time.Duration {
+	base := time.Duration(config.BackoffBaseMS) * time.Millisecond
+	limit := time.Duration(config.BackoffMaxMS) * time.Millisecond
+	if base <= 0 {
+		return 0
+	}
+	bound := base << min(max(retry, 0), maxDoublings)
+	if limit > 0 {
+		bound = min(bound, limit)
+	}
+	return time.Duration(random.Int64N(int64(bound) + 1))
+}
--- a/internal/core/route/pipeline.go
+++ b/internal/core/route/pipeline.go
@@ -39,6 +39,7 @@
 	Now        time.Time
 	nowNano    int64
 	probeShare float64
+	domain     int32
 	// PriceWeight converts price per hour into seconds.
 	PriceWeight float64
 	// CrossDomain is added for a remote endpoint, in seconds.
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -144,7 +144,7 @@
 	pool := snapshot.pool(poolKey{model: req.Model, version: req.Version, adapter: req.Adapter, role: req.Role})
 	cfg := snapshot.config
 	w.ctx = Input{
-		Request: req, Rank: cfg.rank(req.RankIndex), Now: now, nowNano: now.UnixNano(),
+		Request: req, Rank: cfg.rank(req.RankIndex), Now: now, nowNano: now.UnixNano(), domain: snapshot.domain(req.FailureDomain),
 		PriceWeight: cfg.routing.PriceWeight, probeShare: cfg.routing.ProbeShare,
 		CrossDomain: float64(cfg.routing.CrossDomainPenaltyMS) / 1000,
 	}
--- a/internal/core/route/snapshot.go
+++ b/internal/core/route/snapshot.go
@@ -21,6 +21,8 @@
 	config *config
 	mu     sync.RWMutex
 	pools  map[poolKey]*pool
+	// numbers gives each failure domain a number.
+	numbers map[string]int32
 }
 
 // entry is a candidate with what is computed once per snapshot.
@@ -32,6 +34,8 @@
 	expiresAt int64
 	price     float64
 	straggler bool
+	// domain numbers the failure domain within the snapshot.
+	domain int32
 }
 
 // poolKey names the requests that the same candidates can serve.
@@ -68,10 +72,36 @@
 		}
 		return strings.Compare(a.ID, b.ID)
 	})
+	s.numberDomains()
 	s.markStragglers()
 	return s
 }
 
+func (s *Snapshot) numberDomains() {
+	s.numbers = make(map[string]int32)
+	for i := range s.entries {
+		e := &s.entries[i]
+		number, known := s.numbers[e.FailureDomain]
+		if !known {
+			number = int32(len(s.numbers))
+			s.numbers[e.FailureDomain] = number
+		}
+		e.domain = number
+	}
+}
+
+// domain returns the number of a failure domain: -1 for the empty name, which
+// treats all alike, and an unused number for a domain without endpoints.
+func (s *Snapshot) domain(name string) int32 {
+	if name == "" {
+		return -1
+	}
+	if number, known := s.numbers[name]; known {
+		return number
+	}
+	return int32(len(s.numbers))
+}
+
 // markStragglers compares each endpoint with the median of its class.
 func (s *Snapshot) markStragglers() {
 	classes := make(map[string][]*entry)
@@ -141,7 +171,7 @@
 	s := e.state
 	v.Candidate, v.state, v.expiresAt, v.Price = e.Candidate, s, e.expiresAt, e.price
 	v.Speed = s.learner.speed()
-	v.Remote = ctx.Request.FailureDomain != "" && e.FailureDomain != ctx.Request.FailureDomain
+	v.Remote = ctx.domain >= 0 && e.domain != ctx.domain
 	known := s.inFlight.Load() + max(s.peerInFlight.Load(), int64(e.PeerInFlight))
 	changed := (s.started.Load() - e.base.started) - (s.done.Load() - e.base.done)
 	v.Queue = int(max(known, int64(e.Load.Running+e.Load.Waiting)+changed, 0))
--- /dev/null
+++ b/internal/core/suspect/running.go
@@ -0,0 +1,71 @@
+package suspect
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const runningShards = 32
+
+// Running knows which requests of this entry run at which endpoint. It is safe
+// for concurrent use.
+type Running struct {
+	shards [runningShards]runningShard
+}
+
+type runningShard struct {
+	mu        sync.Mutex
+	endpoints map[string]map[Fingerprint]int
+}
+
+// NewRunning returns an empty record.
+func NewRunning() *Running {
+	r := &Running{}
+	for i := range r.shards {
+		r.shards[i].endpoints = make(map[string]map[Fingerprint]int)
+	}
+	return r
+}
+
+func (r *Running) shard(endpoint string) *runningShard {
+	return &r.shards[xxhash.Sum64String(endpoint)%runningShards]
+}
+
+// Start notes an attempt before it is sent.
+func (r *Running) Start(endpoint string, f Fingerprint) {
+	s := r.shard(endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endpoints[endpoint] == nil {
+		s.endpoints[endpoint] = make(map[Fingerprint]int)
+	}
+	s.endpoints[endpoint][f]++
+}
+
+// End notes the end of an attempt that Start noted. After a crash it is called
+// once the crash was passed to Tracker.Crash.
+func (r *Running) End(endpoint string, f Fingerprint) {
+	s := r.shard(endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.endpoints[endpoint]
+	if m[f]--; m[f] <= 0 {
+		delete(m, f)
+	}
+	if len(m) == 0 {
+		delete(s.endpoints, endpoint)
+	}
+}
+
+// At lists the requests that run at an endpoint.
+func (r *Running) At(endpoint string) []Fingerprint {
+	s := r.shard(endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Fingerprint, 0, len(s.endpoints[endpoint]))
+	for f := range s.endpoints[endpoint] {
+		list = append(list, f)
+	}
+	return list
+}
