Test routing against round robin and choose the picker by measurement

Cause: the picker's band was a guess, and a failure domain without prices looked free to the router. Change: queueing model with lagged reports in the tests; band of near-equal scores 0.5 in place of 0.15; an unknown price is the highest of the class. Conclusion: weighted random among scores within 50% of the best is used.

--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -3,8 +3,10 @@
 import "math/rand/v2"
 
 // nearEqual is how far above the best score a candidate may lie to share its
-// load, as a share of the best score. docs/decisions.md gives the measurement.
-const nearEqual = 0.15
+// load, as a share of the best score. At 0.15, eight entries with reports one
+// second old still rush at the same endpoints near saturation; 0.5 halves the
+// time to the first token there. docs/decisions.md gives the measurement.
+const nearEqual = 0.5
 
 // LeastPicker takes the lowest score.
 type LeastPicker struct{}
--- a/internal/core/route/route_suite_test.go
+++ b/internal/core/route/route_suite_test.go
@@ -1,8 +1,10 @@
 package route
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +15,14 @@
 	"github.com/boragelead/boragelead/internal/core/conf"
 )
 
+// TestMain fixes the seed of rapid, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func TestRoute(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "route")
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -42,6 +42,9 @@
 	ranks   []Rank
 	speeds  map[string]Speed
 	prices  map[string]map[string]conf.ClassPrice
+	// dearest is the highest price per class. It stands for a domain without
+	// prices, which must not look free.
+	dearest map[string]conf.ClassPrice
 }
 
 // scratch is the working memory of one decision.
@@ -79,7 +82,10 @@
 
 // Configure takes a new generation of the document. Snapshots built before keep the old one.
 func (r *Router) Configure(doc *conf.Document) {
-	cfg := &config{routing: doc.Routing, speeds: map[string]Speed{}, prices: map[string]map[string]conf.ClassPrice{}}
+	cfg := &config{
+		routing: doc.Routing, speeds: map[string]Speed{},
+		prices: map[string]map[string]conf.ClassPrice{}, dearest: map[string]conf.ClassPrice{},
+	}
 	for i := range doc.Fleet.Classes {
 		c := &doc.Fleet.Classes[i]
 		cfg.speeds[c.Name] = classSpeed(c.PrefillTokensPerS, c.DecodeTokensPerS, c.Slots)
@@ -89,6 +95,10 @@
 		cfg.prices[d.FailureDomain] = map[string]conf.ClassPrice{}
 		for _, price := range d.Classes {
 			cfg.prices[d.FailureDomain][price.Class] = price
+			dearest := cfg.dearest[price.Class]
+			dearest.OnDemand = max(dearest.OnDemand, price.OnDemand)
+			dearest.Reclaimable = max(dearest.Reclaimable, price.Reclaimable)
+			cfg.dearest[price.Class] = dearest
 		}
 	}
 	cfg.ranks = ranks(doc.Ranks)
@@ -121,7 +131,10 @@
 var defaultRank = Rank{FirstToken: 1, Worth: 1, FirstTokenWeight: 1}
 
 func (c *config) price(candidate *Candidate) float64 {
-	price := c.prices[candidate.FailureDomain][candidate.Class]
+	price, known := c.prices[candidate.FailureDomain][candidate.Class]
+	if !known {
+		price = c.dearest[candidate.Class]
+	}
 	if candidate.Reclaimable {
 		return price.Reclaimable
 	}
@@ -141,6 +154,10 @@
 func (r *Router) Route(req *Request, snapshot *Snapshot, now time.Time, random *rand.Rand) (Decision, error) {
 	w := r.scratch.Get().(*scratch)
 	defer r.scratch.Put(w)
+	return r.route(w, req, snapshot, now, random)
+}
+
+func (r *Router) route(w *scratch, req *Request, snapshot *Snapshot, now time.Time, random *rand.Rand) (Decision, error) {
 	pool := snapshot.pool(poolKey{model: req.Model, version: req.Version, adapter: req.Adapter, role: req.Role})
 	cfg := snapshot.config
 	w.ctx = Input{
--- /dev/null
+++ b/internal/core/route/router_test.go
@@ -0,0 +1,205 @@
+package route
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+)
+
+var _ = Describe("Router", func() {
+	var r *Router
+	BeforeEach(func() { r = testRouter() })
+	route := func(req *Request, list []*Candidate) (Decision, error) {
+		return r.Route(req, r.Snapshot(list), epoch, seeded(1))
+	}
+
+	// Guards against rushing at an endpoint whose last report showed it idle.
+	It("adds to a lagged report what was sent since, and not what the report covers", func() {
+		list := testCandidates(2, 1)
+		list[0].Class, list[0].Slots = list[1].Class, list[1].Slots
+		list[0].Load, list[1].Load = endpoint.Load{Running: 1}, endpoint.Load{Running: 1}
+		snapshot := r.Snapshot(list)
+		sent := map[string]int{}
+		for i := range 40 {
+			d, err := r.Route(testRequest(), snapshot, epoch.Add(time.Duration(i)*time.Millisecond), seeded(uint64(i)))
+			Expect(err).NotTo(HaveOccurred())
+			d.Start(epoch.Add(time.Duration(i+1) * time.Millisecond))
+			sent[d.Endpoint.ID]++
+		}
+		Expect(sent[list[0].ID]).To(BeNumerically("~", 20, 6))
+		later := *list[0]
+		later.LoadAt, later.Load = epoch.Add(time.Second), endpoint.Load{Running: 33}
+		entry := &r.Snapshot([]*Candidate{&later}).entries[0]
+		var view View
+		entry.view(&view, &Input{Request: testRequest(), domain: -1})
+		Expect(view.Queue).To(Equal(33))
+	})
+
+	// Guards against leaving the failure domain for a gain below delay and price.
+	It("spills only when the gain exceeds the penalty", func() {
+		own, other := testCandidate(1, 2), testCandidate(2, 2)
+		own.FailureDomain, other.FailureDomain = "d0", "d1"
+		own.Load, other.Load = endpoint.Load{}, endpoint.Load{}
+		req := testRequest()
+		req.FailureDomain = "d0"
+		for seed := range uint64(50) {
+			d, err := r.Route(req, r.Snapshot([]*Candidate{own, other}), epoch, seeded(seed))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(d.Endpoint.ID).To(Equal(own.ID))
+		}
+		own.Load = endpoint.Load{Running: 32, Waiting: 30, WaitingTokens: 40000}
+		d, err := route(req, []*Candidate{own, other})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Endpoint.ID).To(Equal(other.ID))
+	})
+
+	// Guards against new work at endpoints behind an open breaker, reserved
+	// for a suspect, without lease or avoided by the request.
+	It("drops what cannot serve, with a typed error and reasons on demand", func() {
+		list := testCandidates(5, 1)
+		list[3].Expires = epoch
+		snapshot := r.Snapshot(list)
+		r.SetBlocked(list[0].ID, true)
+		Expect(r.Isolate(list[1].ID)).To(BeTrue())
+		Expect(r.Isolate(list[1].ID)).To(BeFalse())
+		req := testRequest()
+		req.Avoid, req.Explain = []string{list[2].ID}, true
+		d, err := r.Route(req, snapshot, epoch, seeded(1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Endpoint.ID).To(Equal(list[4].ID))
+		steps := map[string]string{}
+		for _, reason := range d.Reasons {
+			steps[reason.Step] = reason.Endpoint
+		}
+		Expect(steps).To(HaveKeyWithValue("breaker", list[0].ID))
+		Expect(steps).To(HaveKeyWithValue("isolation", list[1].ID))
+		Expect(steps).To(HaveKeyWithValue("avoid", list[2].ID))
+		Expect(steps).To(HaveKeyWithValue("lease", list[3].ID))
+		req.Avoid = append(req.Avoid, list[4].ID)
+		_, err = r.Route(req, snapshot, epoch, seeded(1))
+		var none *NoEndpointError
+		Expect(errors.As(err, &none)).To(BeTrue())
+		Expect(none.Fitting).To(Equal(5))
+	})
+
+	// Guards against a suspect request that takes other requests down with it.
+	It("gives a suspect request an idle endpoint, or one to run empty", func() {
+		list := testCandidates(3, 1)
+		list[0].Load, list[1].Load, list[2].Load = endpoint.Load{Running: 3}, endpoint.Load{}, endpoint.Load{Running: 1}
+		req := testRequest()
+		req.Alone = true
+		d, err := route(req, list)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Endpoint.ID).To(Equal(list[1].ID))
+		Expect(d.WaitIdle).To(BeFalse())
+		list[1].Load.Running = 5
+		d, err = route(req, list)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Endpoint.ID).To(Equal(list[2].ID))
+		Expect(d.WaitIdle).To(BeTrue())
+	})
+
+	// Guards against a peer that went silent holding load for ever.
+	It("counts peers until their lease ends and takes their speeds", func() {
+		peer := testRouter()
+		list := testCandidates(1, 1)
+		list[0].Load = endpoint.Load{}
+		d, err := peer.Route(testRequest(), peer.Snapshot(list), epoch, seeded(1))
+		Expect(err).NotTo(HaveOccurred())
+		flight := d.Start(epoch)
+		flight.Tokens(1, epoch.Add(time.Second))
+		data, err := peer.Summary()
+		Expect(err).NotTo(HaveOccurred())
+		snapshot := r.Snapshot(list)
+		Expect(r.MergeSummary("p", data, epoch)).To(Succeed())
+		st := snapshot.entries[0].state
+		Expect(st.peerInFlight.Load()).To(Equal(int64(1)))
+		Expect(st.learner.speed().PrefillS).To(BeNumerically("~", 1.0/600, 1e-5))
+		Expect(r.MergeSummary("q", []byte{0x90}, epoch.Add(peerLease*2))).To(Succeed())
+		Expect(st.peerInFlight.Load()).To(BeZero())
+		Expect(r.MergeSummary("q", []byte{0xc1}, epoch)).NotTo(Succeed())
+	})
+
+	// Guards against an estimate that does not grow with the batch or keeps the class's figures.
+	It("learns the time between tokens over batch size", func() {
+		var l learner
+		l.reset(classSpeed(4000, 700, 12), 12)
+		for i := range 60 {
+			batch := 1 + i%10
+			l.observeDecode(0.04+0.002*float64(batch), batch)
+		}
+		Expect(l.speed().Between(2)).To(BeNumerically("~", 0.044, 0.002))
+		Expect(l.speed().Between(12)).To(BeNumerically("~", 0.064, 0.003))
+	})
+
+	// Guards against garbage on the request path when nobody asks for reasons.
+	It("allocates nothing per decision", func() {
+		snapshot, random := r.Snapshot(testCandidates(192, 1)), seeded(1)
+		req, w := testRequest(), r.scratch.New().(*scratch)
+		Expect(testing.AllocsPerRun(200, func() { _, _ = r.route(w, req, snapshot, epoch, random) })).To(BeZero())
+	})
+
+	// Guards against a sample that misses the good endpoints of a large fleet.
+	It("loses little by scoring a sample of 2,300 endpoints", func() {
+		list := testCandidates(2300, 12)
+		snapshot := r.Snapshot(list)
+		req := testRequest()
+		full, sampled := 0.0, 0.0
+		for seed := range uint64(40) {
+			w := r.scratch.New().(*scratch)
+			w.ctx = Input{Request: req, Rank: snapshot.config.rank(0), Now: epoch, nowNano: epoch.UnixNano(), domain: -1, PriceWeight: 0.15}
+			p := snapshot.pool(poolKey{model: "m", version: "1"})
+			w.scored = w.scored[:0]
+			r.scanRange(w, p, 0, len(p.entries))
+			full += w.scored[least(w.scored)].Score
+			r.scan(w, p, seeded(seed))
+			sampled += w.scored[least(w.scored)].Score
+		}
+		GinkgoWriter.Printf("sampled best score %.4f of the full best\n", sampled/full)
+		Expect(sampled / full).To(BeNumerically("<", 1.05))
+	})
+})
+
+// Guards against a decision for an endpoint that cannot serve, and against a
+// refusal where round robin over the fitting endpoints would find one.
+func TestRouteAgainstRoundRobin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := testCandidates(rapid.IntRange(0, 30).Draw(t, "n"), 3)
+		req := testRequest()
+		for _, c := range list {
+			c.State = rapid.SampledFrom([]endpoint.State{endpoint.StateReady, endpoint.StateLeaving, endpoint.StateLoading}).Draw(t, "state")
+			c.Role = rapid.SampledFrom([]endpoint.Role{"", endpoint.RoleBoth, endpoint.RolePrefill}).Draw(t, "role")
+			c.Models[0].Version = rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version")
+			if rapid.Bool().Draw(t, "expired") {
+				c.Expires = epoch
+			}
+			if rapid.IntRange(0, 5).Draw(t, "avoid") == 0 {
+				req.Avoid = append(req.Avoid, c.ID)
+			}
+		}
+		fits := func(c *Candidate) bool {
+			return c.State == endpoint.StateReady && c.Role != endpoint.RolePrefill && c.Models[0].Version == "1" &&
+				c.Expires.IsZero() && !containsString(req.Avoid, c.ID)
+		}
+		naive := 0
+		for _, c := range list {
+			if fits(c) {
+				naive++
+			}
+		}
+		r := testRouter()
+		d, err := r.Route(req, r.Snapshot(list), epoch, seeded(rapid.Uint64().Draw(t, "seed")))
+		if (err == nil) != (naive > 0) {
+			t.Fatalf("%d endpoints fit, error %v", naive, err)
+		}
+		if err == nil && !fits(d.Endpoint) {
+			t.Fatalf("chose %+v", d.Endpoint)
+		}
+	})
+}
--- a/internal/core/suspect/doc.go
+++ b/internal/core/suspect/doc.go
@@ -3,9 +3,9 @@
 // and, after a number of crashes, quarantined on all entries. The package does
 // no I/O and starts no goroutine.
 //
-// Bound: let K be the configured number of crashes and c the number of copies
-// of a poison request that run when the first crash becomes known. Entries
-// that exchange their marks before the next copy starts lose at most max(c, K)
-// endpoints to it. Where its crashes fall into a wave of other crashes, which
-// count half, the bound is max(c, 2K). Parts of a partition count on their own.
+// Bound: let K be the configured number of crashes and c the largest number of
+// copies of a poison request that run unmarked at one time. Entries that
+// exchange their marks before the next copy starts lose at most max(c, K)
+// endpoints to it. Where its crashes fall into waves of other crashes, which
+// count half, the bound is 2K + c - 1. Parts of a partition count on their own.
 package suspect
--- a/internal/core/suspect/tracker.go
+++ b/internal/core/suspect/tracker.go
@@ -109,7 +109,6 @@
 	for _, f := range running {
 		r := t.record(f, now)
 		r.at, r.changed = now, now
-		r.loneSince = time.Time{}
 		r.crashes = union(r.crashes, []crashID{id})
 	}
 	t.count.Store(int64(len(t.records)))
@@ -143,9 +142,9 @@
 	return Alone, nil
 }
 
-// End notes the end of an attempt. finished is set when the endpoint gave the
+// End notes the end of an attempt with the verdict of its Begin. finished is set when the endpoint gave the
 // whole answer: that clears the request of the crashes known so far.
-func (t *Tracker) End(f Fingerprint, finished bool, now time.Time) {
+func (t *Tracker) End(f Fingerprint, verdict Verdict, finished bool, now time.Time) {
 	if t.count.Load() == 0 {
 		return
 	}
@@ -155,7 +154,9 @@
 	if r == nil {
 		return
 	}
-	r.loneSince = time.Time{}
+	if verdict == Alone {
+		r.loneSince = time.Time{}
+	}
 	if finished && t.score(r) < fullMark*t.crashes {
 		r.forgiven = union(r.forgiven, r.crashes)
 		r.changed = now
