Replace the engine stand-in by one with batching, caches and faults

Cause: the minimal stand-in had one ticker per stream, no slots, no cache, no orders and no faults, so the request path could not be tested against the failures of design sections 1.4 and 1.5.

Change: one batch loop per engine advances all generations; slots, priorities, LRU prefix cache with events (late, with gaps, reset on request), lagged load reports, resume, cancel, KV export and import with a transfer time, both fencing modes, loading through a weight store, drain, reclaim notice, replacement and scripted faults. A ledger counts runs, generated and recomputed tokens per request, shared by engines if wanted. Frames of type error carry a code and a run state.

--- a/api/endpoint/generate.go
+++ b/api/endpoint/generate.go
@@ -1,7 +1,17 @@
 package endpoint
 
-// HeaderAttempt carries the attempt ID towards plain services.
-const HeaderAttempt = "X-Boragelead-Attempt"
+// HTTP headers of the endpoint protocol.
+const (
+	// HeaderAttempt carries the attempt ID towards plain services.
+	HeaderAttempt = "X-Boragelead-Attempt"
+	// HeaderKey carries the caller's idempotency key towards plain services. It
+	// is not named Idempotency-Key, because net/http replays requests with that header.
+	HeaderKey = "X-Boragelead-Key"
+	// HeaderRun is set by a plain service to NotRun on an answer to a call that it did not run.
+	HeaderRun = "X-Boragelead-Run"
+	// HeaderController carries the token that engines with ChecksCaller require of orders.
+	HeaderController = "X-Boragelead-Controller"
+)
 
 // GenerateRequest starts a generation or resumes one.
 type GenerateRequest struct {
@@ -58,6 +68,11 @@
 	FinishReason string `json:"finish,omitempty"`
 	Usage        *Usage `json:"usage,omitempty"`
 	Error        string `json:"error,omitempty"`
+	// Code classifies the failure in a frame of type error.
+	Code ErrorCode `json:"code,omitempty"`
+	// Run is set in a frame of type error. NotRun says that the engine dropped
+	// the generation while it waited for a slot.
+	Run RunState `json:"run,omitempty"`
 }
 
 // Usage counts the tokens of one attempt.
@@ -150,6 +165,8 @@
 	CodeStaleFencing ErrorCode = "stale_fencing_number"
 	CodeNoKV         ErrorCode = "kv_not_found"
 	CodeInternal     ErrorCode = "internal"
+	// CodeUnauthorized answers an order without the right HeaderController.
+	CodeUnauthorized ErrorCode = "unauthorized"
 )
 
 // ErrorBody is the JSON body of a refusal by an endpoint.
--- a/api/endpoint/paths.go
+++ b/api/endpoint/paths.go
@@ -17,6 +17,9 @@
 	PathKVExport = "/engine/v1/kv/export"
 	// PathKVImport is served by engines: POST KVImportRequest.
 	PathKVImport = "/engine/v1/kv/import"
+	// PathKVData is served by engines to other engines: GET with the query
+	// parameter handle, answered after the transfer by KVHandle.
+	PathKVData = "/engine/v1/kv/data"
 	// PathOrder is served by engines: POST Order, answered by OrderResult.
 	PathOrder = "/engine/v1/order"
 	// PathPing is served by engines: GET, answered with status 204.
--- a/standin/engine/text.go
+++ b/standin/engine/text.go
@@ -12,8 +12,13 @@
 
 // Token returns the token at an index of the answer to a prompt.
 func Token(seed uint64, index int) string {
+	return string(AppendToken(nil, seed, index))
+}
+
+// AppendToken appends the token at an index of the answer to a prompt.
+func AppendToken(buf []byte, seed uint64, index int) []byte {
 	mixed := (seed ^ uint64(index)*0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9
-	return " w" + strconv.FormatUint((mixed>>32)%tokenAlphabet, 36)
+	return strconv.AppendUint(append(buf, " w"...), (mixed>>32)%tokenAlphabet, 36)
 }
 
 // Seed returns the seed of the answer to a prompt.
