Give the engine client pools, idle deadlines and proof of unsent requests

Cause: the client used http.DefaultTransport, waited for silent streams without bound, called every failed request that had a connection "sent", and decoded each frame with encoding/json.

Change: internal/adapter/httpconn tracks connections below net/http: which request wrote a byte, and whether a read met its deadline. A request reported as unsent seals its connection, because net/http writes in another goroutine. enginehttp has one pool per endpoint with a generation; a silent stream or answer probes the endpoint on a new connection and replaces the pool if that works. Token frames are read by hand, the rest by encoding/json. Cache events are received and resets asked for. TCP keepalive and TCP_USER_TIMEOUT are set.

--- /dev/null
+++ b/internal/adapter/enginehttp/client_test.go
@@ -0,0 +1,260 @@
+package enginehttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/standin/engine"
+)
+
+const model = "m"
+
+func startEngine(config engine.Config) *engine.Engine {
+	config.Models = []endpoint.LoadedModel{{Name: model, Version: "1"}}
+	e, err := engine.Start(config)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(e.Close)
+	return e
+}
+
+func request(attempt string, tokens int) *endpoint.GenerateRequest {
+	return &endpoint.GenerateRequest{AttemptID: attempt, RequestID: attempt, Model: model, Prompt: "x", MaxTokens: tokens}
+}
+
+// drain reads a stream to its end.
+func drain(stream port.FrameStream) (string, error) {
+	defer stream.Close()
+	var text strings.Builder
+	for {
+		var frame endpoint.Frame
+		if err := stream.Next(&frame); err != nil {
+			if errors.Is(err, io.EOF) {
+				return text.String(), nil
+			}
+			return text.String(), err
+		}
+		text.WriteString(frame.Text)
+	}
+}
+
+func transportError(err error) *port.TransportError {
+	var failed *port.TransportError
+	ExpectWithOffset(1, errors.As(err, &failed)).To(BeTrue(), "%v", err)
+	return failed
+}
+
+var _ = Describe("streams", func() {
+	It("guards against connections that are not used again after a whole answer", func() {
+		var mu sync.Mutex
+		dialed := 0
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(w, tokenLine+`{"a":"a","t":"done","o":1}`+"\n")
+		}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			mu.Lock()
+			defer mu.Unlock()
+			if state == http.StateNew {
+				dialed++
+			}
+		}
+		server.Start()
+		defer server.Close()
+		c := NewClient(WithIdle(20 * time.Millisecond))
+		for range 20 {
+			stream, err := c.Generate(context.Background(), server.URL, request("a", 1))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = drain(stream)
+			Expect(err).NotTo(HaveOccurred())
+			// A deadline left behind would end the pooled connection within this time.
+			time.Sleep(5 * time.Millisecond)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(dialed).To(Equal(1))
+	})
+
+	It("guards against slow callers taken for silent engines", func() {
+		e := startEngine(engine.Config{TimeScale: 0.01, PingInterval: 10 * time.Millisecond})
+		stream, err := NewClient(WithIdle(50*time.Millisecond)).Generate(context.Background(), e.BaseURL(), request("a", 50))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(150 * time.Millisecond)
+		Expect(drain(stream)).To(Equal(engine.Answer(model, "", "x", 50)))
+	})
+
+	It("guards against a silent stream that is waited for without bound, or whose idle time cannot change", func() {
+		e := startEngine(engine.Config{TimeScale: 1})
+		stream, err := NewClient(WithIdle(time.Hour)).Generate(context.Background(), e.BaseURL(), request("a", 100_000))
+		Expect(err).NotTo(HaveOccurred())
+		var frame endpoint.Frame
+		Expect(stream.Next(&frame)).To(Succeed())
+		e.SilenceConnections()
+		stream.(port.IdleStream).SetIdle(100 * time.Millisecond)
+		begin := time.Now()
+		_, err = drain(stream)
+		failed := transportError(err)
+		Expect(failed.Silent && failed.Sent).To(BeTrue())
+		Expect(time.Since(begin)).To(BeNumerically("~", 150*time.Millisecond, 60*time.Millisecond))
+	})
+
+	It("guards against a crash reported as a whole answer", func() {
+		e := startEngine(engine.Config{TimeScale: 1})
+		stream, err := NewClient().Generate(context.Background(), e.BaseURL(), request("a", 100_000))
+		Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(50*time.Millisecond, e.Crash)
+		_, err = drain(stream)
+		Expect(transportError(err).Silent).To(BeFalse())
+	})
+})
+
+var _ = Describe("connection pools", func() {
+	It("guards against requests that keep meeting pooled connections gone silent", func() {
+		e := startEngine(engine.Config{TimeScale: 0.01, Slots: 32})
+		replaced := make(chan string, 10)
+		c := NewClient(WithIdle(100*time.Millisecond), WithHeaderTimeout(100*time.Millisecond), WithReplaced(func(url string) { replaced <- url }))
+		generate := func() error {
+			stream, err := c.Generate(context.Background(), e.BaseURL(), request(time.Now().String(), 50))
+			if err == nil {
+				_, err = drain(stream)
+			}
+			return err
+		}
+		var group sync.WaitGroup
+		for range 16 {
+			group.Go(func() { defer GinkgoRecover(); Expect(generate()).To(Succeed()) })
+		}
+		group.Wait()
+		Expect(e.SilenceConnections()).To(BeNumerically(">", 4))
+		Expect(transportError(generate()).Silent).To(BeTrue())
+		Eventually(replaced).Should(Receive(Equal(e.BaseURL())))
+		for range 16 {
+			Expect(generate()).To(Succeed())
+		}
+	})
+
+	It("guards against a pool replaced because the engine itself is stalled and does not answer", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		var replaced atomic.Int32
+		c := NewClient(WithHeaderTimeout(30*time.Millisecond), WithProbeTimeout(30*time.Millisecond), WithReplaced(func(string) { replaced.Add(1) }))
+		_, err = c.Generate(context.Background(), "http://"+listener.Addr().String(), request("a", 1))
+		failed := transportError(err)
+		Expect(failed.Sent && failed.Silent).To(BeTrue())
+		Consistently(replaced.Load).WithTimeout(100 * time.Millisecond).Should(BeZero())
+	})
+})
+
+var _ = Describe("proof that nothing was sent", func() {
+	It("guards against an engine that was never reached reported as perhaps run", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener.Close()
+		_, err = NewClient().Generate(context.Background(), "http://"+listener.Addr().String(), request("a", 1))
+		Expect(transportError(err).Sent).To(BeFalse())
+	})
+
+	It("guards against a request cut after it was read reported as not run", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		var read atomic.Int32
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, req.Body)
+					read.Add(1)
+				}
+				conn.Close()
+			}
+		}()
+		_, err = NewClient().Generate(context.Background(), "http://"+listener.Addr().String(), request("a", 1))
+		Expect(transportError(err).Sent).To(BeTrue())
+		Expect(read.Load()).To(Equal(int32(1)))
+	})
+
+	It("guards against a pooled connection closed by the engine that fails a request which was never written", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.WriteHeader(http.StatusNoContent)
+		}))
+		defer server.Close()
+		c := NewClient()
+		for range 200 {
+			err := c.Cancel(context.Background(), server.URL, "a")
+			var failed *port.TransportError
+			// The engine may close a connection while a request is on its way: that is reported as sent.
+			Expect(err == nil || errors.As(err, &failed) && failed.Sent).To(BeTrue(), "%v", err)
+			server.CloseClientConnections()
+		}
+	})
+
+	It("guards against refusals without a proof taken as proof", func() {
+		bodies := map[string]endpoint.RunState{
+			`{"code":"overloaded","run":"not_run"}`: endpoint.NotRun,
+			`{"code":"internal","run":"maybe"}`:     endpoint.RunUnknown,
+			`<html>bad gateway`:                     endpoint.RunUnknown,
+		}
+		for body, want := range bodies {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(w, body)
+			}))
+			_, err := NewClient().Generate(context.Background(), server.URL, request("a", 1))
+			server.Close()
+			var refused *port.RefusedError
+			Expect(errors.As(err, &refused)).To(BeTrue())
+			Expect(refused.Body.Run).To(Equal(want))
+		}
+	})
+})
+
+var _ = Describe("calls", func() {
+	It("guards against lost headers: trace context on all requests, the controller token only on orders", func() {
+		seen := make(chan http.Header, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen <- r.Header
+			_, _ = io.WriteString(w, "{}")
+		}))
+		defer server.Close()
+		c := NewClient(WithControllerToken("secret"), WithHeaders(func(_ context.Context, h http.Header) { h.Set("traceparent", "00-1") }))
+		_, err := c.Order(context.Background(), server.URL, endpoint.Order{})
+		Expect(err).NotTo(HaveOccurred())
+		header := <-seen
+		Expect(header.Get("traceparent") + header.Get(endpoint.HeaderController)).To(Equal("00-1secret"))
+		Expect(c.Cancel(context.Background(), server.URL, "a")).To(Succeed())
+		Expect((<-seen).Get(endpoint.HeaderController)).To(BeEmpty())
+	})
+
+	It("guards against KV handles that do not work from one engine to another", func() {
+		source, target := startEngine(engine.Config{ID: "1"}), startEngine(engine.Config{ID: "2"})
+		c := NewClient()
+		stream, err := c.Generate(context.Background(), source.BaseURL(), request("a", 100_000))
+		Expect(err).NotTo(HaveOccurred())
+		defer stream.Close()
+		var frame endpoint.Frame
+		Expect(stream.Next(&frame)).To(Succeed())
+		handle, err := c.KVExport(context.Background(), source.BaseURL(), "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.KVImport(context.Background(), target.BaseURL(), endpoint.KVImportRequest{SourceURL: source.BaseURL(), Handle: handle.Handle})).To(Succeed())
+		Expect(c.Cancel(context.Background(), source.BaseURL(), "a")).To(Succeed())
+	})
+})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,10 +36,10 @@
 func Start(config *settings.Settings, log *zap.Logger) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{settings: config, log: log, config: conf.NewStore(), registry: member.NewRegistry(), cancel: cancel}
-	engine := enginehttp.NewClient(http.DefaultTransport)
+	engine := enginehttp.NewClient()
 	service := entry.New(candidates{d.registry}, engine)
 	callers := callerhttp.New(d.config, service, uuid.NewString)
-	announce := enginehttp.AnnounceHandler(d.registry, func() []string { return nil })
+	announce := enginehttp.AnnounceHandler(d.registry, enginehttp.NoCache{}, func() []string { return nil })
 	if err := d.serve(config.Listen.Callers, callers.Handler()); err != nil {
 		d.Close()
 		return nil, err
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/boragelead/boragelead/api/endpoint"
 )
@@ -24,13 +25,24 @@
 
 // FrameStream is the answer to a generation.
 type FrameStream interface {
-	// Next returns the next frame. After the frame of type done it returns
-	// io.EOF; a broken stream returns a *TransportError.
+	// Next returns the next frame. After a frame of type done or error it
+	// returns io.EOF; a broken stream returns a *TransportError. The strings of
+	// a frame stay valid.
 	Next(frame *endpoint.Frame) error
 	// Close releases the stream. It is safe to call while Next waits.
 	Close() error
 }
 
+// IdleStream is a FrameStream whose idle deadline can follow the expected
+// time between tokens.
+type IdleStream interface {
+	FrameStream
+	// SetIdle sets how long the stream may be silent before Next returns a
+	// *TransportError with Silent set; 0 means without bound. It takes effect
+	// with the next wait and may be called from any goroutine.
+	SetIdle(d time.Duration)
+}
+
 // RefusedError says that an endpoint answered without running the request.
 type RefusedError struct {
 	Status int
