Add the service adapter that sends each call at most once

Change: standin/service keeps a ledger of runs per attempt and key, with scripted faults. servicehttp sends a call once: body without GetBody, the Idempotency-Key headers replaced by X-Boragelead-Key, and httpconn stops a second connection for a request that may have left on the first. The pools move to httpconn and are shared with enginehttp. A service proves that it did not run a call by X-Boragelead-Run: not_run.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -28,20 +28,20 @@
 // concurrent use.
 type Client struct {
 	options options
-	pools   *pools
+	pools   *httpconn.Pools
 }
 
 // NewClient returns a client with a pool of connections per endpoint.
 func NewClient(list ...Option) *Client {
 	o := newOptions(list)
-	return &Client{options: o, pools: newPools(&o)}
+	return &Client{options: o, pools: httpconn.NewPools(o.conn, o.replaced)}
 }
 
 // Close closes the pooled connections. Running streams are not touched.
-func (c *Client) Close() { c.pools.closeIdle() }
+func (c *Client) Close() { c.pools.CloseIdle() }
 
 // Forget drops the connections to an endpoint that left.
-func (c *Client) Forget(baseURL string) { c.pools.forget(baseURL) }
+func (c *Client) Forget(baseURL string) { c.pools.Forget(baseURL) }
 
 // Generate implements port.Engine. The stream implements port.IdleStream.
 func (c *Client) Generate(ctx context.Context, baseURL string, req *endpoint.GenerateRequest) (port.FrameStream, error) {
@@ -105,7 +105,7 @@
 type reply struct {
 	body io.ReadCloser
 	use  *httpconn.Use
-	pool *pool
+	pool *httpconn.Pool
 }
 
 // post sends a JSON body and returns the answer if its status is a success.
@@ -123,7 +123,7 @@
 		}
 		// The peer had closed the pooled connection, and perhaps all others with it.
 		if failed.stale && repeat < unsentRetries && ctx.Err() == nil {
-			failed.pool.transport.CloseIdleConnections()
+			failed.pool.CloseIdle()
 			continue
 		}
 		return nil, &failed.TransportError
@@ -133,7 +133,7 @@
 // sendError is a failed round trip.
 type sendError struct {
 	port.TransportError
-	pool *pool
+	pool *httpconn.Pool
 	// stale is set when a pooled connection was closed before any byte was written.
 	stale bool
 }
@@ -153,8 +153,8 @@
 	if c.options.controller != "" && path == endpoint.PathOrder {
 		req.Header.Set(endpoint.HeaderController, c.options.controller)
 	}
-	pool := c.pools.get(baseURL, time.Now())
-	resp, err := pool.client.Do(req)
+	pool := c.pools.Get(baseURL, time.Now())
+	resp, err := pool.Client.Do(req)
 	if err != nil {
 		return nil, c.failure(baseURL, pool, use, err)
 	}
@@ -167,14 +167,14 @@
 
 // failure classifies a failed round trip and looks after the pool of an
 // endpoint that did not answer.
-func (c *Client) failure(baseURL string, pool *pool, use *httpconn.Use, err error) *sendError {
+func (c *Client) failure(baseURL string, pool *httpconn.Pool, use *httpconn.Use, err error) *sendError {
 	failed := &sendError{pool: pool}
 	failed.Err = err
 	failed.Sent = use.Sent()
 	failed.Silent = failed.Sent && (use.Silent() || errors.Is(err, context.DeadlineExceeded))
 	failed.stale = !failed.Sent && use.Reused()
 	if failed.Silent {
-		c.pools.suspect(baseURL, pool, c.options.probeTimeout)
+		c.suspect(baseURL, pool)
 	}
 	return failed
 }
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -95,7 +95,7 @@
 	}
 	silent := s.reply.use.Silent()
 	if silent {
-		s.client.pools.suspect(s.baseURL, s.reply.pool, s.client.options.probeTimeout)
+		s.client.suspect(s.baseURL, s.reply.pool)
 	}
 	return &port.TransportError{Sent: true, Silent: silent, Err: err}
 }
--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// ErrSealed is returned by writes for a request that was reported as not sent.
-var ErrSealed = errors.New("connection sealed: its request was reported as not sent")
+// ErrSealed is returned by writes for a request that was reported as not sent, or that was sent before.
+var ErrSealed = errors.New("connection sealed: its request must not be sent")
 
 // Conn is a connection that counts what is written for each request.
 type Conn struct {
@@ -91,6 +91,13 @@
 	return false
 }
 
+// seal makes all later writes fail.
+func (c *Conn) seal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+}
+
 // Use follows one request over the connection that carries it.
 type Use struct {
 	conn    *Conn
@@ -102,7 +109,7 @@
 }
 
 // Track returns a context that makes a request report its connection to the
-// Use. The first byte of the answer must arrive within a time, unless that is 0.
+// Use and keeps net/http from replaying a request that may have left. The first byte of the answer must arrive within a time, unless that is 0.
 // The Use may be read once the round trip has returned.
 func Track(ctx context.Context, first time.Duration) (context.Context, *Use) {
 	use := &Use{first: first}
@@ -111,16 +118,22 @@
 }
 
 func (u *Use) gotConn(info httptrace.GotConnInfo) {
-	// A second connection means that net/http sends again what it gave up on the first.
-	u.unknown = u.unknown || u.conn != nil && u.conn.sent(u.user)
 	conn, tracked := info.Conn.(*Conn)
 	if !tracked {
 		u.unknown = true
 		return
 	}
+	// A second connection means that net/http replays the request. That is
+	// stopped unless the first connection is proven to have carried nothing.
+	replay := u.unknown || u.conn != nil && u.conn.sent(u.user)
+	u.unknown = replay
 	u.conn = conn
 	u.user = conn.acquire()
 	u.reused = info.Reused
+	if replay {
+		conn.seal()
+		return
+	}
 	if u.first > 0 {
 		conn.arm(u.user, time.Now().Add(u.first))
 	}
--- /dev/null
+++ b/internal/adapter/servicehttp/client_test.go
@@ -0,0 +1,169 @@
+package servicehttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/adapter/httpconn"
+	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/standin/service"
+)
+
+func TestServiceHTTP(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "servicehttp")
+}
+
+func start() *service.Service {
+	s, err := service.Start(service.Config{ID: "s1", Service: "publish"})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	return s
+}
+
+func call(method, attempt, body string) *port.ServiceCall {
+	header := http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}, "X-Other": {"o"}}
+	return &port.ServiceCall{AttemptID: attempt, Key: "k-" + attempt, Method: method, Path: "/items?x=1", Header: header, Body: []byte(body)}
+}
+
+// finish reads an answer to its end, so that its connection is used again.
+func finish(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+}
+
+func transportError(err error) *port.TransportError {
+	var failed *port.TransportError
+	ExpectWithOffset(1, errors.As(err, &failed)).To(BeTrue(), "%v", err)
+	return failed
+}
+
+var _ = Describe("calls that must not be repeated", func() {
+	for _, method := range []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodGet, http.MethodHead, http.MethodOptions} {
+		for _, body := range []string{"", "text"} {
+			It(fmt.Sprintf("guards against a replay by net/http of a %s with body %q on a reused connection cut after it was read", method, body), func() {
+				s := start()
+				c := NewClient(httpconn.Options{})
+				for round := range 5 {
+					_, err := c.Call(context.Background(), s.BaseURL(), call(method, fmt.Sprint("warm", round), body))
+					Expect(err).NotTo(HaveOccurred())
+					s.Script(service.CutAfter)
+					attempt := fmt.Sprint("cut", round)
+					_, err = c.Call(context.Background(), s.BaseURL(), call(method, attempt, body))
+					Expect(transportError(err).Sent).To(BeTrue())
+					Expect(s.Ledger().AttemptRuns(attempt)).To(Equal(1))
+					Expect(s.Ledger().KeyRuns("k-" + attempt)).To(Equal(1))
+				}
+				Expect(s.Ledger().Repeated()).To(BeEmpty())
+			})
+		}
+	}
+
+	It("guards against a test that cannot see a replay: net/http alone replays", func() {
+		s := start()
+		for _, fault := range []service.Fault{service.NoFault, service.CutAfter} {
+			s.Script(fault)
+			req, _ := http.NewRequest(http.MethodPost, s.BaseURL(), strings.NewReader("x"))
+			req.Header.Set("Idempotency-Key", "k")
+			req.Header.Set(endpoint.HeaderAttempt, fmt.Sprint(fault))
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			finish(resp)
+		}
+		Expect(s.Ledger().AttemptRuns(fmt.Sprint(service.CutAfter))).To(Equal(2))
+	})
+
+	It("guards against a replay even where net/http decides for one", func() {
+		s := start()
+		pool := httpconn.NewPools(httpconn.Options{}, func(string) {}).Get(s.BaseURL(), time.Now())
+		for _, fault := range []service.Fault{service.NoFault, service.CutAfter} {
+			s.Script(fault)
+			ctx, use := httpconn.Track(context.Background(), 0)
+			req, _ := http.NewRequestWithContext(ctx, http.MethodGet, s.BaseURL(), nil)
+			req.Header.Set(endpoint.HeaderAttempt, fmt.Sprint(fault))
+			resp, err := pool.Client.Do(req)
+			if err == nil {
+				finish(resp)
+				continue
+			}
+			Expect(use.Sent()).To(BeTrue())
+		}
+		Expect(s.Ledger().AttemptRuns(fmt.Sprint(service.CutAfter))).To(Equal(1))
+	})
+})
+
+var _ = Describe("the verdict on a call", func() {
+	It("guards against a wrong verdict: refused before running, failed after it, cut in the answer, hung", func() {
+		s := start()
+		c := NewClient(httpconn.Options{})
+		send := func(attempt string, fault service.Fault) (*port.ServiceResult, error) {
+			s.Script(fault)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			return c.Call(ctx, s.BaseURL(), call(http.MethodPost, attempt, "x"))
+		}
+		_, err := send("before", service.FailBefore)
+		var refused *port.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Body.Run).To(Equal(endpoint.NotRun))
+		Expect(s.Ledger().AttemptRuns("before")).To(BeZero())
+		result, err := send("after", service.FailAfter)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Status).To(Equal(http.StatusInternalServerError))
+		_, err = send("answer", service.CutAnswer)
+		Expect(transportError(err).Sent).To(BeTrue())
+		for _, fault := range []service.Fault{service.HangBefore, service.HangAfter} {
+			_, err = send("hang", fault)
+			failed := transportError(err)
+			Expect(failed.Sent && failed.Silent).To(BeTrue())
+		}
+		result, err = send("good", service.NoFault)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Status).To(Equal(http.StatusCreated))
+	})
+
+	It("guards against a service that was never reached reported as perhaps run", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener.Close()
+		_, err = NewClient(httpconn.Options{}).Call(context.Background(), "http://"+listener.Addr().String(), call(http.MethodPost, "a", "x"))
+		Expect(transportError(err).Sent).To(BeFalse())
+	})
+
+	It("guards against an endless answer held in memory", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for range 100 {
+				_, _ = w.Write(make([]byte, 1000))
+			}
+		}))
+		defer server.Close()
+		_, err := NewClient(httpconn.Options{}, WithMaxBody(5000)).Call(context.Background(), server.URL, call(http.MethodGet, "a", ""))
+		var tooLong *BodyTooLongError
+		Expect(errors.As(err, &tooLong)).To(BeTrue())
+		Expect(transportError(err).Sent).To(BeTrue())
+	})
+})
+
+var _ = Describe("headers", func() {
+	It("guards against leaked secrets, forged attempts and hop-by-hop headers", func() {
+		original := http.Header{
+			"Authorization": {"Bearer s"}, "Connection": {"x-hop, close"}, "X-Hop": {"1"}, "Te": {"trailers"},
+			endpoint.HeaderKey: {"forged"}, endpoint.HeaderAttempt: {"forged"}, "Accept": {"a"},
+		}
+		header := requestHeader(&port.ServiceCall{AttemptID: "a", Header: original})
+		Expect(header).To(Equal(http.Header{"Accept": {"a"}, endpoint.HeaderAttempt: {"a"}}))
+		Expect(original.Get("Authorization")).NotTo(BeEmpty())
+	})
+})
