Add JSON-RPC calls between daemons

Cause: daemons had no way to call each other; the replicated state and the membership need one with known outcomes and a bound on silent connections. Change: adapter/peerrpc implements port.PeerCaller and port.PeerServer over jsonrpc2 and TCP: two connections per address (small and bulk calls), bounded calls in flight, deadlines, typed errors that tell whether the request may have been sent, an application probe plus TCP user timeout, optional mutual TLS, byte counters in expvar.

--- /dev/null
+++ b/internal/adapter/peerrpc/doc.go
@@ -0,0 +1,4 @@
+// Package peerrpc carries calls between daemons as JSON-RPC 2.0 over TCP, with
+// optional mutual TLS. Params and results are opaque bytes. A connection that
+// goes silent is closed and replaced within about SilenceBound.
+package peerrpc
--- /dev/null
+++ b/internal/adapter/peerrpc/errors.go
@@ -0,0 +1,96 @@
+package peerrpc
+
+import (
+	"errors"
+	"fmt"
+)
+
+// RemoteError is an error that the called daemon returned.
+type RemoteError struct {
+	Address string
+	Method  string
+	// Code is the JSON-RPC error code.
+	Code    int64
+	Message string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string {
+	return fmt.Sprintf("%s at %s failed with code %d: %s", e.Method, e.Address, e.Code, e.Message)
+}
+
+// NotRun reports whether the handler of the method was never started.
+func (e *RemoteError) NotRun() bool { return e.Code == codeBusy || e.Code == codeNoMethod }
+
+// UnreachableError says that no connection could be made or that it broke.
+type UnreachableError struct {
+	Address string
+	// Sent is set when a byte of the request may have left.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("daemon at %s is unreachable (sent=%t): %v", e.Address, e.Sent, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// TimeoutError says that the deadline of the call passed or its context ended.
+type TimeoutError struct {
+	Address string
+	Method  string
+	// Sent is set when a byte of the request may have left.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *TimeoutError) Error() string {
+	return fmt.Sprintf("%s at %s timed out (sent=%t): %v", e.Method, e.Address, e.Sent, e.Err)
+}
+
+// Unwrap returns the error of the context.
+func (e *TimeoutError) Unwrap() error { return e.Err }
+
+// FrameSizeError says that a message is longer than the protocol allows.
+type FrameSizeError struct{ Size, Limit uint64 }
+
+// Error implements error.
+func (e *FrameSizeError) Error() string {
+	return fmt.Sprintf("message of %d bytes exceeds the limit of %d", e.Size, e.Limit)
+}
+
+// SilentError is the cause of an UnreachableError when the connection stayed
+// open but carried nothing.
+type SilentError struct{}
+
+// Error implements error.
+func (*SilentError) Error() string { return "connection is silent" }
+
+// ClosedError says that the node was closed.
+type ClosedError struct{}
+
+// Error implements error.
+func (*ClosedError) Error() string { return "node is closed" }
+
+// MaySent reports whether the request behind a failed call may have reached
+// the other daemon. Only a false result proves that it was not run.
+func MaySent(err error) bool {
+	var remote *RemoteError
+	var unreachable *UnreachableError
+	var timeout *TimeoutError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &remote):
+		return !remote.NotRun()
+	case errors.As(err, &unreachable):
+		return unreachable.Sent
+	case errors.As(err, &timeout):
+		return timeout.Sent
+	}
+	return true
+}
--- /dev/null
+++ b/internal/adapter/peerrpc/node_test.go
@@ -0,0 +1,183 @@
+package peerrpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+func start(t *testing.T, options Options, methods map[string]func(context.Context, []byte) ([]byte, error)) (*Node, string) {
+	t.Helper()
+	n := New(options)
+	for name, handler := range methods {
+		n.Handle(name, handler)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = n.Serve(listener) }()
+	t.Cleanup(n.Close)
+	return n, listener.Addr().String()
+}
+
+func echo(_ context.Context, params []byte) ([]byte, error) { return params, nil }
+
+func never(ctx context.Context, _ []byte) ([]byte, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a slow method that delays others on its connection, and
+// against errors that do not tell whether the request may have run.
+func TestCallsAndErrors(t *testing.T) {
+	g := gomega.NewWithT(t)
+	methods := map[string]func(context.Context, []byte) ([]byte, error){
+		"echo": echo, "never": never,
+		"fail": func(context.Context, []byte) ([]byte, error) { return nil, errors.New("refused by method") },
+	}
+	_, address := start(t, Options{}, methods)
+	client := New(Options{})
+	defer client.Close()
+
+	slow, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	slowErr := make(chan error, 1)
+	go func() { _, err := client.Call(slow, address, "never", nil); slowErr <- err }()
+	big := make([]byte, 300<<10)
+	for _, params := range [][]byte{[]byte("hello"), big, {}} {
+		result, err := client.Call(t.Context(), address, "echo", params)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(result).To(gomega.Equal(params))
+	}
+	var remote *RemoteError
+	_, err := client.Call(t.Context(), address, "fail", nil)
+	g.Expect(errors.As(err, &remote)).To(gomega.BeTrue())
+	g.Expect(MaySent(err)).To(gomega.BeTrue())
+	_, err = client.Call(t.Context(), address, "absent", nil)
+	g.Expect(MaySent(err)).To(gomega.BeFalse())
+	_, err = client.Call(t.Context(), "127.0.0.1:1", "echo", nil)
+	var unreachable *UnreachableError
+	g.Expect(errors.As(err, &unreachable)).To(gomega.BeTrue())
+	g.Expect(MaySent(err)).To(gomega.BeFalse())
+
+	err = <-slowErr
+	var timeout *TimeoutError
+	g.Expect(errors.As(err, &timeout)).To(gomega.BeTrue(), "%v", err)
+	g.Expect(timeout.Sent).To(gomega.BeTrue())
+	g.Expect(client.Stats().Silent).To(gomega.BeZero(), "a slow method is not a silent connection")
+	g.Expect(client.Stats().BytesSent).To(gomega.BeNumerically(">", len(big)*4/3))
+}
+
+// proxy forwards TCP until frozen; connections accepted later are forwarded again.
+type proxy struct {
+	listener net.Listener
+	target   string
+	freeze   atomic.Pointer[chan struct{}]
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	p := &proxy{listener: listener, target: target}
+	p.thaw()
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			frozen := *p.freeze.Load()
+			go forward(in, out, frozen)
+			go forward(out, in, frozen)
+		}
+	}()
+	return p
+}
+
+func (p *proxy) thaw() { c := make(chan struct{}); p.freeze.Store(&c) }
+
+// freezeOpen stops the open connections and keeps them open.
+func (p *proxy) freezeOpen() {
+	old := *p.freeze.Load()
+	p.thaw()
+	close(old)
+}
+
+func forward(from, to net.Conn, frozen chan struct{}) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-frozen:
+			if err == nil {
+				_, _ = io.Copy(io.Discard, from)
+			}
+			return
+		default:
+		}
+		if n > 0 {
+			_, _ = to.Write(buffer[:n])
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// Guards against a pooled connection that stays silent for good while new ones
+// work (connection tracking lost on the path).
+func TestFrozenConnectionIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, address := start(t, Options{}, map[string]func(context.Context, []byte) ([]byte, error){"echo": echo})
+	path := newProxy(t, address)
+	client := New(Options{})
+	defer client.Close()
+	front := path.listener.Addr().String()
+	_, err := client.Call(t.Context(), front, "echo", []byte("a"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+
+	path.freezeOpen()
+	began := time.Now()
+	_, err = client.Call(t.Context(), front, "echo", []byte("b"))
+	var silent *SilentError
+	g.Expect(errors.As(err, &silent)).To(gomega.BeTrue(), "%v", err)
+	g.Expect(MaySent(err)).To(gomega.BeTrue())
+	_, err = client.Call(t.Context(), front, "echo", []byte("c"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	// The bound allows half as much again for scheduling on a busy machine.
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", SilenceBound*3/2))
+	t.Logf("replaced after %v", time.Since(began))
+	g.Expect(client.Stats().Silent).To(gomega.BeEquivalentTo(1))
+}
+
+// Guards against unbounded work from one client: calls beyond the limit are
+// refused, and the refusal proves that they were not run.
+func TestServerRefusesBeyondLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, address := start(t, Options{MaxInFlight: 1}, map[string]func(context.Context, []byte) ([]byte, error){"never": never, "echo": echo})
+	client := New(Options{MaxInFlight: 8})
+	defer client.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = client.Call(ctx, address, "never", nil) }()
+	g.Eventually(func() bool {
+		_, err := client.Call(t.Context(), address, "echo", nil)
+		return err != nil && !MaySent(err)
+	}).Should(gomega.BeTrue())
+}
--- /dev/null
+++ b/internal/adapter/peerrpc/sockopt_linux.go
@@ -0,0 +1,20 @@
+package peerrpc
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// setUserTimeout makes the kernel close a connection whose sent data stays
+// unacknowledged for SilenceBound.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(SilenceBound.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optErr
+}
