--- /dev/null
+++ b/internal/adapter/gossipudp/socket.go
@@ -0,0 +1,121 @@
+package gossipudp
+
+import (
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxDatagram is the largest datagram read; longer ones are cut off and fail to decode.
+	maxDatagram = 2048
+	// receiveBuffer takes the datagrams that all peers of a domain send at the
+	// same moment, a few rounds of them.
+	receiveBuffer = 1 << 20
+)
+
+// AddressError says that an address is not an IP number and a port.
+type AddressError struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *AddressError) Error() string { return fmt.Sprintf("address %q: %v", e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *AddressError) Unwrap() error { return e.Err }
+
+// Stats count datagrams and their payload bytes, without IP and UDP headers.
+type Stats struct {
+	Sent          uint64 `json:"sent"`
+	Received      uint64 `json:"received"`
+	BytesSent     uint64 `json:"bytes_sent"`
+	BytesReceived uint64 `json:"bytes_received"`
+	SendErrors    uint64 `json:"send_errors"`
+}
+
+// Socket sends and receives datagrams. It is safe for concurrent use.
+type Socket struct {
+	conn                                             *net.UDPConn
+	sent, received, bytesSent, bytesReceived, failed atomic.Uint64
+}
+
+// published holds the counters of each socket of the process by its name.
+var published = expvar.NewMap("gossipudp")
+
+// Listen opens a socket. The name labels its counters in expvar; empty publishes none.
+func Listen(address, name string) (*Socket, error) {
+	local, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, &AddressError{Address: address, Err: err}
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	// A smaller buffer than asked for works as well; it only loses datagrams earlier.
+	_ = conn.SetReadBuffer(receiveBuffer)
+	s := &Socket{conn: conn}
+	if name != "" {
+		published.Set(name, expvar.Func(func() any { return s.Stats() }))
+	}
+	return s, nil
+}
+
+// Address returns the local address.
+func (s *Socket) Address() string { return s.conn.LocalAddr().String() }
+
+// Send sends a datagram. Delivery is not assured.
+func (s *Socket) Send(address string, data []byte) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return &AddressError{Address: address, Err: err}
+	}
+	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
+		s.failed.Add(1)
+		return eris.Wrapf(err, "send to %s", address)
+	}
+	s.sent.Add(1)
+	s.bytesSent.Add(uint64(len(data)))
+	return nil
+}
+
+// Serve passes each datagram to handle until the socket is closed. The data is
+// valid only during the call.
+func (s *Socket) Serve(handle func(from string, data []byte)) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// An ICMP answer to an earlier send shows up here; the socket stays usable.
+			s.failed.Add(1)
+			continue
+		}
+		s.received.Add(1)
+		s.bytesReceived.Add(uint64(n))
+		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), buffer[:n])
+	}
+}
+
+// Stats returns the counters since the start.
+func (s *Socket) Stats() Stats {
+	return Stats{
+		Sent:          s.sent.Load(),
+		Received:      s.received.Load(),
+		BytesSent:     s.bytesSent.Load(),
+		BytesReceived: s.bytesReceived.Load(),
+		SendErrors:    s.failed.Load(),
+	}
+}
+
+// Close closes the socket.
+func (s *Socket) Close() error { return s.conn.Close() }
--- a/internal/core/member/registry.go
+++ b/internal/core/member/registry.go
@@ -4,85 +4,236 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/boragelead/boragelead/api/endpoint"
 )
 
-// Endpoint is an entry of the registry.
-type Endpoint struct {
-	endpoint.Announcement
-	// LoadAt is the local time at which the load figures were true.
-	LoadAt time.Time
-	// Expires is the local time at which the lease ends without renewal.
-	Expires time.Time
-}
+const (
+	// shardCount is the number of locks over the endpoints.
+	shardCount = 16
+	// tombstoneTTL is how long a removed endpoint is remembered, so that a
+	// delayed message cannot bring it back. It exceeds the longest lease in use
+	// plus the anti-entropy cycle of a whole domain (31 daemons, 5 s each).
+	tombstoneTTL = 5 * time.Minute
+)
 
-// Registry holds the announced endpoints. It is safe for concurrent use.
+// Registry holds the endpoints that this daemon knows. It is safe for
+// concurrent use. Lock order: shard, then hosting, then group.
 type Registry struct {
-	mu        sync.RWMutex
+	shards  [shardCount]shard
+	groups  groups
+	hosting hosting
+}
+
+type shard struct {
+	mu        sync.Mutex
 	endpoints map[string]*Endpoint
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{endpoints: make(map[string]*Endpoint)}
+	r := &Registry{}
+	r.groups.all = newGroup()
+	r.hosting.init()
+	for i := range r.shards {
+		r.shards[i].endpoints = make(map[string]*Endpoint)
+	}
+	return r
 }
 
-// Announce registers an endpoint or renews its lease. It reports false for a
-// message of an old incarnation, which changes nothing.
+func (r *Registry) shard(id string) *shard {
+	return &r.shards[xxhash.Sum64String(id)%shardCount]
+}
+
+// Announce registers an endpoint that announced itself to this daemon, or
+// renews its lease. It reports false for a message of an old or withdrawn
+// incarnation, which changes nothing.
 func (r *Registry) Announce(a endpoint.Announcement, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if known := r.endpoints[a.ID]; known != nil && known.Incarnation > a.Incarnation {
-		return false
-	}
-	r.endpoints[a.ID] = &Endpoint{
-		Announcement: a,
-		LoadAt:       now.Add(-time.Duration(a.Load.AgeMS) * time.Millisecond),
-		Expires:      now.Add(time.Duration(a.LeaseMS) * time.Millisecond),
+	s := r.shard(a.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.endpoints[a.ID]
+	next := fromAnnouncement(a, now)
+	if known != nil {
+		if known.Incarnation > a.Incarnation || (known.Incarnation == a.Incarnation && known.Removed == Withdrawn) {
+			return false
+		}
+		if known.Incarnation == a.Incarnation && known.Removed == Expired && known.State == endpoint.StateLeaving {
+			// Its departure was due; taking it back would spread a change with every announcement.
+			return true
+		}
+		if r.hosts(known) && known.Incarnation == a.Incarnation && known.Removed == NotRemoved && a.Load.Seq < known.Load.Seq {
+			// A delayed report of the same incarnation changes nothing, but it is a sign of life.
+			next.Announcement = known.Announcement
+			next.LoadAt = known.LoadAt
+			next.LeaveBy = known.LeaveBy
+		}
+		if known.Incarnation == a.Incarnation {
+			next.Stamp = known.Stamp
+		}
 	}
+	next.Stamp++
+	keepLeaving(next, known)
+	r.hosting.adopt(next, known)
+	r.store(s, known, next)
 	return true
 }
 
+func (r *Registry) hosts(e *Endpoint) bool { return e.Host == r.hosting.self() }
+
 // Withdraw marks an endpoint as leaving, or removes it when it has stopped.
 func (r *Registry) Withdraw(w endpoint.Withdrawal) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	known := r.endpoints[w.ID]
-	if known == nil || known.Incarnation > w.Incarnation {
+	s := r.shard(w.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.endpoints[w.ID]
+	if known == nil || known.Incarnation > w.Incarnation || known.Removed != NotRemoved {
 		return false
 	}
+	next := *known
+	next.Incarnation = w.Incarnation
+	next.Stamp++
+	next.State = endpoint.StateLeaving
 	if w.DeadlineMS <= 0 {
-		delete(r.endpoints, w.ID)
-		return true
+		next.Removed = Withdrawn
+	} else {
+		// Expire turns the duration into a local time.
+		next.DeadlineMS = w.DeadlineMS
+		next.LeaveBy = time.Time{}
 	}
-	leaving := *known
-	leaving.State = endpoint.StateLeaving
-	leaving.DeadlineMS = w.DeadlineMS
-	r.endpoints[w.ID] = &leaving
+	r.hosting.adopt(&next, known)
+	r.store(s, known, &next)
 	return true
 }
 
-// Expire removes endpoints whose lease ended and returns their IDs.
+// Merge takes a record of another daemon. It reports whether anything changed.
+func (r *Registry) Merge(record *Record, now time.Time) bool {
+	if record.Announcement.ID == "" {
+		return false
+	}
+	s := r.shard(record.Announcement.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.endpoints[record.Announcement.ID]
+	next := fromRecord(record, now)
+	if known == nil {
+		r.store(s, nil, next)
+		return true
+	}
+	if supersedes(next, known) {
+		keepLeaving(next, known)
+		r.hosting.handOver(known, next)
+		r.store(s, known, next)
+		return true
+	}
+	if next.Incarnation == known.Incarnation && next.State == endpoint.StateLeaving && known.State != endpoint.StateLeaving {
+		merged := *known
+		keepLeaving(&merged, next)
+		if r.hosts(known) && known.Removed == NotRemoved {
+			merged.Stamp++
+			r.hosting.adopt(&merged, known)
+		}
+		r.store(s, known, &merged)
+		return true
+	}
+	return false
+}
+
+// store publishes a record under the lock of its shard.
+func (r *Registry) store(s *shard, known, next *Endpoint) {
+	s.endpoints[next.ID] = next
+	old, visible := known, next
+	if known != nil && known.Removed != NotRemoved {
+		old = nil
+	}
+	if next.Removed != NotRemoved {
+		visible = nil
+	}
+	if old != nil || visible != nil {
+		r.groups.replace(old, visible)
+	}
+}
+
+// Expire removes endpoints whose lease ended or whose departure is due, and
+// returns their IDs.
 func (r *Registry) Expire(now time.Time) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var gone []string
-	for id, e := range r.endpoints {
-		if now.After(e.Expires) {
-			delete(r.endpoints, id)
-			gone = append(gone, id)
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for id, e := range s.endpoints {
+			if r.expireOne(s, e, now) {
+				gone = append(gone, id)
+			}
 		}
+		s.mu.Unlock()
 	}
 	return gone
 }
 
-// List returns all endpoints. The entries are read-only.
-func (r *Registry) List() []*Endpoint {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	list := make([]*Endpoint, 0, len(r.endpoints))
-	for _, e := range r.endpoints {
-		list = append(list, e)
+func (r *Registry) expireOne(s *shard, e *Endpoint, now time.Time) bool {
+	if e.Removed != NotRemoved {
+		if e.removedAt.IsZero() {
+			e.removedAt = now
+		}
+		if now.Sub(e.removedAt) > tombstoneTTL {
+			delete(s.endpoints, e.ID)
+		}
+		return false
+	}
+	if e.State == endpoint.StateLeaving && e.LeaveBy.IsZero() && e.DeadlineMS > 0 {
+		dated := *e
+		dated.LeaveBy = now.Add(time.Duration(e.DeadlineMS) * time.Millisecond)
+		r.store(s, e, &dated)
+		e = &dated
+	}
+	left := !e.LeaveBy.IsZero() && now.After(e.LeaveBy)
+	if !left && !now.After(r.leaseEnd(e)) {
+		return false
+	}
+	next := *e
+	next.Removed = Expired
+	next.removedAt = now
+	if r.hosts(e) {
+		next.Stamp++
+		r.hosting.adopt(&next, e)
+	}
+	r.store(s, e, &next)
+	return true
+}
+
+// leaseEnd returns when the lease of an endpoint ends. A live host vouches for
+// its endpoints, so their lease at its peers counts from the host's last sign of life.
+func (r *Registry) leaseEnd(e *Endpoint) time.Time {
+	if r.hosts(e) {
+		return e.Expires
+	}
+	heard := r.hosting.heard(e.Host)
+	lease := time.Duration(e.LeaseMS) * time.Millisecond
+	if end := heard.Add(lease); end.After(e.Expires) {
+		return end
+	}
+	return e.Expires
+}
+
+// List returns all endpoints in no order. The slice and its entries are
+// shared and read-only; the call allocates only after a change.
+func (r *Registry) List() []*Endpoint { return r.groups.all.read() }
+
+// Candidates returns the endpoints that hold a model, like List.
+func (r *Registry) Candidates(model string) []*Endpoint { return r.groups.read(modelKey(model)) }
+
+// Service returns the endpoints of a plain service, like List.
+func (r *Registry) Service(name string) []*Endpoint { return r.groups.read(serviceKey(name)) }
+
+// Find returns an endpoint by its ID, or nil.
+func (r *Registry) Find(id string) *Endpoint {
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.endpoints[id]; e != nil && e.Removed == NotRemoved {
+		return e
 	}
-	return list
+	return nil
 }
--- /dev/null
+++ b/internal/core/member/snapshot.go
@@ -0,0 +1,126 @@
+package member
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// group is the set of endpoints that hold one model, or all of them. Readers
+// share an immutable slice; it is copied at the first read after a change, so
+// that neither a burst of changes nor a burst of reads copies more than needed.
+type group struct {
+	mu       sync.Mutex
+	index    map[string]int
+	current  []*Endpoint
+	dirty    atomic.Bool
+	snapshot atomic.Pointer[[]*Endpoint]
+}
+
+func newGroup() *group {
+	g := &group{index: make(map[string]int)}
+	g.snapshot.Store(&[]*Endpoint{})
+	return g
+}
+
+func (g *group) put(e *Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i, ok := g.index[e.ID]; ok {
+		g.current[i] = e
+	} else {
+		g.index[e.ID] = len(g.current)
+		g.current = append(g.current, e)
+	}
+	g.dirty.Store(true)
+}
+
+func (g *group) remove(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i, ok := g.index[id]
+	if !ok {
+		return
+	}
+	last := len(g.current) - 1
+	g.current[i] = g.current[last]
+	g.index[g.current[i].ID] = i
+	g.current[last] = nil
+	g.current = g.current[:last]
+	delete(g.index, id)
+	g.dirty.Store(true)
+}
+
+// read returns the shared slice. It allocates only after a change.
+func (g *group) read() []*Endpoint {
+	if !g.dirty.Load() {
+		return *g.snapshot.Load()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dirty.Load() {
+		next := slices.Clone(g.current)
+		g.snapshot.Store(&next)
+		g.dirty.Store(false)
+	}
+	return *g.snapshot.Load()
+}
+
+// groups maps models and services to their endpoints.
+type groups struct {
+	all    *group
+	byName sync.Map
+}
+
+func modelKey(name string) string   { return "model/" + name }
+func serviceKey(name string) string { return "service/" + name }
+
+func (g *groups) get(key string) *group {
+	if found, ok := g.byName.Load(key); ok {
+		return found.(*group)
+	}
+	found, _ := g.byName.LoadOrStore(key, newGroup())
+	return found.(*group)
+}
+
+func (g *groups) read(key string) []*Endpoint {
+	if found, ok := g.byName.Load(key); ok {
+		return found.(*group).read()
+	}
+	return nil
+}
+
+// replace moves an endpoint from its old record to its new one; either may be nil.
+func (g *groups) replace(old, next *Endpoint) {
+	if old != nil {
+		for _, key := range old.keys() {
+			if next == nil || !slices.Contains(next.keys(), key) {
+				g.get(key).remove(old.ID)
+			}
+		}
+		if next == nil {
+			g.all.remove(old.ID)
+		}
+	}
+	if next != nil {
+		for _, key := range next.keys() {
+			g.get(key).put(next)
+		}
+		g.all.put(next)
+	}
+}
+
+// keys lists the groups of an endpoint.
+func (e *Endpoint) keys() []string {
+	if e.Service != "" {
+		return []string{serviceKey(e.Service)}
+	}
+	keys := make([]string, 0, len(e.Models))
+	for i := range e.Models {
+		key := modelKey(e.Models[i].Name)
+		if !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
