--- a/internal/core/member/codec.go
+++ b/internal/core/member/codec.go
@@ -50,8 +50,10 @@
 	Generation  uint64
 	// Version is that of the sender's hosted endpoints.
 	Version uint64
-	View    uint32
-	Heard   []byte
+	// SourceAge is the age of the last contact with the configuration source, in units of sourceAgeUnit.
+	SourceAge uint16
+	View      uint32
+	Heard     []byte
 
 	Identity  *Identity
 	Changes   []*RecordSet
@@ -79,6 +81,7 @@
 	b = binary.LittleEndian.AppendUint32(b, d.Seq)
 	b = binary.AppendUvarint(b, d.Generation)
 	b = binary.AppendUvarint(b, d.Version)
+	b = binary.LittleEndian.AppendUint16(b, d.SourceAge)
 	b = binary.LittleEndian.AppendUint32(b, d.View)
 	b = append(b, byte(len(d.Heard)))
 	return append(b, d.Heard...)
@@ -141,6 +144,13 @@
 	return 0
 }
 
+func (r *reader) uint16() uint16 {
+	if b := r.take(2); b != nil {
+		return binary.LittleEndian.Uint16(b)
+	}
+	return 0
+}
+
 func (r *reader) uint32() uint32 {
 	if b := r.take(4); b != nil {
 		return binary.LittleEndian.Uint32(b)
@@ -177,6 +187,7 @@
 	d.Seq = r.uint32()
 	d.Generation = r.uvarint()
 	d.Version = r.uvarint()
+	d.SourceAge = r.uint16()
 	d.View = r.uint32()
 	d.Heard = append([]byte(nil), r.take(uint64(r.byte()))...)
 	for !r.bad && len(r.data) > 0 {
--- a/internal/core/member/domain.go
+++ b/internal/core/member/domain.go
@@ -34,6 +34,7 @@
 		return
 	}
 	at := now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+	n.contact.take(s.SourceAge, now.Sub(at), now)
 	known := n.domains[s.Domain]
 	if known == nil {
 		if len(n.domains) >= maxDomains {
@@ -74,6 +75,7 @@
 		Origin:     n.self.Instance,
 		Seq:        n.nextSeq(),
 		Generation: n.generation,
+		SourceAge:  n.contact.age(n.lastTick),
 		Relays:     n.relays(),
 	}
 	byModel := make(map[string]*ModelSummary)
--- a/internal/core/member/identity.go
+++ b/internal/core/member/identity.go
@@ -122,8 +122,10 @@
 	Seq        uint32
 	AgeMS      uint32
 	Generation uint64
-	Relays     []Relay
-	Models     []ModelSummary
+	// SourceAge is like that of a datagram, at the time AgeMS ago.
+	SourceAge uint16
+	Relays    []Relay
+	Models    []ModelSummary
 }
 
 // Relay is a daemon that speaks for its failure domain.
--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -59,6 +59,7 @@
 	byName     map[string]*peer
 	domains    map[string]*domain
 	generation uint64
+	contact    contact
 	payloads   payloads
 
 	// order is the sorted list of known instances and orderHash its hash.
@@ -323,6 +324,7 @@
 		Generation:  n.generation,
 		Version:     n.registry.Version(),
 		View:        n.orderHash,
+		SourceAge:   n.contact.age(n.lastTick),
 		Heard:       n.heardBitmap(),
 	}
 }
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -130,6 +130,7 @@
 	n.setStatus(p, Alive, now)
 	n.registry.TouchHost(p.Instance, now)
 	p.Generation = max(p.Generation, d.Generation)
+	n.contact.take(d.SourceAge, 0, now)
 	n.takeBitmap(p, d, now)
 	for i := range d.Payloads {
 		p.storePayload(&d.Payloads[i], now)
