Check all settings before anything listens

Cause: a daemon accepted any settings and failed at first use of a wrong field. Change: Settings.Validate checks names, addresses, folders, files, peers, limits and TLS, and reports one typed Error with the JSON path. TLS gains switches for callers, operators and daemons. Conclusion: Parse is the only check that a daemon needs before it listens.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,23 +1,26 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
-	"fmt"
 	"os"
-)
+	"reflect"
 
-// Error is a mistake in the settings.
-type Error struct {
-	// Field is the JSON path of the field, such as $.listen.callers.
-	Field   string
-	Message string
-}
+	"github.com/boragelead/boragelead/internal/jsoncheck"
+)
 
-// Error implements error.
-func (e *Error) Error() string { return fmt.Sprintf("settings: %s: %s", e.Field, e.Message) }
+// Defaults of optional fields.
+const (
+	// DefaultMaxStreams leaves 10 KB of heap per stream within the 256 MB of a daemon.
+	DefaultMaxStreams = 4000
+	// DefaultMaxMemoryBytes is the memory budget of a daemon (docs/design.md, 2).
+	DefaultMaxMemoryBytes = 256 << 20
+	// DefaultDrainWaitMS covers two health checks of a load balancer that checks every second.
+	DefaultDrainWaitMS = 2000
+	// DefaultDrainTimeoutMS covers the longest answers of the interactive ranks.
+	DefaultDrainTimeoutMS = 60000
+)
 
-// Load reads and checks a settings file.
+// Load reads and checks a settings file. The error is an *Error.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -26,24 +29,28 @@
 	return Parse(data)
 }
 
-// Parse decodes settings, fills in defaults and checks them.
+// Parse decodes settings, fills in defaults and checks them. The error is an *Error.
 func Parse(data []byte) (*Settings, error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
+	if problems := jsoncheck.Check(data, reflect.TypeFor[Settings]()); len(problems) > 0 {
+		return nil, &Error{Field: problems[0].Path, Message: problems[0].Message}
+	}
 	settings := Default()
-	if err := decoder.Decode(settings); err != nil {
+	if err := json.Unmarshal(data, settings); err != nil {
 		return nil, &Error{Field: "$", Message: err.Error()}
 	}
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
 	return settings, nil
 }
 
 // Default returns the defaults of all optional fields.
 func Default() *Settings {
 	return &Settings{
-		Limits:         Limits{MaxStreams: 4000, MaxMemoryBytes: 256 << 20},
+		Limits:         Limits{MaxStreams: DefaultMaxStreams, MaxMemoryBytes: DefaultMaxMemoryBytes},
 		Log:            Log{Level: "info", Format: "console"},
 		Trace:          Trace{SampleRatio: 1},
-		DrainWaitMS:    2000,
-		DrainTimeoutMS: 60000,
+		DrainWaitMS:    DefaultDrainWaitMS,
+		DrainTimeoutMS: DefaultDrainTimeoutMS,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,11 +83,21 @@
 	SampleRatio float64 `json:"sample_ratio"`
 }
 
-// TLS holds the certificate files of a daemon. Daemons authenticate each
-// other with certificates of the same authority.
+// TLS holds the certificate files of a daemon and where TLS is used. Daemons
+// authenticate each other with certificates of the same authority. The files
+// are read again when they change.
 type TLS struct {
 	CertFile string `json:"cert_file"`
 	KeyFile  string `json:"key_file"`
 	// CAFile verifies the certificates of other daemons.
 	CAFile string `json:"ca_file"`
+	// Callers enables TLS towards callers.
+	Callers bool `json:"callers,omitempty"`
+	// Admin enables TLS towards operators.
+	Admin bool `json:"admin,omitempty"`
+	// Peers enables mutual TLS between daemons.
+	Peers bool `json:"peers,omitempty"`
+	// AdminClientCAFile, when set, makes operators present a certificate of
+	// this authority in addition to the key.
+	AdminClientCAFile string `json:"admin_client_ca_file,omitempty"`
 }
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,268 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+)
+
+// minMemoryBytes is the least heap in which a daemon holds its buffers and the endpoint registry.
+const minMemoryBytes = 16 << 20
+
+// namePattern keeps names usable in request IDs, log lines and file names.
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+
+// Validate checks all fields, and that folders and files exist. Whether a port
+// is free shows only when the daemon listens. The error is an *Error that
+// names the first wrong field.
+func (s *Settings) Validate() error {
+	checks := []func() error{
+		s.checkNames, s.checkListen, s.checkReplica, s.checkDataFolder, s.checkPeerLists,
+		s.checkLimits, s.checkLog, s.checkTrace, s.checkTLS, s.checkAdminKey, s.checkDrain,
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkNames() error {
+	if err := checkName("$.name", s.Name); err != nil {
+		return err
+	}
+	if err := checkName("$.failure_domain", s.FailureDomain); err != nil {
+		return err
+	}
+	if s.Region == "" {
+		return nil
+	}
+	return checkName("$.region", s.Region)
+}
+
+func checkName(field, name string) error {
+	if name == "" {
+		return mistake(field, "is required")
+	}
+	if !namePattern.MatchString(name) {
+		return mistake(field, "%q must be 1 to 63 letters, digits, dots, hyphens or underscores", name)
+	}
+	return nil
+}
+
+func (s *Settings) checkListen() error {
+	used := map[netip.AddrPort]string{}
+	fields := []struct{ name, address string }{
+		{"$.listen.callers", s.Listen.Callers},
+		{"$.listen.endpoints", s.Listen.Endpoints},
+		{"$.listen.peers", s.Listen.Peers},
+		{"$.listen.admin", s.Listen.Admin},
+	}
+	for _, field := range fields {
+		address, err := checkAddress(field.name, field.address)
+		if err != nil {
+			return err
+		}
+		if other := used[address]; other != "" && address.Port() != 0 {
+			return mistake(field.name, "%s is also the address of %s", address, other)
+		}
+		used[address] = field.name
+	}
+	if netip.MustParseAddrPort(s.Listen.Peers).Addr().IsUnspecified() {
+		return mistake("$.listen.peers", "must be the IP number by which other daemons reach this one, not %s", s.Listen.Peers)
+	}
+	return nil
+}
+
+// checkAddress accepts an IP number and port. Host names are refused: VMs
+// address each other by IP number, and a daemon must start without a resolver.
+func checkAddress(field, address string) (netip.AddrPort, error) {
+	if address == "" {
+		return netip.AddrPort{}, mistake(field, "is required")
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return netip.AddrPort{}, mistake(field, "%q is not an IP number with a port, such as 10.0.0.1:8080", address)
+	}
+	return parsed, nil
+}
+
+func (s *Settings) checkReplica() error {
+	if s.Replica == nil {
+		return nil
+	}
+	if err := checkName("$.replica.id", s.Replica.ID); err != nil {
+		return err
+	}
+	if s.DataFolder == "" {
+		return mistake("$.data_folder", "is required for a state replica")
+	}
+	if len(s.Replica.Bootstrap) == 0 {
+		return nil
+	}
+	if err := checkPeers("$.replica.bootstrap", s.Replica.Bootstrap); err != nil {
+		return err
+	}
+	own := func(p Peer) bool { return p.Name == s.Replica.ID || p.Name == s.Name }
+	if !slices.ContainsFunc(s.Replica.Bootstrap, own) {
+		return mistake("$.replica.bootstrap", "must list this replica %q as well", s.Replica.ID)
+	}
+	return nil
+}
+
+func (s *Settings) checkDataFolder() error {
+	if s.DataFolder == "" {
+		return nil
+	}
+	info, err := os.Stat(s.DataFolder)
+	if err != nil {
+		return mistake("$.data_folder", "%v", err)
+	}
+	if !info.IsDir() {
+		return mistake("$.data_folder", "%s is not a folder", s.DataFolder)
+	}
+	// Only a write shows that the folder is writable: mode bits say nothing about read-only mounts.
+	probe, err := os.CreateTemp(s.DataFolder, ".probe-*")
+	if err != nil {
+		return mistake("$.data_folder", "is not writable: %v", err)
+	}
+	_ = probe.Close()
+	if err := os.Remove(probe.Name()); err != nil {
+		return mistake("$.data_folder", "is not writable: %v", err)
+	}
+	return nil
+}
+
+func (s *Settings) checkPeerLists() error {
+	if err := checkPeers("$.peers", s.Peers); err != nil {
+		return err
+	}
+	return checkPeers("$.state_replicas", s.StateReplicas)
+}
+
+func checkPeers(field string, peers []Peer) error {
+	names := map[string]bool{}
+	addresses := map[netip.AddrPort]bool{}
+	for i, peer := range peers {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		if err := checkName(at+".name", peer.Name); err != nil {
+			return err
+		}
+		address, err := checkAddress(at+".address", peer.Address)
+		if err != nil {
+			return err
+		}
+		if address.Port() == 0 || address.Addr().IsUnspecified() {
+			return mistake(at+".address", "%s cannot be reached: it needs an IP number and a port", address)
+		}
+		if names[peer.Name] {
+			return mistake(at+".name", "%q is listed twice", peer.Name)
+		}
+		if addresses[address] {
+			return mistake(at+".address", "%s is listed twice", address)
+		}
+		names[peer.Name], addresses[address] = true, true
+	}
+	return nil
+}
+
+func (s *Settings) checkLimits() error {
+	if s.Limits.MaxStreams < 1 {
+		return mistake("$.limits.max_streams", "must be at least 1, not %d", s.Limits.MaxStreams)
+	}
+	if s.Limits.MaxMemoryBytes < minMemoryBytes {
+		return mistake("$.limits.max_memory_bytes", "must be at least %d, not %d", minMemoryBytes, s.Limits.MaxMemoryBytes)
+	}
+	return nil
+}
+
+func (s *Settings) checkLog() error {
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level) {
+		return mistake("$.log.level", "%q is unknown; use debug, info, warn or error", s.Log.Level)
+	}
+	if s.Log.Format != "console" && s.Log.Format != "json" {
+		return mistake("$.log.format", "%q is unknown; use console or json", s.Log.Format)
+	}
+	return nil
+}
+
+func (s *Settings) checkTrace() error {
+	if !(s.Trace.SampleRatio >= 0 && s.Trace.SampleRatio <= 1) {
+		return mistake("$.trace.sample_ratio", "must be between 0 and 1, not %v", s.Trace.SampleRatio)
+	}
+	if s.Trace.File != "" {
+		if info, err := os.Stat(filepath.Dir(s.Trace.File)); err != nil || !info.IsDir() {
+			return mistake("$.trace.file", "the folder of %s does not exist", s.Trace.File)
+		}
+	}
+	if s.Trace.OTLPURL == "" {
+		return nil
+	}
+	target, err := url.Parse(s.Trace.OTLPURL)
+	if err != nil || (target.Scheme != "http" && target.Scheme != "https") || target.Host == "" {
+		return mistake("$.trace.otlp_url", "%q is not a URL such as http://10.0.0.9:4318", s.Trace.OTLPURL)
+	}
+	if _, err := netip.ParseAddr(target.Hostname()); err != nil {
+		return mistake("$.trace.otlp_url", "%q is a host name; use an IP number", target.Hostname())
+	}
+	return nil
+}
+
+func (s *Settings) checkTLS() error {
+	if s.TLS == nil {
+		return nil
+	}
+	files := []struct {
+		field, path string
+		required    bool
+	}{
+		{"$.tls.cert_file", s.TLS.CertFile, true},
+		{"$.tls.key_file", s.TLS.KeyFile, true},
+		{"$.tls.ca_file", s.TLS.CAFile, s.TLS.Peers},
+		{"$.tls.admin_client_ca_file", s.TLS.AdminClientCAFile, false},
+	}
+	for _, file := range files {
+		if file.path == "" && !file.required {
+			continue
+		}
+		if file.path == "" {
+			return mistake(file.field, "is required")
+		}
+		handle, err := os.Open(file.path)
+		if err != nil {
+			return mistake(file.field, "%v", err)
+		}
+		_ = handle.Close()
+	}
+	if s.TLS.AdminClientCAFile != "" && !s.TLS.Admin {
+		return mistake("$.tls.admin_client_ca_file", "needs $.tls.admin")
+	}
+	return nil
+}
+
+func (s *Settings) checkAdminKey() error {
+	if s.AdminKeySHA256 == "" {
+		return mistake("$.admin_key_sha256", "is required")
+	}
+	digest, err := hex.DecodeString(s.AdminKeySHA256)
+	if err != nil || len(digest) != 32 {
+		return mistake("$.admin_key_sha256", "must be the 64 hexadecimal digits of a SHA-256")
+	}
+	return nil
+}
+
+func (s *Settings) checkDrain() error {
+	if s.DrainWaitMS < 0 {
+		return mistake("$.drain_wait_ms", "must not be negative")
+	}
+	if s.DrainTimeoutMS <= s.DrainWaitMS {
+		return mistake("$.drain_timeout_ms", "must exceed drain_wait_ms (%d), not %d", s.DrainWaitMS, s.DrainTimeoutMS)
+	}
+	return nil
+}
