Rewrite the request pipeline around the decision packages

Cause: the first pipeline took the least loaded endpoint, admitted everything and retried a fixed number of times.

--- a/internal/adapter/callerhttp/completions.go
+++ b/internal/adapter/callerhttp/completions.go
@@ -8,6 +8,7 @@
 
 	"github.com/boragelead/boragelead/api/endpoint"
 	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/core/suspect"
 	"github.com/boragelead/boragelead/internal/entry"
 )
 
@@ -78,6 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
+	req.Fingerprint = suspect.NewFingerprint(req.Workspace, data)
 	return &acceptedRequest{data: data, body: body, req: req}, nil
 }
 
--- a/internal/adapter/enginehttp/probe.go
+++ b/internal/adapter/enginehttp/probe.go
@@ -10,12 +10,12 @@
 
 // suspect checks an engine of which a connection went silent.
 func (c *Client) suspect(baseURL string, pool *httpconn.Pool) {
-	c.pools.Suspect(baseURL, pool, func() bool { return c.probe(baseURL) == nil })
+	c.pools.Suspect(baseURL, pool, func() bool { return c.Ping(context.Background(), baseURL) == nil })
 }
 
-// probe pings an engine on a connection of its own.
-func (c *Client) probe(baseURL string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), c.options.probeTimeout)
+// Ping asks an engine for a sign of life on a connection of its own.
+func (c *Client) Ping(ctx context.Context, baseURL string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.probeTimeout)
 	defer cancel()
 	transport := httpconn.NewTransport(c.options.conn)
 	transport.DisableKeepAlives = true
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -57,3 +57,37 @@
 func (e *MovedError) Error() string {
 	return fmt.Sprintf("request %s is continued by %s", e.RequestID, e.Peer)
 }
+
+// CallerGoneError says that the caller closed its connection.
+type CallerGoneError struct{ Err error }
+
+// Error implements error.
+func (e *CallerGoneError) Error() string {
+	if e.Err != nil {
+		return "the caller went away: " + e.Err.Error()
+	}
+	return "the caller went away"
+}
+
+// Unwrap returns the cause.
+func (e *CallerGoneError) Unwrap() error { return e.Err }
+
+// ReclaimedError says that an attempt ended because its endpoint leaves.
+type ReclaimedError struct{ Endpoint string }
+
+// Error implements error.
+func (e *ReclaimedError) Error() string { return "endpoint " + e.Endpoint + " leaves" }
+
+// OffsetError says that an engine skipped or repeated tokens.
+type OffsetError struct{ Want, Got int }
+
+// Error implements error.
+func (e *OffsetError) Error() string {
+	return fmt.Sprintf("frame starts at token %d, token %d expected", e.Got, e.Want)
+}
+
+// EngineError says that an engine gave up a generation.
+type EngineError struct{ Message string }
+
+// Error implements error.
+func (e *EngineError) Error() string { return "engine failed: " + e.Message }
--- a/internal/entry/journal.go
+++ b/internal/entry/journal.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -24,6 +25,9 @@
 	watched  bool
 	movedTo  string
 	resumeBy time.Time
+	// takenOver is set when a peer handed the request over.
+	takenOver bool
+	cancelRun context.CancelCauseFunc
 }
 
 // mark says that the token at offset starts at position in the text.
@@ -46,6 +50,30 @@
 // Request returns the request that the journal belongs to.
 func (j *Journal) Request() *Request { return j.request }
 
+// setCancel sets what ends the attempts of the request.
+func (j *Journal) setCancel(cancel context.CancelCauseFunc) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.cancelRun = cancel
+}
+
+// cancel ends the attempts of the request with a cause.
+func (j *Journal) cancel(cause error) {
+	j.mu.Lock()
+	cancel := j.cancelRun
+	j.mu.Unlock()
+	if cancel != nil {
+		cancel(cause)
+	}
+}
+
+// TakenOver reports whether a peer handed the request over to this daemon.
+func (j *Journal) TakenOver() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.takenOver
+}
+
 // Append adds tokens at the end.
 func (j *Journal) Append(count int, text string) {
 	j.mu.Lock()
@@ -142,6 +170,13 @@
 	return j.tokens
 }
 
+// Bytes returns the length of the text so far.
+func (j *Journal) Bytes() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.text)
+}
+
 // Attach counts a reader. While there is none, a resumable request waits for
 // its caller only until the resume deadline.
 func (j *Journal) Attach() {
@@ -162,7 +197,7 @@
 func (j *Journal) Abandoned(now time.Time) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.readers == 0 && !j.ended && now.After(j.resumeBy)
+	return j.readers == 0 && !j.ended && !j.takenOver && now.After(j.resumeBy)
 }
 
 // Expired reports whether the journal ended longer ago than the retention.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/suspect"
 )
 
 // Request is a generation that a caller asked for.
@@ -31,6 +32,8 @@
 	TopP        *float64
 	Seed        *int64
 	Arrived     time.Time
+	// Fingerprint identifies the content, to find requests that crash endpoints.
+	Fingerprint suspect.Fingerprint
 }
 
 // Sink receives the answer of a request. Each token comes once and in order.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,205 +2,169 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"io"
-	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
+	"go.uber.org/zap"
 
-	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/core/member"
+	"github.com/boragelead/boragelead/internal/core/retry"
 	"github.com/boragelead/boragelead/internal/core/route"
-	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/core/suspect"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 5
-
-// Endpoints lists the endpoints that hold a model.
-type Endpoints interface {
-	Candidates(model string) []*route.Candidate
-}
+const (
+	// upkeepInterval is the step of capacity, breakers and deadlines.
+	upkeepInterval = 100 * time.Millisecond
+	// slowUpkeep is the interval of work that only frees memory.
+	slowUpkeep = 5 * time.Second
+)
 
 // Service answers requests.
 type Service struct {
-	endpoints Endpoints
+	options   Options
+	log       *zap.Logger
+	metrics   *serviceMetrics
 	router    *route.Router
-	engine    port.Engine
+	lengths   *route.Lengths
+	directory *directory
+	pools     *pools
+	budget    *retry.Budget
+	tracker   *suspect.Tracker
+	running   *suspect.Running
+	journals  *Journals
+	exchange  *exchange
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	inFlight atomic.Int64
+	draining atomic.Bool
+	// serviceTurn takes the endpoints of plain services in turn.
+	serviceTurn atomic.Uint32
+	// generation is the configuration that the decisions work by.
+	generation atomic.Uint64
 }
 
-// New returns a service that sends work to the given engines.
-func New(endpoints Endpoints, engine port.Engine) *Service {
-	return &Service{endpoints: endpoints, router: route.New(), engine: engine}
-}
-
-// Complete answers a request in full or returns a *RefusalError.
-func (s *Service) Complete(ctx context.Context, req *Request, sink Sink) (Result, error) {
-	run := &generation{service: s, req: req, sink: sink, notRun: true}
-	for range maxAttempts {
-		done, err := run.attempt(ctx)
-		if done {
-			return run.result, nil
-		}
-		if err != nil {
-			return run.result, err
-		}
-		if ctx.Err() != nil {
-			return run.result, run.refusal(RefusedUpstream, "caller went away", ctx.Err())
-		}
+// New returns a service. Start begins its upkeep.
+func New(options Options) *Service {
+	ctx, cancel := context.WithCancel(context.Background())
+	empty := &conf.Document{}
+	s := &Service{
+		options:  options,
+		log:      options.Log.Named("[entry]"),
+		metrics:  newServiceMetrics(options.Metrics),
+		router:   route.New(),
+		lengths:  route.NewLengths(),
+		budget:   retry.NewBudget(empty.Retry),
+		tracker:  suspect.NewTracker(empty.Retry),
+		running:  suspect.NewRunning(),
+		journals: NewJournals(),
+		ctx:      ctx,
+		cancel:   cancel,
 	}
-	return run.result, run.refusal(RefusedRetryBudget, "too many attempts failed", run.lastErr)
+	s.directory = newDirectory(s)
+	s.pools = newPools(s)
+	s.exchange = newExchange(s)
+	return s
 }
 
-// generation is the state of one request over its attempts.
-type generation struct {
-	service *Service
-	req     *Request
-	sink    Sink
-	emitted strings.Builder
-	offset  int
-	avoid   []string
-	result  Result
-	notRun  bool
-	lastErr error
+// Start begins the upkeep.
+func (s *Service) Start() {
+	s.configure()
+	s.group.Go(func() { s.every(upkeepInterval, s.upkeep) })
+	s.group.Go(func() { s.every(slowUpkeep, s.expire) })
+	s.group.Go(func() { s.directory.fetchLoop(s.ctx) })
 }
 
-// attempt runs one attempt. It returns done for a whole answer, an error when
-// no further attempt makes sense, and neither when another may succeed.
-func (g *generation) attempt(ctx context.Context) (bool, error) {
-	router := g.service.router
-	snapshot := router.Snapshot(g.service.endpoints.Candidates(g.req.Model))
-	decision, err := router.Route(g.routeRequest(), snapshot, time.Now(), route.SharedRandom)
-	if err != nil {
-		return false, g.refusal(RefusedNoEndpoint, "no endpoint can serve the model", err)
-	}
-	g.result.Attempts++
-	flight := decision.Start(time.Now())
-	defer func() { flight.Done(time.Now()) }()
-	engineReq := g.engineRequest()
-	stream, err := g.service.engine.Generate(ctx, decision.Endpoint.BaseURL, engineReq)
-	if err != nil {
-		g.noteFailure(decision.Endpoint.ID, err)
-		return false, nil
-	}
-	defer stream.Close()
-	done, sinkErr, err := g.pump(stream, engineReq.AttemptID)
-	if sinkErr != nil {
-		return false, g.refusal(RefusedUpstream, "caller went away", sinkErr)
-	}
-	if err != nil {
-		g.noteFailure(decision.Endpoint.ID, err)
-	}
-	return done, nil
+// Close stops the upkeep. Requests that still run are cancelled.
+func (s *Service) Close() {
+	s.cancel()
+	s.group.Wait()
 }
 
-func (g *generation) noteFailure(id string, err error) {
-	g.lastErr = err
-	g.avoid = append(g.avoid, id)
-	var refused *port.RefusedError
-	var transport *port.TransportError
-	switch {
-	case errors.As(err, &refused):
-		g.notRun = g.notRun && refused.Body.Run == endpoint.NotRun
-	case errors.As(err, &transport):
-		g.notRun = g.notRun && !transport.Sent
-	default:
-		g.notRun = false
-	}
-}
-
-// pump hands tokens to the sink until the answer is whole or the stream breaks.
-func (g *generation) pump(stream port.FrameStream, attemptID string) (done bool, sinkErr, err error) {
-	g.notRun = false
-	var frame endpoint.Frame
+func (s *Service) every(interval time.Duration, step func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
 	for {
-		if err := stream.Next(&frame); err != nil {
-			if errors.Is(err, io.EOF) {
-				return true, nil, nil
-			}
-			return false, nil, err
-		}
-		if frame.AttemptID != attemptID {
-			continue
-		}
-		switch frame.Type {
-		case endpoint.FrameTokens:
-			if frame.Offset != g.offset {
-				return false, nil, &OffsetError{Want: g.offset, Got: frame.Offset}
-			}
-			if err := g.sink.Tokens(frame.Offset, frame.Count, frame.Text); err != nil {
-				return false, err, nil
-			}
-			g.offset += frame.Count
-			g.emitted.WriteString(frame.Text)
-		case endpoint.FrameDone:
-			g.finish(&frame)
-			return true, nil, nil
-		case endpoint.FrameError:
-			return false, nil, &EngineError{Message: frame.Error}
+		select {
+		case now := <-ticker.C:
+			step(now)
+		case <-s.ctx.Done():
+			return
 		}
 	}
 }
 
-func (g *generation) finish(frame *endpoint.Frame) {
-	g.result.FinishReason = frame.FinishReason
-	g.result.Usage.PromptTokens = g.req.PromptTokens
-	g.result.Usage.GeneratedTokens = g.offset
-	if frame.Usage != nil {
-		g.result.Usage.CachedTokens = frame.Usage.CachedTokens
+// configure passes a new generation to the decisions.
+func (s *Service) configure() *conf.Active {
+	active := s.options.Config.Current()
+	if active == nil || s.generation.Load() == active.Generation {
+		return active
 	}
+	s.generation.Store(active.Generation)
+	s.router.Configure(active.Document)
+	s.budget.Configure(active.Document.Retry)
+	s.tracker.Configure(active.Document.Retry)
+	s.pools.configure(active.Document)
+	s.directory.invalidate()
+	return active
 }
 
-func (g *generation) routeRequest() *route.Request {
-	return &route.Request{
-		Model:        g.req.Model,
-		Version:      g.req.Version,
-		Adapter:      g.req.Adapter,
-		PromptTokens: g.req.PromptTokens + g.offset,
-		OutputTokens: g.req.MaxTokens - g.offset,
-		RankIndex:    g.req.RankIndex,
-		Avoid:        g.avoid,
+func (s *Service) upkeep(now time.Time) {
+	if s.configure() == nil {
+		return
 	}
+	s.directory.refresh(now)
+	s.pools.upkeep(now)
+	s.exchange.step(now)
 }
 
-func (g *generation) engineRequest() *endpoint.GenerateRequest {
-	return &endpoint.GenerateRequest{
-		AttemptID:     uuid.NewString(),
-		RequestID:     g.req.ID,
-		Model:         g.req.Model,
-		Version:       g.req.Version,
-		Adapter:       g.req.Adapter,
-		Prompt:        g.req.Prompt,
-		Emitted:       g.emitted.String(),
-		EmittedTokens: g.offset,
-		MaxTokens:     g.req.MaxTokens,
-		Priority:      g.req.RankIndex,
-		Stop:          g.req.Stop,
-		Temperature:   g.req.Temperature,
-		TopP:          g.req.TopP,
-		Seed:          g.req.Seed,
-	}
+func (s *Service) expire(now time.Time) {
+	s.journals.Expire(now)
+	s.tracker.Expire(now)
+	s.abandon(now)
 }
 
-func (g *generation) refusal(kind RefusalType, message string, err error) *RefusalError {
-	state := endpoint.RunUnknown
-	if g.notRun {
-		state = endpoint.NotRun
+// abandon ends resumable requests whose callers did not come back.
+func (s *Service) abandon(now time.Time) {
+	for _, journal := range s.journals.Running() {
+		if journal.Abandoned(now) {
+			journal.cancel(&CallerGoneError{})
+		}
 	}
-	return &RefusalError{Type: kind, Run: state, Message: message, Err: err}
 }
 
-// OffsetError says that an engine skipped or repeated tokens.
-type OffsetError struct{ Want, Got int }
+// Router returns the router, which learns from cache events.
+func (s *Service) Router() *route.Router { return s.router }
 
-// Error implements error.
-func (e *OffsetError) Error() string {
-	return fmt.Sprintf("frame starts at token %d, token %d expected", e.Got, e.Want)
-}
+// Journal returns the journal of a request that this daemon holds, or nil.
+func (s *Service) Journal(id string) *Journal { return s.journals.Get(id) }
+
+// InFlight returns the number of requests under way.
+func (s *Service) InFlight() int { return int(s.inFlight.Load()) }
 
-// EngineError says that an engine gave up a generation.
-type EngineError struct{ Message string }
+// Drain makes the service refuse new requests. Running ones go on.
+func (s *Service) Drain() { s.draining.Store(true) }
 
-// Error implements error.
-func (e *EngineError) Error() string { return "engine failed: " + e.Message }
+// OverloadPeer returns the base URL of a peer that takes a new request because
+// this daemon is near its limit of streams, or "".
+func (s *Service) OverloadPeer() string {
+	if s.options.MaxStreams <= 0 || s.InFlight() < s.options.MaxStreams {
+		return ""
+	}
+	return s.exchange.leastLoaded()
+}
+
+// peersOf returns the live peers of the failure domain.
+func (s *Service) peersOf() []member.Peer {
+	var live []member.Peer
+	for _, peer := range s.options.Cluster.Peers() {
+		if peer.Status == member.Alive {
+			live = append(live, peer)
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/internal/entry/services.go
@@ -0,0 +1,352 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/core/member"
+	"github.com/boragelead/boragelead/internal/core/retry"
+	"github.com/boragelead/boragelead/internal/core/route"
+	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/telemetry"
+)
+
+const (
+	// claimsGroup names the claims group; today there is one.
+	claimsGroup = "main"
+	// claimPoll is the interval at which a call waits for another one with its key.
+	claimPoll = 100 * time.Millisecond
+	// completeRetries bounds the tries to record a result while there is no quorum.
+	completeRetries = 50
+	completePause   = 200 * time.Millisecond
+	// headerContentType is kept with a recorded result.
+	headerContentType = "Content-Type"
+)
+
+func newUUID() string { return uuid.NewString() }
+
+// serviceCall is one call of a plain service.
+type serviceCall struct {
+	service *Service
+	req     *ServiceRequest
+	doc     *conf.Document
+	record  *telemetry.Record
+	attempt string
+	avoid   []string
+	// sent is set once the call may have run.
+	sent bool
+}
+
+// Call calls a plain service. A non-idempotent call is sent once at most.
+func (s *Service) Call(ctx context.Context, req *ServiceRequest) (*ServiceResponse, error) {
+	if s.draining.Load() {
+		return nil, &RefusalError{Type: RefusedShutdown, Run: endpoint.NotRun, RetryAfter: time.Second, Message: "this daemon is shutting down"}
+	}
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	s.metrics.serviceCalls.Inc()
+	ctx, span := s.options.Tracing.Start(ctx, telemetry.HopService)
+	defer span.End()
+	active := s.configure()
+	c := &serviceCall{service: s, req: req, doc: active.Document, attempt: newUUID()}
+	c.record = s.options.Explainer.Begin(telemetry.Subject{
+		RequestID: req.ID, Daemon: s.options.Name, Workspace: req.Workspace, Caller: req.Caller,
+		Target: req.Service, Arrived: time.Now(), Generation: active.Generation,
+	})
+	resp, err := c.run(ctx)
+	span.Fail(err)
+	if err != nil {
+		c.record.Add(time.Now(), refusalEvent(err))
+	} else {
+		c.record.Add(time.Now(), telemetry.Event{Type: telemetry.EventFinished})
+	}
+	return resp, err
+}
+
+func (c *serviceCall) run(ctx context.Context) (*ServiceResponse, error) {
+	// A call that was sent is read to its end even when the caller goes away:
+	// its result must be known.
+	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout())
+	defer cancel()
+	switch {
+	case c.req.Idempotent:
+		return c.repeat(ctx)
+	case c.req.Key == "":
+		return c.once(detached)
+	default:
+		return c.claimed(ctx, detached)
+	}
+}
+
+func (c *serviceCall) timeout() time.Duration {
+	const fallback = 30 * time.Second
+	service := c.doc.Service(c.req.Service)
+	if service == nil || service.TimeoutMS <= 0 {
+		return fallback
+	}
+	return time.Duration(service.TimeoutMS) * time.Millisecond
+}
+
+// repeat sends an idempotent call until it is answered.
+func (c *serviceCall) repeat(ctx context.Context) (*ServiceResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	c.service.budget.First(c.req.Workspace, time.Now())
+	for failures := 0; ; failures++ {
+		resp, err := c.send(ctx)
+		if err == nil {
+			return resp, nil
+		}
+		if ctx.Err() != nil || c.service.budget.Retry(c.req.Workspace, retry.AfterFailure, failures+1, time.Now()) != nil {
+			return nil, c.refusal(err)
+		}
+		c.service.metrics.retries.Inc()
+		if !sleep(ctx, retry.Backoff(c.doc.Retry, failures, route.SharedRandom)) {
+			return nil, c.refusal(err)
+		}
+	}
+}
+
+// once sends a non-idempotent call. Only a call that is proven not run is
+// tried at another endpoint.
+func (c *serviceCall) once(ctx context.Context) (*ServiceResponse, error) {
+	for {
+		resp, err := c.send(ctx)
+		if err == nil {
+			return resp, nil
+		}
+		var missing *route.NoEndpointError
+		if c.sent || ctx.Err() != nil || errors.As(err, &missing) {
+			return nil, c.refusal(err)
+		}
+	}
+}
+
+// claimed sends a call whose key was claimed by quorum, and records its result.
+func (c *serviceCall) claimed(ctx, detached context.Context) (*ServiceResponse, error) {
+	replayed, err := c.claim(ctx)
+	if err != nil || replayed != nil {
+		return replayed, err
+	}
+	resp, err := c.once(detached)
+	c.complete(resp, err)
+	return resp, err
+}
+
+// claim returns nil, nil once this call owns its key, the recorded result of
+// an earlier call, or a *RefusalError.
+func (c *serviceCall) claim(ctx context.Context) (*ServiceResponse, error) {
+	started := time.Now()
+	defer c.service.metrics.claim.Since(started)
+	ctx, span := c.service.options.Tracing.Start(ctx, telemetry.HopLedger)
+	defer span.End()
+	for {
+		result, err := c.service.options.Ledger.Claim(ctx, c.claimRequest())
+		if err != nil {
+			span.Fail(err)
+			c.releaseLater(err)
+			return nil, &RefusalError{Type: RefusedNoQuorum, Run: endpoint.NotRun, RetryAfter: time.Second, Message: "the call could not be claimed and was not sent", Err: err}
+		}
+		c.record.Add(time.Now(), telemetry.Event{Type: telemetry.EventClaimed, Message: string(result.State)})
+		switch result.State {
+		case port.ClaimGranted:
+			return nil, nil
+		case port.ClaimDone:
+			c.service.metrics.serviceReplays.Inc()
+			return replay(result.Result)
+		case port.ClaimMismatch:
+			return nil, &RefusalError{Type: RefusedKeyReused, Run: endpoint.NotRun, Message: "the idempotency key was used with another call"}
+		case port.ClaimUnknown:
+			return nil, outcomeUnknown()
+		}
+		if time.Since(started) > c.timeout() || !sleep(ctx, claimPoll) {
+			return nil, &RefusalError{Type: RefusedOutcome, Run: endpoint.RunUnknown, RetryAfter: time.Second, Message: "another call with this idempotency key is running"}
+		}
+	}
+}
+
+// releaseLater gives up a claim that may still be granted after its caller was
+// refused, so that a later call with the key does not wait for this one.
+func (c *serviceCall) releaseLater(err error) {
+	var quorum *port.NoQuorumError
+	if errors.As(err, &quorum) && !quorum.Proposed {
+		return
+	}
+	c.service.group.Go(func() {
+		req := port.CompleteRequest{Group: claimsGroup, Workspace: c.req.Workspace, Key: c.req.Key, Attempt: c.attempt, Result: port.CallResult{Released: true}}
+		c.completeUntilDone(req)
+	})
+}
+
+func (c *serviceCall) claimRequest() port.ClaimRequest {
+	return port.ClaimRequest{
+		Group: claimsGroup, Workspace: c.req.Workspace, Key: c.req.Key, BodyHash: c.bodyHash(),
+		Owner: c.service.options.Name, Incarnation: c.service.options.Instance, Attempt: c.attempt,
+	}
+}
+
+// bodyHash covers what makes two calls with one key the same.
+func (c *serviceCall) bodyHash() string {
+	hash := sha256.New()
+	for _, part := range []string{c.req.Service, c.req.Method, c.req.Path, c.req.Header.Get(headerContentType)} {
+		hash.Write([]byte(part))
+		hash.Write([]byte{0})
+	}
+	hash.Write(c.req.Body)
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+func outcomeUnknown() error {
+	return &RefusalError{Type: RefusedOutcome, Run: endpoint.RunUnknown, Message: "an earlier call with this idempotency key was sent, its outcome is unknown"}
+}
+
+func replay(result *port.CallResult) (*ServiceResponse, error) {
+	if result == nil || result.Unknown {
+		return nil, outcomeUnknown()
+	}
+	header := http.Header{}
+	if result.ContentType != "" {
+		header.Set(headerContentType, result.ContentType)
+	}
+	if result.Truncated {
+		header.Set("X-Boragelead-Truncated", "true")
+	}
+	return &ServiceResponse{Status: result.Status, Header: header, Body: result.Body, Replayed: true}, nil
+}
+
+// complete records how the claimed call ended. Without a quorum it tries on in
+// the background; until it is recorded, other calls with the key wait.
+func (c *serviceCall) complete(resp *ServiceResponse, err error) {
+	req := port.CompleteRequest{Group: claimsGroup, Workspace: c.req.Workspace, Key: c.req.Key, Attempt: c.attempt, Result: c.callResult(resp, err)}
+	if c.tryComplete(req) == nil {
+		return
+	}
+	c.service.group.Go(func() { c.completeUntilDone(req) })
+}
+
+func (c *serviceCall) completeUntilDone(req port.CompleteRequest) {
+	for range completeRetries {
+		if !sleep(c.service.ctx, completePause) || c.tryComplete(req) == nil {
+			return
+		}
+	}
+	c.service.log.Error("Result of a claimed call not recorded.", zap.String("request", c.req.ID))
+}
+
+func (c *serviceCall) tryComplete(req port.CompleteRequest) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.service.ctx), 2*time.Second)
+	defer cancel()
+	return c.service.options.Ledger.Complete(ctx, req)
+}
+
+func (c *serviceCall) callResult(resp *ServiceResponse, err error) port.CallResult {
+	if err != nil {
+		return port.CallResult{Unknown: c.sent, Released: !c.sent}
+	}
+	result := port.CallResult{Status: resp.Status, ContentType: resp.Header.Get(headerContentType), Body: resp.Body}
+	if limit := c.doc.Claims.MaxResultBytes; limit > 0 && len(result.Body) > limit {
+		result.Body = result.Body[:limit]
+		result.Truncated = true
+	}
+	return result
+}
+
+// send sends the call to one endpoint of the service.
+func (c *serviceCall) send(ctx context.Context) (*ServiceResponse, error) {
+	target, err := c.target(ctx)
+	if err != nil {
+		return nil, err
+	}
+	call := &port.ServiceCall{
+		AttemptID: c.attempt, Key: c.req.Key, Idempotent: c.req.Idempotent,
+		Method: c.req.Method, Path: c.req.Path, Header: c.req.Header, Body: c.req.Body,
+	}
+	c.record.Add(time.Now(), telemetry.Event{Type: telemetry.EventAttemptStarted, Endpoint: target.ID, Attempt: c.attempt})
+	result, err := c.service.options.Services.Call(ctx, target.BaseURL, call)
+	if err != nil {
+		c.noteFailure(target.ID, err)
+		return nil, err
+	}
+	c.sent = true
+	return &ServiceResponse{Status: result.Status, Header: result.Header, Body: result.Body}, nil
+}
+
+func (c *serviceCall) noteFailure(id string, err error) {
+	c.avoid = append(c.avoid, id)
+	var refused *port.RefusedError
+	var transport *port.TransportError
+	switch {
+	case errors.As(err, &refused):
+		c.sent = c.sent || refused.Body.Run != endpoint.NotRun
+	case errors.As(err, &transport):
+		c.sent = c.sent || transport.Sent
+	default:
+		c.sent = true
+	}
+	c.record.Add(time.Now(), telemetry.Event{Type: telemetry.EventAttemptEnded, Endpoint: id, Attempt: c.attempt, Message: err.Error()})
+}
+
+// target takes a ready endpoint of the service: of the own failure domain if
+// there is one, in turn.
+func (c *serviceCall) target(ctx context.Context) (*member.Endpoint, error) {
+	usable := c.usable(c.service.options.Registry.Service(c.req.Service))
+	if len(usable) == 0 {
+		usable = c.usable(c.service.remoteServices(ctx, c.req.Service))
+	}
+	if len(usable) == 0 && c.req.Idempotent && len(c.avoid) > 0 {
+		c.avoid = nil
+		usable = c.usable(c.service.options.Registry.Service(c.req.Service))
+	}
+	if len(usable) == 0 {
+		return nil, &route.NoEndpointError{Model: c.req.Service}
+	}
+	slices.SortFunc(usable, func(a, b *member.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return usable[int(c.service.serviceTurn.Add(1))%len(usable)], nil
+}
+
+func (c *serviceCall) usable(list []*member.Endpoint) []*member.Endpoint {
+	var usable []*member.Endpoint
+	for _, e := range list {
+		if e.State == endpoint.StateReady && !slices.Contains(c.avoid, e.ID) {
+			usable = append(usable, e)
+		}
+	}
+	return usable
+}
+
+// remoteServices lists the endpoints of a service in other failure domains.
+func (s *Service) remoteServices(ctx context.Context, service string) []*member.Endpoint {
+	var found []*member.Endpoint
+	for _, view := range s.options.Cluster.Domains(time.Now()) {
+		bounded, cancel := context.WithTimeout(ctx, fetchTimeout)
+		list, err := s.options.Cluster.Fetch(bounded, view.Domain, "", service)
+		cancel()
+		if err == nil {
+			found = append(found, list...)
+		}
+	}
+	return found
+}
+
+// refusal makes a refusal whose run state is the truth.
+func (c *serviceCall) refusal(err error) *RefusalError {
+	var missing *route.NoEndpointError
+	if errors.As(err, &missing) && !c.sent {
+		return &RefusalError{Type: RefusedNoEndpoint, Run: endpoint.NotRun, RetryAfter: noEndpointRetryAfter, Message: "no endpoint of the service is ready", Err: err}
+	}
+	if !c.sent {
+		return &RefusalError{Type: RefusedUpstream, Run: endpoint.NotRun, RetryAfter: time.Second, Message: "the service did not take the call", Err: err}
+	}
+	return &RefusalError{Type: RefusedUpstream, Run: endpoint.RunUnknown, Message: "the service did not answer", Err: err}
+}
