Add cloud API and weight store with stand-ins and thin clients

Cause: planner, rollout and the reclaim scenarios need VMs with prices, refused starts and notices, and loads that compete for a limited rate.

Change: wire types in api/cloud and api/weights; standin/cloud with start tokens, refusals, lost answers, notices by long poll, reclaims of VMs, waves and domains, price steps, cost, callbacks; standin/weights with one rate limit over all downloads, where a sent byte stands for 1 MiB; ports and clients (cloudhttp, weighthttp) over a small JSON client.

Conclusion: ready for planner tests; nothing in the daemon uses it yet.

--- /dev/null
+++ b/internal/adapter/weighthttp/client_test.go
@@ -0,0 +1,49 @@
+package weighthttp
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/boragelead/boragelead/api/weights"
+	"github.com/boragelead/boragelead/internal/port"
+	standin "github.com/boragelead/boragelead/standin/weights"
+)
+
+// Guards against downloads that each get the whole rate, and against a status
+// that does not show them to the planner.
+func TestDownloadsShareTheRate(t *testing.T) {
+	g := NewWithT(t)
+	// 2 GB at 1 GB/s and a tenth of the time take 200 ms.
+	store, err := standin.Start(standin.Config{RateBytesPerS: 1e9, TimeScale: 0.1})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer store.Close()
+	store.Put(weights.ObjectName("m", "1", ""), 1e9)
+	store.Put(weights.ObjectName("m", "1", "a/b"), 1e9)
+	client := NewClient(store.BaseURL())
+	ctx := context.Background()
+	g.Expect(client.Object(ctx, "m@1+a/b")).To(Equal(weights.Object{Name: "m@1+a/b", Bytes: 1e9}))
+	_, err = client.Object(ctx, "other")
+	var failed *port.WeightStoreError
+	g.Expect(errors.As(err, &failed)).To(BeTrue())
+	g.Expect(failed.Status).To(Equal(404))
+
+	begin := time.Now()
+	var group errgroup.Group
+	for _, adapter := range []string{"", "a/b"} {
+		group.Go(func() error {
+			_, err := standin.Client{BaseURL: store.BaseURL()}.Fetch(ctx, "m", "1", adapter)
+			return err
+		})
+	}
+	g.Eventually(func() (weights.Status, error) { return client.Status(ctx) }).
+		Should(And(HaveField("Streams", 2), HaveField("PendingBytes", BeNumerically(">", 1e9))))
+	g.Expect(group.Wait()).To(Succeed())
+	g.Expect(time.Since(begin)).To(BeNumerically("~", 200*time.Millisecond, 60*time.Millisecond))
+	g.Expect(store.ServedBytes()).To(Equal(int64(2e9)))
+	g.Expect(client.Status(ctx)).To(Equal(weights.Status{RateBytesPerS: 1e9}))
+}
--- /dev/null
+++ b/standin/weights/client.go
@@ -0,0 +1,43 @@
+package weights
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/boragelead/boragelead/api/weights"
+)
+
+// StatusError is an answer of the store that is no success.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("weight store answered with status %d", e.Status)
+}
+
+// Client downloads weights for stand-in engines.
+type Client struct{ BaseURL string }
+
+// Fetch downloads the weights of a model version or adapter and returns their size in bytes.
+func (c Client) Fetch(ctx context.Context, model, version, adapter string) (int64, error) {
+	url := c.BaseURL + weights.PathObjects + "/" + weights.ObjectName(model, version, adapter)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, &StatusError{Status: resp.StatusCode}
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, err
+	}
+	return strconv.ParseInt(resp.Header.Get(weights.HeaderBytes), 10, 64)
+}
