--- /dev/null
+++ b/internal/core/raft/schedule_test.go
@@ -0,0 +1,267 @@
+package raft_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/boragelead/boragelead/internal/core/ledger"
+	"github.com/boragelead/boragelead/internal/core/raft"
+	"github.com/boragelead/boragelead/internal/port"
+)
+
+// schedulesVariable names the environment variable that sets the number of schedules.
+const schedulesVariable = "BORAGELEAD_SCHEDULES"
+
+// TestMain fixes seed and number of schedules, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	defaults := map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.nofailfile": "true"}
+	if count := os.Getenv(schedulesVariable); count != "" {
+		defaults["rapid.checks"] = count
+	}
+	for name, value := range defaults {
+		if !set[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestSchedules guards against every way in which faults could break Raft: two
+// leaders of one term, logs that differ, committed entries that are lost or
+// changed, stale reads, and a ledger that doubles, loses or reverts something.
+func TestSchedules(t *testing.T) {
+	var elections, snapshots, reads, committed, changes int
+	rapid.Check(t, func(rt *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 2, 3, 3, 3, 5}).Draw(rt, "size")
+		c := newCluster(size, rapid.Uint64().Draw(rt, "seed"))
+		steps := rapid.SliceOfN(rapid.Uint32(), 300, 600).Draw(rt, "steps")
+		if problem := c.run(steps); problem != "" {
+			rt.Fatal(problem)
+		}
+		elections, snapshots, reads = elections+c.elections, snapshots+c.snapshots, reads+c.reads
+		committed, changes = committed+len(c.committed), changes+c.changes
+	})
+	g := gomega.NewWithT(t)
+	t.Logf("elections %d, snapshots installed %d, reads %d, entries committed %d, membership changes %d",
+		elections, snapshots, reads, committed, changes)
+	// Schedules that reach nothing would prove nothing.
+	for _, count := range []int{elections, snapshots, reads, changes} {
+		g.Expect(count).To(gomega.BeNumerically(">", 100))
+	}
+}
+
+func (c *cluster) run(steps []uint32) (problem string) {
+	defer func() {
+		switch p := recover().(type) {
+		case nil:
+		case violation:
+			problem = p.text
+		case *raft.InvariantError:
+			problem = p.Error()
+		default:
+			panic(p)
+		}
+	}()
+	for i, step := range steps {
+		// rapid prefers small numbers; mixing makes all actions equally likely to be drawn.
+		mixed := (uint64(step) + uint64(i)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+		mixed = (mixed ^ mixed>>29) * 0x94d049bb133111eb
+		c.step(uint32(mixed>>57), uint32(mixed>>20)&0xffffff)
+		if i%64 == 0 {
+			c.checkLogs()
+		}
+	}
+	c.settle()
+	c.checkLogs()
+	return ""
+}
+
+// step does one action; the argument selects nodes, messages and links.
+func (c *cluster) step(action, arg uint32) {
+	at := int(arg) % len(c.nodes)
+	n := c.nodes[at]
+	switch {
+	case action < 40:
+		for range 1 + arg%8 {
+			if len(c.network) > 0 {
+				pick := c.random.IntN(min(len(c.network), 12))
+				c.deliver(pick, c.random.IntN(12) == 0, c.random.IntN(12) == 0)
+			}
+		}
+	case action < 70:
+		c.tick(arg)
+	case action < 90:
+		c.propose(arg)
+	case action < 94:
+		for _, each := range c.nodes {
+			if each.raft != nil {
+				c.read(each)
+				c.process(each, noCrash)
+			}
+		}
+	case action < 99:
+		if n.raft != nil {
+			n.raft.Tick()
+			_, _, _ = n.raft.Propose(c.command(arg))
+			c.process(n, crashPoint(1+arg%2))
+			n.raft = nil
+		}
+	case action < 106:
+		for _, each := range c.nodes {
+			if each.raft == nil {
+				c.start(each)
+				break
+			}
+		}
+	case action < 110:
+		c.partition(at, arg)
+	case action < 114:
+		c.blocked = map[[2]int]bool{}
+	case action < 117:
+		if n.raft != nil {
+			c.compact(n)
+		}
+	case action < 119:
+		if len(c.lost) < 3 && c.survives(n.id) {
+			c.addNode(at)
+		}
+	case action < 126:
+		c.change(arg)
+	default:
+		if leader := c.leader(); leader != nil {
+			_ = leader.raft.Transfer(n.id)
+			c.process(leader, noCrash)
+		}
+	}
+}
+
+// leader returns the node that leads the highest term.
+func (c *cluster) leader() *node {
+	var best *node
+	var bestTerm uint64
+	for _, n := range c.nodes {
+		if n.raft == nil {
+			continue
+		}
+		if role, term, _ := n.raft.Role(); role == raft.Leader && term > bestTerm {
+			best, bestTerm = n, term
+		}
+	}
+	return best
+}
+
+func (c *cluster) tick(arg uint32) {
+	for i, n := range c.nodes {
+		// One node in some ticks stands still, as a paused VM does.
+		if n.raft == nil || arg%4 == 0 && i == int(arg/4)%len(c.nodes) {
+			continue
+		}
+		n.raft.Tick()
+		c.process(n, noCrash)
+	}
+}
+
+// partition cuts a node off: both ways, or only what it sends, or only what it receives.
+func (c *cluster) partition(at int, arg uint32) {
+	if leader := c.leader(); leader != nil && arg%2 == 0 {
+		at = c.position(leader.id)
+	}
+	for other := range c.nodes {
+		if arg%3 != 1 {
+			c.blocked[[2]int{at, other}] = true
+		}
+		if arg%3 != 2 {
+			c.blocked[[2]int{other, at}] = true
+		}
+	}
+}
+
+// propose gives a command to every node that believes to lead, also to a deposed one.
+func (c *cluster) propose(arg uint32) {
+	for _, n := range c.nodes {
+		if n.raft == nil {
+			continue
+		}
+		for i := range 1 + arg%3 {
+			_, _, _ = n.raft.Propose(c.command(arg>>3 + i))
+		}
+		c.process(n, noCrash)
+	}
+}
+
+// command draws from few IDs, so that resends, races and reuse are frequent.
+func (c *cluster) command(arg uint32) []byte {
+	id := arg / 8 % 6
+	owner, incarnation := fmt.Sprintf("o%d", arg/8%2), uint64(arg/64%3)
+	key, attempt := fmt.Sprintf("k%d", arg/16%4), fmt.Sprintf("a%d", arg/128%5)
+	command := &ledger.Command{}
+	switch arg % 8 {
+	case 0, 1:
+		command.Promote = &port.PromoteRequest{
+			OperationID: fmt.Sprintf("op%d", arg/8%24), Expect: uint64(arg / 8 % 24 / 4), Document: []byte{byte(id)},
+		}
+	case 2, 3:
+		command.Claim = &port.ClaimRequest{
+			Key: key, Attempt: attempt, Owner: owner, Incarnation: incarnation, BodyHash: fmt.Sprint(arg / 512 % 8 / 7),
+		}
+	case 4, 5:
+		command.Complete = &port.CompleteRequest{Key: key, Attempt: attempt, Result: port.CallResult{
+			Status: 200, Released: arg/1024%3 == 1, Unknown: arg/1024%3 == 2,
+		}}
+	case 6:
+		command.Gone = &ledger.OwnerGone{Owner: owner, Incarnation: incarnation}
+	default:
+		command.Lease = &ledger.LeaseRequest{Name: "l", Holder: owner, TTL: 5, Elapsed: 2}
+	}
+	data, err := command.Encode()
+	if err != nil {
+		fail("encode: %v", err)
+	}
+	return data
+}
+
+// change repairs the membership as an operator would: new nodes join, those
+// that caught up vote, lost ones are removed; sometimes it removes at random.
+func (c *cluster) change(arg uint32) {
+	leader := c.leader()
+	if leader == nil {
+		return
+	}
+	s := leader.raft.Status()
+	if len(c.nodes) < 5 && arg%16 == 0 {
+		c.addNode(len(c.nodes))
+	}
+	for _, n := range c.nodes {
+		if _, member := s.Config.Find(n.id); !member {
+			c.proposeChange(leader, raft.AddLearner, n.id)
+		}
+	}
+	for _, m := range s.Config.Learners {
+		if s.Match[m.ID]+4 > s.Last && !c.lost[m.ID] {
+			c.proposeChange(leader, raft.PromoteLearner, m.ID)
+		}
+	}
+	for _, m := range s.Config.Members() {
+		if c.lost[m.ID] {
+			c.proposeChange(leader, raft.RemoveMember, m.ID)
+		}
+	}
+	if n := c.nodes[int(arg)%len(c.nodes)]; arg%8 == 1 && len(s.Config.Voters) > 3 {
+		c.proposeChange(leader, raft.RemoveMember, n.id)
+	}
+	c.process(leader, noCrash)
+}
+
+func (c *cluster) proposeChange(leader *node, kind raft.ChangeKind, id raft.ID) {
+	if _, _, err := leader.raft.ProposeChange(raft.Change{Kind: kind, Member: raft.Member{ID: id}}); err == nil {
+		c.changes++
+	}
+}
