--- /dev/null
+++ b/internal/core/ledger/command.go
@@ -0,0 +1,152 @@
+package ledger
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/boragelead/boragelead/internal/port"
+)
+
+// MaxCommandBytes bounds an encoded command. The largest are documents and recorded results.
+const MaxCommandBytes = 4 << 20
+
+// Command is one entry of the log. Exactly one field is set.
+type Command struct {
+	Promote  *port.PromoteRequest  `json:"promote,omitempty"`
+	Claim    *port.ClaimRequest    `json:"claim,omitempty"`
+	Complete *port.CompleteRequest `json:"complete,omitempty"`
+	Gone     *OwnerGone            `json:"gone,omitempty"`
+	Lease    *LeaseRequest         `json:"lease,omitempty"`
+	Tick     *Tick                 `json:"tick,omitempty"`
+	Open     *OpenTerm             `json:"open,omitempty"`
+}
+
+// OwnerGone declares an incarnation of an entry daemon, and all before it, dead.
+type OwnerGone struct {
+	Owner       string `json:"owner"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// LeaseRequest acquires, renews or releases a lease.
+type LeaseRequest struct {
+	Name    string        `json:"name"`
+	Holder  string        `json:"holder"`
+	TTL     time.Duration `json:"ttl"`
+	Release bool          `json:"release,omitempty"`
+	// Elapsed is set by the leader, as in Tick: without it the time before the
+	// grant would count against the lease.
+	Elapsed time.Duration `json:"elapsed,omitempty"`
+}
+
+// Tick advances the time of the ledger.
+type Tick struct {
+	// Elapsed is what passed on the leader's clock since its last tick or lease command.
+	Elapsed time.Duration `json:"elapsed"`
+	// Retention is how long an ended claim is kept.
+	Retention time.Duration `json:"retention"`
+}
+
+// OpenTerm is the first command of a new leader. It restarts the timers of all leases in full.
+type OpenTerm struct {
+	Term uint64 `json:"term"`
+}
+
+// Encode returns the bytes of a command.
+func (c *Command) Encode() ([]byte, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	data, err := encode(c)
+	if err != nil {
+		return nil, &CommandError{Reason: err.Error()}
+	}
+	if len(data) > MaxCommandBytes {
+		return nil, &CommandError{Reason: "too large"}
+	}
+	return data, nil
+}
+
+// DecodeCommand reads a command and checks it.
+func DecodeCommand(data []byte) (*Command, error) {
+	c := &Command{}
+	if err := decode(data, c); err != nil {
+		return nil, &CommandError{Reason: err.Error()}
+	}
+	return c, c.check()
+}
+
+func (c *Command) check() error {
+	set := 0
+	for _, present := range []bool{
+		c.Promote != nil, c.Claim != nil, c.Complete != nil, c.Gone != nil, c.Lease != nil, c.Tick != nil, c.Open != nil,
+	} {
+		if present {
+			set++
+		}
+	}
+	switch {
+	case set != 1:
+		return &CommandError{Reason: "not exactly one request"}
+	case c.Promote != nil && c.Promote.OperationID == "":
+		return &CommandError{Reason: "no operation ID"}
+	case c.Claim != nil && (c.Claim.Key == "" || c.Claim.Attempt == "" || c.Claim.Owner == ""):
+		return &CommandError{Reason: "claim without key, attempt or owner"}
+	case c.Complete != nil && (c.Complete.Key == "" || c.Complete.Attempt == ""):
+		return &CommandError{Reason: "completion without key or attempt"}
+	case c.Lease != nil && (c.Lease.Name == "" || c.Lease.Holder == ""):
+		return &CommandError{Reason: "lease without name or holder"}
+	case c.Lease != nil && !c.Lease.Release && (c.Lease.TTL <= 0 || c.Lease.TTL > MaxLeaseTTL):
+		return &CommandError{Reason: "lease time out of range"}
+	case c.Lease != nil && c.Lease.Elapsed < 0 || c.Tick != nil && (c.Tick.Elapsed < 0 || c.Tick.Retention < 0):
+		return &CommandError{Reason: "negative duration"}
+	}
+	return nil
+}
+
+// encode writes structs as maps with the names of their JSON tags, so that a
+// field can be added without breaking logs that exist.
+func encode(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.SetCustomStructTag("json")
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(value)
+	return buffer.Bytes(), err
+}
+
+func decode(data []byte, value any) error {
+	decoder := msgpack.NewDecoder(bytes.NewReader(data))
+	decoder.SetCustomStructTag("json")
+	return decoder.Decode(value)
+}
+
+// Outcome answers a command. At most one field is set; none means plain success.
+type Outcome struct {
+	Generation *port.Generation           `json:"generation,omitempty"`
+	Conflict   *port.ConflictError        `json:"conflict,omitempty"`
+	Reused     *port.OperationReusedError `json:"reused,omitempty"`
+	Claim      *port.ClaimResult          `json:"claim,omitempty"`
+	Stale      *port.StaleOwnerError      `json:"stale,omitempty"`
+	Attempt    *port.AttemptError         `json:"attempt,omitempty"`
+	Lease      *port.LeaseGrant           `json:"lease,omitempty"`
+	Invalid    *CommandError              `json:"invalid,omitempty"`
+}
+
+// Err returns the typed error of a command that was refused.
+func (o Outcome) Err() error {
+	switch {
+	case o.Conflict != nil:
+		return o.Conflict
+	case o.Reused != nil:
+		return o.Reused
+	case o.Stale != nil:
+		return o.Stale
+	case o.Attempt != nil:
+		return o.Attempt
+	case o.Invalid != nil:
+		return o.Invalid
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/ledger/promote.go
@@ -0,0 +1,83 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/boragelead/boragelead/internal/port"
+)
+
+// operation is the first outcome of an operation ID.
+type operation struct {
+	ID string `json:"id"`
+	// Request is the digest of the request, to recognise another one under the same ID.
+	Request string `json:"request"`
+	// Number is the generation that the operation made, 0 if it lost.
+	Number uint64 `json:"number"`
+	// Current and Winner describe the conflict of an operation that lost.
+	Current uint64 `json:"current"`
+	Winner  string `json:"winner"`
+}
+
+func (s *State) promote(req *port.PromoteRequest) Outcome {
+	request := requestDigest(req)
+	if known := s.operations[req.OperationID]; known != nil {
+		if known.Request != request {
+			return Outcome{Reused: &port.OperationReusedError{OperationID: req.OperationID}}
+		}
+		return known.outcome(req)
+	}
+	current := s.Current()
+	op := &operation{ID: req.OperationID, Request: request}
+	if current.Number == req.Expect {
+		op.Number = current.Number + 1
+		s.addGeneration(generation(req, op.Number))
+	} else {
+		op.Current, op.Winner = current.Number, current.Operator
+	}
+	s.remember(op)
+	return op.outcome(req)
+}
+
+// outcome answers the request that the operation was remembered for. The
+// document of a success comes from the request, which is the same one.
+func (o *operation) outcome(req *port.PromoteRequest) Outcome {
+	if o.Number == 0 {
+		return Outcome{Conflict: &port.ConflictError{Expect: req.Expect, Current: o.Current, Operator: o.Winner}}
+	}
+	g := generation(req, o.Number)
+	return Outcome{Generation: &g}
+}
+
+func generation(req *port.PromoteRequest, number uint64) port.Generation {
+	digest := sha256.Sum256(req.Document)
+	return port.Generation{
+		Number: number, Document: req.Document, Digest: hex.EncodeToString(digest[:]),
+		Operator: req.Operator, OperationID: req.OperationID,
+	}
+}
+
+func requestDigest(req *port.PromoteRequest) string {
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%d %d %s ", req.Expect, len(req.Operator), req.Operator)
+	hash.Write(req.Document)
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+func (s *State) addGeneration(g port.Generation) {
+	s.generations = append(s.generations, g)
+	if extra := len(s.generations) - maxGenerations; extra > 0 {
+		// A new slice, because a frozen view may share the old one.
+		s.generations = append([]port.Generation(nil), s.generations[extra:]...)
+	}
+}
+
+func (s *State) remember(op *operation) {
+	s.operations[op.ID] = op
+	s.operationOrder = append(s.operationOrder, op.ID)
+	for len(s.operationOrder) > maxOperations {
+		delete(s.operations, s.operationOrder[0])
+		s.operationOrder = s.operationOrder[1:]
+	}
+}
--- /dev/null
+++ b/internal/core/ledger/state.go
@@ -0,0 +1,110 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/boragelead/boragelead/internal/port"
+)
+
+const (
+	// maxGenerations bounds the history. A rollback looks back a few generations;
+	// at 2,900 changes a day 64 cover half an hour of constant changes.
+	maxGenerations = 64
+	// maxOperations bounds the remembered operation IDs: 22 days at 2,900 changes
+	// a day. A resend that comes later still meets the compare-and-set.
+	maxOperations = 65536
+	// maxOwners is the number of owners from which idle ones are forgotten.
+	maxOwners = 4096
+)
+
+// State is the replicated state. It is not safe for concurrent use. Records
+// behind pointers are never changed, only replaced, so that a frozen view can
+// share them.
+type State struct {
+	// now is the time of the ledger: the sum of elapsed durations.
+	now   time.Duration
+	index uint64
+
+	// generations are the newest ones, oldest first.
+	generations []port.Generation
+	operations  map[string]*operation
+	// operationOrder holds the operation IDs, oldest first.
+	operationOrder []string
+
+	claims map[claimKey]*claim
+	// running names the running claims of each owner.
+	running map[string]map[claimKey]struct{}
+	// ended holds the ends of claims in the order of their time.
+	ended  []endedClaim
+	owners map[string]*owner
+	// released holds attempts that gave up their claim, with the time.
+	released      map[string]time.Duration
+	releasedOrder []string
+
+	leases map[string]*lease
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		operations: map[string]*operation{},
+		claims:     map[claimKey]*claim{},
+		running:    map[string]map[claimKey]struct{}{},
+		owners:     map[string]*owner{},
+		released:   map[string]time.Duration{},
+		leases:     map[string]*lease{},
+	}
+}
+
+// Apply applies the command at a log index. Empty data opens a term of the log and changes nothing.
+func (s *State) Apply(index uint64, data []byte) Outcome {
+	s.index = index
+	if len(data) == 0 {
+		return Outcome{}
+	}
+	c, err := DecodeCommand(data)
+	if err != nil {
+		return Outcome{Invalid: &CommandError{Reason: err.Error()}}
+	}
+	switch {
+	case c.Promote != nil:
+		return s.promote(c.Promote)
+	case c.Claim != nil:
+		return s.claim(c.Claim)
+	case c.Complete != nil:
+		return s.complete(c.Complete)
+	case c.Gone != nil:
+		s.ownerGone(c.Gone)
+	case c.Lease != nil:
+		return s.lease(c.Lease)
+	case c.Tick != nil:
+		s.now += c.Tick.Elapsed
+		s.expireClaims(c.Tick.Retention)
+	case c.Open != nil:
+		s.restartLeases()
+	}
+	return Outcome{}
+}
+
+// Index is the log index of the last command.
+func (s *State) Index() uint64 { return s.index }
+
+// Current returns the newest generation; number 0 means none.
+func (s *State) Current() port.Generation {
+	if len(s.generations) == 0 {
+		return port.Generation{}
+	}
+	return s.generations[len(s.generations)-1]
+}
+
+// History returns the newest generations first, at most limit; 0 means all that are kept.
+func (s *State) History(limit int) []port.Generation {
+	if limit <= 0 || limit > len(s.generations) {
+		limit = len(s.generations)
+	}
+	list := make([]port.Generation, 0, limit)
+	for i := range limit {
+		list = append(list, s.generations[len(s.generations)-1-i])
+	}
+	return list
+}
--- a/internal/port/ledger.go
+++ b/internal/port/ledger.go
@@ -49,6 +49,25 @@
 	return fmt.Sprintf("operation %q was used for another request", e.OperationID)
 }
 
+// StaleOwnerError says that the claiming incarnation was declared gone. The call was not granted.
+type StaleOwnerError struct {
+	Owner       string
+	Incarnation uint64
+}
+
+// Error implements error.
+func (e *StaleOwnerError) Error() string {
+	return fmt.Sprintf("incarnation %d of owner %q is gone", e.Incarnation, e.Owner)
+}
+
+// AttemptError says that an attempt does not hold the claim: it was never granted or was released.
+type AttemptError struct{ Attempt string }
+
+// Error implements error.
+func (e *AttemptError) Error() string {
+	return fmt.Sprintf("attempt %q does not hold the claim", e.Attempt)
+}
+
 // NoQuorumError says that the replicated log could not be reached or did not
 // answer. Proposed tells whether the command may still take effect.
 type NoQuorumError struct {
