Assemble the daemon from its parts

Cause: the pipeline, the cluster and the adapters were not connected. Conclusion: the whole path runs on the decision packages.

--- a/cmd/boragelead/dev.go
+++ b/cmd/boragelead/dev.go
@@ -37,11 +37,13 @@
 	config.FailureDomain = doc.Fleet.Domains[0].FailureDomain
 	config.Listen.Callers = options.listen
 	config.Listen.Endpoints = "127.0.0.1:8091"
+	config.Listen.Peers = "127.0.0.1:8092"
+	config.Listen.Admin = "127.0.0.1:8093"
 	log, err := telemetry.NewLogger(config.Log)
 	if err != nil {
 		return err
 	}
-	d, err := daemon.Start(config, log)
+	d, err := daemon.Start(config, log, daemon.Options{})
 	if err != nil {
 		return err
 	}
--- a/cmd/borageleadd/main.go
+++ b/cmd/borageleadd/main.go
@@ -40,7 +40,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	d, err := daemon.Start(config, log)
+	d, err := daemon.Start(config, log, daemon.Options{})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitStart
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,109 +2,248 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/boragelead/boragelead/internal/adapter/callerhttp"
 	"github.com/boragelead/boragelead/internal/adapter/enginehttp"
+	"github.com/boragelead/boragelead/internal/adapter/peerrpc"
+	"github.com/boragelead/boragelead/internal/adapter/servicehttp"
+	"github.com/boragelead/boragelead/internal/cluster"
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/core/member"
-	"github.com/boragelead/boragelead/internal/core/route"
 	"github.com/boragelead/boragelead/internal/entry"
 	"github.com/boragelead/boragelead/internal/settings"
+	"github.com/boragelead/boragelead/internal/telemetry"
 )
 
-// expireInterval is how often leases of endpoints are checked.
-const expireInterval = 250 * time.Millisecond
+const (
+	// headerTimeout bounds the time in which a caller sends the headers of a request.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers without requests.
+	idleTimeout = 2 * time.Minute
+	// explainRecords is the number of requests whose explain records are kept, about 1 KB each.
+	explainRecords = 8192
+	// closeTimeout bounds the flush of traces at the end.
+	closeTimeout = 2 * time.Second
+)
+
+// Options change a daemon beyond its settings. The zero value is right for service.
+type Options struct {
+	// Baseline replaces decisions by simple ones for comparison.
+	Baseline entry.Baseline
+}
 
 // Daemon is a running daemon.
 type Daemon struct {
-	settings *settings.Settings
-	log      *zap.Logger
-	config   *conf.Store
-	registry *member.Registry
-	servers  []*http.Server
-	cancel   context.CancelFunc
+	settings  *settings.Settings
+	log       *zap.Logger
+	config    *conf.Store
+	instance  uint64
+	registry  *member.Registry
+	metrics   *telemetry.Registry
+	tracing   *telemetry.Tracing
+	explainer *telemetry.Explainer
+	rpc       *peerrpc.Node
+	cluster   *cluster.Cluster
+	ledger    *ledgerRole
+	engines   *enginehttp.Client
+	services  *servicehttp.Client
+	entry     *entry.Service
+
+	listeners listeners
+	servers   []*http.Server
+	group     sync.WaitGroup
+	notReady  atomic.Bool
+	drained   chan struct{}
+	drainOnce sync.Once
+	closeOnce sync.Once
 }
 
-// Start builds a daemon and opens its listeners.
-func Start(config *settings.Settings, log *zap.Logger) (*Daemon, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{settings: config, log: log, config: conf.NewStore(), registry: member.NewRegistry(), cancel: cancel}
-	engine := enginehttp.NewClient()
-	service := entry.New(candidates{d.registry}, engine)
-	callers := callerhttp.New(d.config, service, uuid.NewString)
-	announce := enginehttp.AnnounceHandler(d.registry, enginehttp.NoCache{}, func() []string { return nil })
-	if err := d.serve(config.Listen.Callers, callers.Handler()); err != nil {
-		d.Close()
+// Start builds a daemon and opens its listeners. The error names the setting
+// whose address could not be opened.
+func Start(config *settings.Settings, log *zap.Logger, options Options) (*Daemon, error) {
+	d := &Daemon{
+		settings: config,
+		log:      log.With(zap.String("daemon", config.Name)),
+		config:   conf.NewStore(),
+		instance: newInstance(),
+		registry: member.NewRegistry(),
+		metrics:  telemetry.NewRegistry(),
+		drained:  make(chan struct{}),
+	}
+	if err := d.listeners.open(config); err != nil {
 		return nil, err
 	}
-	if err := d.serve(config.Listen.Endpoints, announce); err != nil {
+	if err := d.build(options); err != nil {
 		d.Close()
 		return nil, err
 	}
-	go d.expireLoop(ctx)
+	d.start()
 	return d, nil
 }
 
+// newInstance draws the number that tells the lives of a daemon apart.
+func newInstance() uint64 {
+	id := uuid.New()
+	return binary.LittleEndian.Uint64(id[:8])
+}
+
+// Name returns the name of the daemon.
+func (d *Daemon) Name() string { return d.settings.Name }
+
 // Config returns the store of the active generation.
 func (d *Daemon) Config() *conf.Store { return d.config }
 
 // Registry returns the registry of endpoints.
 func (d *Daemon) Registry() *member.Registry { return d.registry }
 
-// Close stops the daemon at once.
-func (d *Daemon) Close() {
-	d.cancel()
-	for _, server := range d.servers {
-		_ = server.Close()
+// Metrics returns the metrics of the daemon.
+func (d *Daemon) Metrics() *telemetry.Registry { return d.metrics }
+
+// Entry returns the request pipeline.
+func (d *Daemon) Entry() *entry.Service { return d.entry }
+
+// Cluster returns the connection to the other daemons.
+func (d *Daemon) Cluster() *cluster.Cluster { return d.cluster }
+
+// RPC returns the calls between daemons.
+func (d *Daemon) RPC() *peerrpc.Node { return d.rpc }
+
+// CallerAddress returns the IP:port for callers.
+func (d *Daemon) CallerAddress() string { return d.listeners.callers.Addr().String() }
+
+// EndpointAddress returns the IP:port for endpoints.
+func (d *Daemon) EndpointAddress() string { return d.listeners.endpoints.Addr().String() }
+
+// PeerAddress returns the IP:port for daemons.
+func (d *Daemon) PeerAddress() string { return d.listeners.peers.Addr().String() }
+
+// AdminAddress returns the IP:port for operators.
+func (d *Daemon) AdminAddress() string { return d.listeners.admin.Addr().String() }
+
+// Drained is closed when a graceful shutdown has ended.
+func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+
+// ready returns nil while the daemon takes new requests.
+func (d *Daemon) ready() error {
+	switch {
+	case d.notReady.Load():
+		return &NotReadyError{Reason: "draining"}
+	case d.config.Current() == nil:
+		return &NotReadyError{Reason: "no configuration yet"}
+	default:
+		return nil
 	}
 }
 
-func (d *Daemon) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+func (d *Daemon) start() {
+	d.group.Go(func() { _ = d.rpc.Serve(d.listeners.peers) })
+	d.ledger.start()
+	d.cluster.Start()
+	d.entry.Start()
+	d.serve(d.listeners.callers, d.callerHandler())
+	d.serve(d.listeners.endpoints, d.endpointHandler())
+	d.serve(d.listeners.admin, d.adminHandler())
+	telemetry.Publish(d.settings.Name, d.metrics)
+	d.log.Info("Daemon started.", zap.String("callers", d.CallerAddress()), zap.String("peers", d.PeerAddress()))
+}
+
+func (d *Daemon) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	d.servers = append(d.servers, server)
-	go func() { _ = server.Serve(listener) }()
+	d.group.Go(func() { _ = server.Serve(listener) })
+}
+
+// Close stops the daemon at once. Requests under way are cut off.
+func (d *Daemon) Close() { d.stop(func() { d.cluster.Close() }) }
+
+// Kill stops the daemon without a word to the others, as a sudden death does.
+func (d *Daemon) Kill() { d.stop(func() { d.cluster.Kill() }) }
+
+func (d *Daemon) stop(leave func()) {
+	d.closeOnce.Do(func() {
+		for _, server := range d.servers {
+			_ = server.Close()
+		}
+		d.listeners.close()
+		if d.entry != nil {
+			d.entry.Close()
+		}
+		if d.cluster != nil {
+			leave()
+		}
+		if d.ledger != nil {
+			d.ledger.close()
+		}
+		if d.rpc != nil {
+			d.rpc.Close()
+		}
+		d.engines.Close()
+		d.services.Close()
+		d.group.Wait()
+		telemetry.Unpublish(d.settings.Name, d.metrics)
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if err := d.tracing.Close(ctx); err != nil {
+			d.log.Warn("Traces not written.", zap.Error(err))
+		}
+	})
+}
+
+// listeners are the open sockets of a daemon.
+type listeners struct {
+	callers, endpoints, peers, admin net.Listener
+}
+
+// open opens all sockets, so that an address in use shows before anything starts.
+func (l *listeners) open(config *settings.Settings) error {
+	for _, one := range []struct {
+		field, address string
+		listener       *net.Listener
+	}{
+		{"$.listen.callers", config.Listen.Callers, &l.callers},
+		{"$.listen.endpoints", config.Listen.Endpoints, &l.endpoints},
+		{"$.listen.peers", config.Listen.Peers, &l.peers},
+		{"$.listen.admin", config.Listen.Admin, &l.admin},
+	} {
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			l.close()
+			return &settings.Error{Field: one.field, Message: err.Error()}
+		}
+		*one.listener = listener
+	}
 	return nil
 }
 
-func (d *Daemon) expireLoop(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case now := <-ticker.C:
-			for _, id := range d.registry.Expire(now) {
-				d.log.Named("[member]").Warn("Endpoint lease expired.", zap.String("endpoint", id))
-			}
-		case <-ctx.Done():
-			return
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.endpoints, l.peers, l.admin} {
+		if listener != nil {
+			_ = listener.Close()
 		}
 	}
 }
 
-// candidates shows the registry to the router.
-type candidates struct{ registry *member.Registry }
-
-// Candidates implements entry.Endpoints.
-func (c candidates) Candidates(string) []*route.Candidate {
-	endpoints := c.registry.List()
-	list := make([]*route.Candidate, 0, len(endpoints))
-	for _, e := range endpoints {
-		list = append(list, &route.Candidate{
-			ID: e.ID, Incarnation: e.Incarnation, BaseURL: e.BaseURL, FailureDomain: e.FailureDomain,
-			Class: e.Class, Role: e.Role, State: e.State, Models: e.Models, Slots: e.Slots,
-			Reclaimable: e.Reclaimable, Load: e.Load, LoadAt: e.LoadAt, Expires: e.Expires,
-		})
+// NotReadyError says why the daemon takes no new requests.
+type NotReadyError struct{ Reason string }
+
+// Error implements error.
+func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
+
+// install puts a generation in force.
+func (d *Daemon) install(number uint64, document []byte, digest string) error {
+	doc, err := conf.Parse(document)
+	if err != nil {
+		return eris.Wrapf(err, "generation %d", number)
 	}
-	return list
+	d.config.Install(number, doc, digest, time.Now())
+	return nil
 }
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -127,11 +127,11 @@
 		_, waits := one.admitter.Load()
 		waiting[one.key] = waits
 	}
-	var reports []limit.Report
+	var reports []limit.EndpointReport
 	for _, offer := range supplies {
 		wanted := p.service.router.InFlight(offer.id) + waiting[offer.group]
 		if wanted > 0 && !offer.remote {
-			reports = append(reports, limit.Report{Endpoint: offer.id, Wanted: wanted, Limit: offer.limit, Samples: 1})
+			reports = append(reports, limit.EndpointReport{Endpoint: offer.id, Wanted: wanted, Limit: offer.limit, Samples: 1})
 		}
 	}
 	p.shares.SetOwn(reports)
