Add the attempt state machine

Cause: the pipeline resumed only after an error of the current attempt, failed on any offset that did not match, and had no planned handover.

Change: internal/core/attempt maps events to actions for one request. Frames are checked against their own attempt: repeated and crossed ones are dropped, gaps end the attempt. A reclaim notice asks for a second attempt; the first goes on, and the second takes over once it has generated all that was delivered since it was sent. For sampled answers, or when the two differ, the tokens of the first are held back meanwhile, because the second does not continue from them. ChooseKV compares transfer and prefill.

--- /dev/null
+++ b/internal/core/attempt/machine_test.go
@@ -0,0 +1,195 @@
+package attempt
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+)
+
+var errLost = errors.New("lost")
+
+// tokens returns a frame of an attempt with the tokens of the answer "0.1.2....".
+func tokens(id string, from, count int) *endpoint.Frame {
+	frame := &endpoint.Frame{AttemptID: id, Type: endpoint.FrameTokens, Offset: from, Count: count}
+	for i := from; i < from+count; i++ {
+		frame.Text += fmt.Sprintf("%d.", i)
+	}
+	return frame
+}
+
+func done(id string, offset int) *endpoint.Frame {
+	return &endpoint.Frame{AttemptID: id, Type: endpoint.FrameDone, Offset: offset, FinishReason: "length"}
+}
+
+// begin returns a machine whose attempt "a" at endpoint "A" was sent.
+func begin(config Config) *Machine {
+	m := New(config)
+	m.Begin()
+	m.Granted("a", "A")
+	m.Sent("a")
+	return m
+}
+
+// kinds returns the kinds of actions.
+func kinds(actions []Action) []Kind {
+	list := []Kind{}
+	for _, a := range actions {
+		list = append(list, a.Kind)
+	}
+	return list
+}
+
+// Guards against a handover that pauses the answer, repeats tokens, or keeps
+// the old attempt running.
+func TestHandoverTakesOverWithoutPause(t *testing.T) {
+	g := NewWithT(t)
+	m := begin(Config{MaxTokens: 20, PromptTokens: 7})
+	m.Frame("a", tokens("a", 0, 4))
+	g.Expect(m.Notice("A")).To(ConsistOf(And(HaveField("Kind", Ask), HaveField("Reason", Handover), HaveField("Offset", 4))))
+	g.Expect(m.Granted("b", "B")).To(ConsistOf(And(HaveField("Kind", Send), HaveField("Source", "a"), HaveField("SourceEndpoint", "A"))))
+	emitted, offset, wanted := m.Sent("b")
+	g.Expect(wanted).To(BeTrue())
+	g.Expect(emitted).To(Equal("0.1.2.3."))
+	g.Expect(offset).To(Equal(4))
+	g.Expect(kinds(m.Frame("a", tokens("a", 4, 3)))).To(Equal([]Kind{Deliver}))
+	g.Expect(m.Frame("b", tokens("b", 4, 2))).To(BeEmpty())
+	actions := m.Frame("b", tokens("b", 6, 3))
+	g.Expect(kinds(actions)).To(Equal([]Kind{Cancel, Deliver}))
+	g.Expect(actions[1]).To(And(HaveField("Offset", 7), HaveField("Count", 2), HaveField("Text", "7.8.")))
+	g.Expect(m.Frame("a", tokens("a", 7, 1))).To(BeEmpty())
+	g.Expect(m.Stats()).To(Equal(Stats{Attempts: 2, RecomputedTokens: 11, Dropped: 1, Takeovers: 1}))
+}
+
+// Guards against tokens of two attempts mixed where attempts generate
+// different ones, and against tokens lost when such a handover fails.
+func TestHandoverOfSampledAnswerHoldsBack(t *testing.T) {
+	g := NewWithT(t)
+	m := begin(Config{MaxTokens: 20, Sampled: true})
+	m.Frame("a", tokens("a", 0, 4))
+	m.Notice("A")
+	m.Granted("b", "B")
+	m.Sent("b")
+	g.Expect(m.Frame("a", tokens("a", 4, 3))).To(BeEmpty())
+	actions := m.Lost("b", true, errLost)
+	g.Expect(kinds(actions)).To(Equal([]Kind{Deliver, Ask}))
+	g.Expect(actions[0].Text).To(Equal("4.5.6."))
+	m.Granted("c", "C")
+	m.Sent("c")
+	g.Expect(m.Frame("a", tokens("a", 7, 3))).To(BeEmpty())
+	other := tokens("c", 7, 1)
+	other.Text = "other"
+	actions = m.Frame("c", other)
+	g.Expect(kinds(actions)).To(Equal([]Kind{Cancel, Deliver}))
+	g.Expect(m.Emitted()).To(Equal("0.1.2.3.4.5.6.other"))
+}
+
+// Guards against a successor that generates other tokens and is let in, or
+// that costs the running attempt its place.
+func TestDivergingSuccessorIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	m := begin(Config{MaxTokens: 20})
+	m.Frame("a", tokens("a", 0, 4))
+	m.Notice("A")
+	m.Granted("b", "B")
+	m.Sent("b")
+	m.Frame("a", tokens("a", 4, 2))
+	other := tokens("b", 4, 1)
+	other.Text = "other"
+	g.Expect(kinds(m.Frame("b", other))).To(Equal([]Kind{Cancel, Ask}))
+	g.Expect(m.Denied(errLost)).To(BeEmpty())
+	m.Frame("a", tokens("a", 6, 14))
+	g.Expect(kinds(m.Frame("a", done("a", 20)))).To(Equal([]Kind{Finish}))
+}
+
+// Guards against a verdict not_run after any attempt that may have run.
+func TestVerdict(t *testing.T) {
+	refused := func(state endpoint.RunState) func(*Machine) {
+		return func(m *Machine) { m.Refused("a", state, errLost) }
+	}
+	errorFrame := func(m *Machine) {
+		m.Frame("a", &endpoint.Frame{AttemptID: "a", Type: endpoint.FrameError, Run: endpoint.NotRun})
+	}
+	cases := map[string]struct {
+		event func(*Machine)
+		want  endpoint.RunState
+	}{
+		"refused before running":         {refused(endpoint.NotRun), endpoint.NotRun},
+		"refused without proof":          {refused(endpoint.RunUnknown), endpoint.RunUnknown},
+		"no byte left":                   {func(m *Machine) { m.Lost("a", false, errLost) }, endpoint.NotRun},
+		"a byte left":                    {func(m *Machine) { m.Lost("a", true, errLost) }, endpoint.RunUnknown},
+		"dropped from the queue":         {errorFrame, endpoint.NotRun},
+		"claims so after a token":        {func(m *Machine) { m.Frame("a", tokens("a", 0, 1)); errorFrame(m) }, endpoint.RunUnknown},
+		"caller left while it ran":       {func(*Machine) {}, endpoint.RunUnknown},
+		"wrong frame":                    {func(m *Machine) { m.Frame("a", tokens("a", 3, 1)) }, endpoint.RunUnknown},
+		"second attempt was never sent":  {func(m *Machine) { refused(endpoint.NotRun)(m); m.Granted("b", "B") }, endpoint.NotRun},
+		"second attempt proves nothing":  {func(m *Machine) { refused(endpoint.RunUnknown)(m); m.Granted("b", "B"); m.Lost("b", false, errLost) }, endpoint.RunUnknown},
+		"handed over from another entry": {func(m *Machine) { *m = *New(Config{MaxTokens: 5}); m.Restore("0.", 1) }, endpoint.RunUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := begin(Config{MaxTokens: 5})
+			c.event(m)
+			actions := m.Abandon(errLost)
+			last := actions[len(actions)-1]
+			NewWithT(t).Expect(last).To(And(HaveField("Kind", Fail), HaveField("Run", c.want)))
+		})
+	}
+}
+
+// Guards against an attempt that is made only to learn that nothing is missing.
+func TestLostLastFrameNeedsNoAttempt(t *testing.T) {
+	g := NewWithT(t)
+	m := begin(Config{MaxTokens: 5})
+	m.Frame("a", tokens("a", 0, 5))
+	g.Expect(m.Lost("a", true, errLost)).To(ConsistOf(And(HaveField("Kind", Finish), HaveField("FinishReason", "length"))))
+}
+
+// Guards against transfers that come too late or cost more than a prefill.
+func TestChooseKV(t *testing.T) {
+	g := NewWithT(t)
+	cost := KVCost{
+		Tokens: 8000, PrefillTokensPerSecond: 8000, Bytes: 800e6, TransferBytesPerSecond: 2e9, Remaining: 5 * time.Second,
+	}
+	g.Expect(ChooseKV(cost)).To(Equal(KVChoice{Transfer: true, TransferTime: 420 * time.Millisecond, Recompute: time.Second}))
+	for name, change := range map[string]func(*KVCost){
+		"too late":       func(c *KVCost) { c.Remaining = 500 * time.Millisecond },
+		"source is gone": func(c *KVCost) { c.Remaining = 0 },
+		"cached there":   func(c *KVCost) { c.CachedTokens = 7000 },
+		"slow network":   func(c *KVCost) { c.TransferBytesPerSecond = 5e8 },
+		"unknown speed":  func(c *KVCost) { c.TransferBytesPerSecond = 0 },
+		"short prompt":   func(c *KVCost) { c.Tokens, c.Bytes = 80, 8e6 },
+	} {
+		changed := cost
+		change(&changed)
+		g.Expect(ChooseKV(changed).Transfer).To(BeFalse(), name)
+	}
+}
+
+func BenchmarkFrame(b *testing.B) {
+	frame := &endpoint.Frame{AttemptID: "a", Type: endpoint.FrameTokens, Count: 1, Text: " w2x"}
+	m := begin(Config{MaxTokens: 1 << 62})
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Frame("a", frame)
+		frame.Offset++
+	}
+}
+
+// Guards against an attempt that is given up for frames that can be dropped.
+func TestRepeatedAndCrossedFramesAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	m := begin(Config{MaxTokens: 9})
+	m.Frame("a", tokens("a", 0, 4))
+	for _, frame := range []*endpoint.Frame{tokens("a", 0, 4), tokens("a", 2, 2), tokens("other", 4, 1), done("other", 4)} {
+		g.Expect(m.Frame("a", frame)).To(BeEmpty())
+	}
+	g.Expect(m.Frame("other", tokens("other", 4, 1))).To(BeEmpty())
+	g.Expect(kinds(m.Frame("a", tokens("a", 4, 5)))).To(Equal([]Kind{Deliver}))
+	g.Expect(m.Stats().Dropped).To(Equal(5))
+	g.Expect(kinds(m.Frame("a", done("a", 9)))).To(Equal([]Kind{Finish}))
+}
