Drive attempts by the attempt machine and keep accepted requests alive

Cause: in the first end-to-end runs, accepted requests were refused when the retry budget was spent, when suspects had isolated all endpoints, and after frames that the machine rejected were sent again to the same endpoint. Change: the machine decides on attempts, at most two of which run; requests whose endpoint died resume without spending the budget; others wait for it; half of the endpoints at most are isolated; rejected frames count against their endpoint; KV caches move with a request where that is cheaper.

--- a/internal/core/attempt/machine.go
+++ b/internal/core/attempt/machine.go
@@ -72,6 +72,9 @@
 // Ended reports whether Finish or Fail was returned.
 func (m *Machine) Ended() bool { return m.ended }
 
+// Running reports whether an attempt is still of use.
+func (m *Machine) Running(id string) bool { return m.find(id) != nil }
+
 // Stats returns the counts so far.
 func (m *Machine) Stats() Stats { return m.stats }
 
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -31,6 +31,10 @@
 	// AfterReclaim resumes work of an endpoint that announced its end. It
 	// spends nothing: its number is bounded by the work that was running.
 	AfterReclaim
+	// AfterLoss resumes work of an endpoint that died or whose connections went
+	// silent. It spends no budget, for the same reason, but counts as an
+	// attempt: nothing was announced, and the next endpoint may be lost as well.
+	AfterLoss
 )
 
 // Budget bounds retries to a share of first attempts, per workspace and in
@@ -99,6 +103,9 @@
 	if attempts >= b.maximum {
 		return &BudgetError{Scope: ScopeRequest, Workspace: workspace}
 	}
+	if kind == AfterLoss {
+		return nil
+	}
 	w := b.workspace(workspace, now)
 	b.total.decay(now)
 	if !w.allows(b.share, minWorkspace) {
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -109,21 +109,42 @@
 }
 
 // isolate reserves an endpoint for a suspect request and waits until it has
-// run empty. It reports false when another request took it.
+// run empty. It reports false when it may not have the endpoint.
 func (s *Service) isolate(ctx context.Context, state *endpointState, waitIdle bool) bool {
-	if state == nil || !s.router.Isolate(state.id) {
+	if state == nil || !s.mayIsolate() {
+		return false
+	}
+	if !s.router.Isolate(state.id) {
+		s.isolated.Add(-1)
 		return false
 	}
 	deadline := time.Now().Add(idleWait)
 	for waitIdle && s.router.InFlight(state.id) > 0 && time.Now().Before(deadline) {
 		if !sleep(ctx, busyPause) {
-			s.router.SetIsolated(state.id, false)
+			s.release(state)
 			return false
 		}
 	}
 	return true
 }
 
+// mayIsolate counts one more isolated endpoint. Half of the endpoints at most
+// are isolated, so that a crash under load leaves room for other work.
+func (s *Service) mayIsolate() bool {
+	most := int64(max(1, len(s.directory.supplies())/2))
+	if s.isolated.Add(1) <= most {
+		return true
+	}
+	s.isolated.Add(-1)
+	return false
+}
+
+// release ends the isolation of an endpoint.
+func (s *Service) release(state *endpointState) {
+	s.router.SetIsolated(state.id, false)
+	s.isolated.Add(-1)
+}
+
 // sleep waits and reports whether the context is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -73,21 +73,26 @@
 func (e *CallerGoneError) Unwrap() error { return e.Err }
 
 // ReclaimedError says that an attempt ended because its endpoint leaves.
-type ReclaimedError struct{ Endpoint string }
+type ReclaimedError struct {
+	Endpoint string
+	Err      error
+}
 
 // Error implements error.
 func (e *ReclaimedError) Error() string { return "endpoint " + e.Endpoint + " leaves" }
 
-// OffsetError says that an engine skipped or repeated tokens.
-type OffsetError struct{ Want, Got int }
+// Unwrap returns the cause.
+func (e *ReclaimedError) Unwrap() error { return e.Err }
 
-// Error implements error.
-func (e *OffsetError) Error() string {
-	return fmt.Sprintf("frame starts at token %d, token %d expected", e.Got, e.Want)
+// LostError says that an attempt ended because its endpoint died or its
+// connection went silent.
+type LostError struct {
+	Endpoint string
+	Err      error
 }
 
-// EngineError says that an engine gave up a generation.
-type EngineError struct{ Message string }
-
 // Error implements error.
-func (e *EngineError) Error() string { return "engine failed: " + e.Message }
+func (e *LostError) Error() string { return fmt.Sprintf("endpoint %s lost: %v", e.Endpoint, e.Err) }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -3,37 +3,51 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/attempt"
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/core/route"
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
 
-// generation is one request over its attempts. It is used by one goroutine.
+// generation is one request over its attempts. The attempt machine decides
+// what happens; generation carries its actions out. At most two attempts run
+// at a time: one, and the one that takes over from it.
 type generation struct {
 	service *Service
 	req     *Request
 	doc     *conf.Document
-	sink    Sink
 	journal *Journal
 	record  *telemetry.Record
 	// prefix holds the hashes of the prompt for the prefix cache index.
 	prefix []uint64
-	avoid  []string
-	result Result
-	// sent is set once a byte of an attempt may have left and no refusal proved that it did not run.
-	sent bool
-	// failures counts attempts that failed otherwise than by an announced reclaim.
-	failures int
-	lastErr  error
+	// slot is the admission of the request.
+	slot *admission
+
+	// mu serialises events of the machine and the delivery of tokens.
+	mu      sync.Mutex
+	machine *attempt.Machine
+	sink    Sink
+	// runCtx ends with the caller; its cause says why. ctx is that of the
+	// attempts and ends with the answer as well.
+	runCtx, ctx  context.Context
+	stopAttempts context.CancelFunc
+	// cancels end running attempts by their ID.
+	cancels map[string]context.CancelFunc
 	// lastToken is when the newest token arrived; zero before the first.
 	lastToken time.Time
-	// kv is a KV cache that the next attempt continues from.
-	kv kvTransfer
+	result    Result
+	err       error
+	done      chan struct{}
+
+	// avoid lists endpoints that attempts failed on.
+	avoid []string
+	// failures counts attempts that failed otherwise than by an announced reclaim.
+	failures int
+	attempts sync.WaitGroup
 }
 
 // Complete answers a request in full or returns a *RefusalError or a *MovedError.
@@ -52,22 +66,33 @@
 	s.metrics.requests.Inc()
 	s.journals.Add(journal)
 	active := s.configure()
-	g := &generation{service: s, req: req, doc: active.Document, sink: sink, journal: journal}
+	g := &generation{
+		service: s, req: req, doc: active.Document, journal: journal, sink: sink,
+		machine: attempt.New(attempt.Config{MaxTokens: req.MaxTokens, PromptTokens: req.PromptTokens, Sampled: req.sampled()}),
+		cancels: make(map[string]context.CancelFunc), done: make(chan struct{}),
+	}
 	g.record = s.options.Explainer.Begin(telemetry.Subject{
 		RequestID: req.ID, Daemon: s.options.Name, Workspace: req.Workspace, Caller: req.Caller,
 		Rank: req.Rank, Target: req.Model, Arrived: req.Arrived, Generation: active.Generation,
 	})
-	runCtx, stop := g.runContext(ctx)
+	stop := g.watchCaller(ctx)
 	defer stop()
-	err := g.answer(runCtx)
-	g.end(err)
-	return g.result, err
+	g.answer()
+	g.end()
+	return g.result, g.err
+}
+
+// sampled reports whether two runs of the request may differ.
+func (r *Request) sampled() bool {
+	return r.Seed == nil && r.Temperature != nil && *r.Temperature > 0
 }
 
-// runContext returns the context of the attempts. It ends with the caller,
+// watchCaller sets the context of the attempts. It ends with the caller,
 // unless the request is resumable: then the caller may come back.
-func (g *generation) runContext(ctx context.Context) (context.Context, func()) {
+func (g *generation) watchCaller(ctx context.Context) func() {
 	runCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	g.runCtx = runCtx
+	g.ctx, g.stopAttempts = context.WithCancel(runCtx)
 	g.journal.setCancel(cancel)
 	g.journal.Attach()
 	stopCaller := context.AfterFunc(ctx, func() {
@@ -78,90 +103,208 @@
 		cancel(&CallerGoneError{})
 	})
 	stopService := context.AfterFunc(g.service.ctx, func() { cancel(&CallerGoneError{}) })
-	return runCtx, func() {
+	return func() {
 		stopCaller()
 		stopService()
 		cancel(nil)
 	}
 }
 
-// answer admits the request and makes attempts until the answer is whole.
-func (g *generation) answer(ctx context.Context) error {
-	slot, err := g.service.admit(ctx, g.req, g.journal.Tokens() > 0, g.record)
+// answer admits the request and carries out attempts until it has ended.
+func (g *generation) answer() {
+	slot, err := g.service.admit(g.ctx, g.req, g.journal.Tokens() > 0, g.record)
 	if err != nil {
-		return g.explain(g.handOver(ctx, err))
+		g.err = g.explain(g.handOver(err), endpoint.NotRun)
+		return
 	}
+	g.slot = slot
 	defer func() { slot.done(g.cost()) }()
 	g.prefix = endpoint.PrefixHashes(g.req.Model, g.req.Adapter, g.req.Prompt)
 	g.service.budget.First(g.req.Workspace, time.Now())
-	for {
-		outcome := g.attempt(ctx)
-		if outcome.whole {
-			return nil
+	stop := context.AfterFunc(g.runCtx, g.abandon)
+	defer stop()
+	g.begin()
+	<-g.done
+	g.stopAttempts()
+	g.attempts.Wait()
+}
+
+// begin starts the machine. The first attempt runs on this goroutine, so that
+// the usual request needs no other.
+func (g *generation) begin() {
+	snapshot := g.journal.Read(0)
+	g.mu.Lock()
+	if snapshot.Chunk.Count > 0 {
+		g.machine.Restore(snapshot.Chunk.Text, snapshot.Chunk.Count)
+	}
+	first := true
+	actions := g.machine.Begin()
+	var inline *attempt.Action
+	for i := range actions {
+		if actions[i].Kind == attempt.Ask && first {
+			ask := actions[i]
+			inline = &ask
+			first = false
+			continue
 		}
-		if err := g.next(ctx, outcome); err != nil {
-			return g.explain(err)
+		g.carryOut(&actions[i])
+	}
+	g.mu.Unlock()
+	if inline != nil {
+		g.try(*inline)
+	}
+}
+
+// abandon ends the request because its context ended.
+func (g *generation) abandon() {
+	g.event(func() []attempt.Action { return g.machine.Abandon(context.Cause(g.runCtx)) })
+}
+
+// event passes an event to the machine and carries out its actions.
+func (g *generation) event(f func() []attempt.Action) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	actions := f()
+	for i := range actions {
+		g.carryOut(&actions[i])
+	}
+}
+
+// carryOut carries out one action. It is called with the lock held.
+func (g *generation) carryOut(a *attempt.Action) {
+	switch a.Kind {
+	case attempt.Ask:
+		ask := *a
+		g.attempts.Go(func() { g.try(ask) })
+	case attempt.Deliver:
+		g.deliver(a)
+	case attempt.Cancel:
+		if cancel := g.cancels[a.Attempt]; cancel != nil {
+			cancel()
+		}
+	case attempt.Finish:
+		g.finish(a)
+	case attempt.Fail:
+		g.err = g.explain(a.Cause, a.Run)
+		close(g.done)
+	}
+}
+
+// deliver appends tokens to the journal and sends them to the caller.
+func (g *generation) deliver(a *attempt.Action) {
+	g.journal.Append(a.Count, a.Text)
+	g.service.metrics.tokens.Add(int64(a.Count))
+	g.observe(time.Now())
+	if g.sink == nil {
+		return
+	}
+	if err := g.sink.Tokens(a.Offset, a.Count, a.Text); err != nil {
+		g.sink = nil
+		if !g.req.Resumable {
+			// The machine is in use by the caller of this function.
+			go g.journal.cancel(&CallerGoneError{Err: err})
 		}
 	}
 }
 
+// observe measures what the caller sees.
+func (g *generation) observe(now time.Time) {
+	if g.lastToken.IsZero() {
+		g.service.metrics.firstToken.Record(now.Sub(g.req.Arrived))
+	} else {
+		g.service.metrics.betweenTokens.Record(now.Sub(g.lastToken))
+	}
+	g.lastToken = now
+}
+
+func (g *generation) finish(a *attempt.Action) {
+	stats := g.machine.Stats()
+	g.result = Result{
+		FinishReason: a.FinishReason, Attempts: stats.Attempts, RecomputedTokens: stats.RecomputedTokens,
+		Usage: endpoint.Usage{PromptTokens: g.req.PromptTokens, GeneratedTokens: g.machine.Offset()},
+	}
+	if a.Usage != nil {
+		g.result.Usage.CachedTokens = min(a.Usage.CachedTokens, g.req.PromptTokens)
+		if stats.Attempts > 1 {
+			g.result.RecomputedTokens = max(0, stats.RecomputedTokens-a.Usage.CachedTokens)
+		}
+	}
+	close(g.done)
+}
+
 // cost is what the request really took, in tokens.
 func (g *generation) cost() int {
 	return g.req.PromptTokens + g.journal.Tokens() + g.result.RecomputedTokens
 }
 
 // explain turns the cause of an end into the error for the caller.
-func (g *generation) explain(err error) error {
-	var refusal *RefusalError
+func (g *generation) explain(cause error, run endpoint.RunState) error {
 	var moved *MovedError
+	if errors.As(cause, &moved) {
+		return moved
+	}
+	var refusal *RefusalError
+	if errors.As(cause, &refusal) {
+		refusal.Run = run
+		return refusal
+	}
 	var gone *CallerGoneError
-	switch {
-	case errors.As(err, &refusal), errors.As(err, &moved):
-		return err
-	case errors.As(err, &gone):
-		return g.refuse(RefusedUpstream, 0, "the caller went away", err)
-	default:
-		return g.refuse(RefusedUpstream, 0, "the request could not be answered", err)
+	message := "the request could not be answered"
+	if errors.As(cause, &gone) {
+		message = "the caller went away"
+	}
+	return &RefusalError{Type: RefusedUpstream, Run: run, Message: message, Err: cause}
+}
+
+// end hands over a request whose daemon stops, and records the outcome for the
+// journal, the metrics and the explain record.
+func (g *generation) end() {
+	if cause := context.Cause(g.runCtx); g.err != nil && cause != nil {
+		g.err = g.explain(g.handOver(cause), g.runState())
+	}
+	g.count()
+	now := time.Now()
+	var moved *MovedError
+	if errors.As(g.err, &moved) {
+		g.journal.MoveTo(moved.Peer, now)
+		return
+	}
+	g.service.metrics.recomputed.Add(int64(g.result.RecomputedTokens))
+	g.journal.End(g.result, g.err, now)
+	if !g.req.Resumable && !g.journal.TakenOver() {
+		// Nobody can ask for the stream again: the caller saw its end.
+		g.service.journals.Remove(g.req.ID)
 	}
 }
 
-// refuse makes a refusal whose run state is the truth about all attempts.
-func (g *generation) refuse(kind RefusalType, retryAfter time.Duration, message string, err error) *RefusalError {
-	state := endpoint.NotRun
-	if g.sent {
-		state = endpoint.RunUnknown
+// runState returns the run state that the error for the caller holds.
+func (g *generation) runState() endpoint.RunState {
+	var refusal *RefusalError
+	if errors.As(g.err, &refusal) {
+		return refusal.Run
 	}
-	return &RefusalError{Type: kind, Run: state, RetryAfter: retryAfter, Message: message, Err: err}
+	return endpoint.RunUnknown
 }
 
-// end records the outcome for the journal, the metrics and the explain record.
-func (g *generation) end(err error) {
+func (g *generation) count() {
 	s := g.service
 	now := time.Now()
 	var moved *MovedError
 	var gone *CallerGoneError
 	switch {
-	case err == nil:
+	case g.err == nil:
 		s.metrics.finished.Inc()
 		s.lengths.Observe(g.req.Workspace, g.req.Model, g.journal.Tokens())
 		g.record.Add(now, telemetry.Event{Type: telemetry.EventFinished, Tokens: g.journal.Tokens()})
-	case errors.As(err, &moved):
+	case errors.As(g.err, &moved):
 		s.metrics.handedOver.Inc()
 		g.record.Add(now, telemetry.Event{Type: telemetry.EventHandedOver, Message: moved.Peer, Tokens: g.journal.Tokens()})
-		g.journal.MoveTo(moved.Peer, now)
-		return
-	case errors.As(err, &gone):
+	case errors.As(g.err, &gone):
 		s.metrics.callerGone.Inc()
 		g.record.Add(now, telemetry.Event{Type: telemetry.EventRefused, Message: "caller went away"})
 	default:
 		s.metrics.refused.Inc()
-		g.record.Add(now, refusalEvent(err))
-	}
-	s.metrics.recomputed.Add(int64(g.result.RecomputedTokens))
-	g.journal.End(g.result, err, now)
-	if !g.req.Resumable && !g.journal.TakenOver() {
-		// Nobody can ask for the stream again: the caller saw its end.
-		s.journals.Remove(g.req.ID)
+		g.record.Add(now, refusalEvent(g.err))
 	}
 }
 
@@ -187,31 +330,7 @@
 		PrefixHashes:  g.prefix,
 		RankIndex:     g.req.RankIndex,
 		FailureDomain: g.service.options.FailureDomain,
-		Avoid:         g.avoid,
+		Avoid:         g.avoidList(),
 		Alone:         alone,
 	}
 }
-
-func (g *generation) engineRequest() *endpoint.GenerateRequest {
-	req := &endpoint.GenerateRequest{
-		AttemptID:   uuid.NewString(),
-		RequestID:   g.req.ID,
-		Model:       g.req.Model,
-		Version:     g.req.Version,
-		Adapter:     g.req.Adapter,
-		Prompt:      g.req.Prompt,
-		MaxTokens:   g.req.MaxTokens,
-		Priority:    g.req.RankIndex,
-		KVHandle:    g.kv.handle,
-		Stop:        g.req.Stop,
-		Temperature: g.req.Temperature,
-		TopP:        g.req.TopP,
-		Seed:        g.req.Seed,
-	}
-	if !g.service.options.Baseline.Restart {
-		snapshot := g.journal.Read(0)
-		req.Emitted = snapshot.Chunk.Text
-		req.EmittedTokens = snapshot.Chunk.Count
-	}
-	return req
-}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -41,7 +41,6 @@
 	Request Request `json:"request"`
 	Text    string  `json:"text"`
 	Tokens  int     `json:"tokens"`
-	Sent    bool    `json:"sent"`
 }
 
 // locateReply tells whether a daemon holds a request.
@@ -66,28 +65,28 @@
 }
 
 // handOver ends a cancelled request: by a hand-over to a peer if that was the
-// cause and a peer takes it.
-func (g *generation) handOver(ctx context.Context, cause error) error {
+// cause and a peer takes it. Otherwise it returns the cause.
+func (g *generation) handOver(cause error) error {
 	var wanted *HandOverError
 	if !errors.As(cause, &wanted) {
 		return cause
 	}
 	snapshot := g.journal.Read(0)
-	message := takeOverMessage{Request: *g.req, Text: snapshot.Chunk.Text, Tokens: snapshot.Chunk.Count, Sent: g.sent}
+	message := takeOverMessage{Request: *g.req, Text: snapshot.Chunk.Text, Tokens: snapshot.Chunk.Count}
 	params, err := json.Marshal(message)
 	if err != nil {
 		return eris.Wrap(err, "encode hand-over")
 	}
 	for _, peer := range g.service.peersOf() {
-		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), takeOverTimeout)
-		_, err := g.service.options.Peers.Call(bounded, peer.Address, methodTakeOver, params)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(g.runCtx), takeOverTimeout)
+		_, err := g.service.options.Peers.Call(ctx, peer.Address, methodTakeOver, params)
 		cancel()
 		if err == nil {
 			return &MovedError{RequestID: g.req.ID, Peer: peer.Name}
 		}
 		g.service.log.Warn("Request not handed over.", zap.String("peer", peer.Name), zap.String("request", g.req.ID), zap.Error(err))
 	}
-	return g.refuse(RefusedShutdown, time.Second, "the daemon stops and no peer took the request", cause)
+	return &RefusalError{Type: RefusedShutdown, RetryAfter: time.Second, Message: "the daemon stops and no peer took the request", Err: cause}
 }
 
 // takeOver continues a request of a peer. The caller finds it by its ID.
--- a/internal/entry/pump.go
+++ b/internal/entry/pump.go
@@ -2,31 +2,33 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"math/rand/v2"
 	"time"
 
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/attempt"
+	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/core/route"
 	"github.com/boragelead/boragelead/internal/port"
 )
 
-// pump hands the tokens of one attempt to the caller.
+// pump carries out one attempt: it sends the request and passes the frames to
+// the machine.
 type pump struct {
 	generation *generation
 	state      *endpointState
-	stream     port.FrameStream
+	id         string
 	flight     *route.Flight
-	req        *endpoint.GenerateRequest
 	sentAt     time.Time
-	// offset is the number of tokens of the answer that this attempt has
-	// delivered or started from.
-	offset int
-	tokens int
-	// bytes counts the text repeated by a restarted attempt.
-	bytes int
-	gaps  gapMeter
+	tokens     int
+	gaps       gapMeter
+	restart    restart
 	// moveAt is when the request moves away from a leaving endpoint; zero before its notice.
-	moveAt time.Time
+	moveAt  time.Time
+	noticed bool
+	whole   bool
 }
 
 // gapMeter collects the time between tokens for the limiter.
@@ -39,105 +41,149 @@
 // observedGaps is the number of tokens after which the limiter is told.
 const observedGaps = 16
 
-// run reads frames until the answer is whole or the stream ends early.
-func (p *pump) run(ctx context.Context) outcome {
-	if idle, ok := p.stream.(port.IdleStream); ok {
+// grant tells the machine where the attempt goes. It returns the running
+// attempt that a KV cache can come from, if there is one.
+func (p *pump) grant(cancel context.CancelFunc) (*kvSource, bool) {
+	g := p.generation
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var source *kvSource
+	wanted := false
+	for _, action := range g.machine.Granted(p.id, p.state.id) {
+		wanted = wanted || action.Kind == attempt.Send
+		if action.Source != "" {
+			source = &kvSource{attempt: action.Source, endpoint: action.SourceEndpoint}
+		}
+	}
+	g.cancels[p.id] = cancel
+	return source, wanted
+}
+
+// request builds the request of the attempt, to resume after what was delivered.
+func (p *pump) request(ctx context.Context, source *kvSource) (*endpoint.GenerateRequest, bool) {
+	g := p.generation
+	req := &endpoint.GenerateRequest{
+		AttemptID:   p.id,
+		RequestID:   g.req.ID,
+		Model:       g.req.Model,
+		Version:     g.req.Version,
+		Adapter:     g.req.Adapter,
+		Prompt:      g.req.Prompt,
+		MaxTokens:   g.req.MaxTokens,
+		Priority:    g.req.RankIndex,
+		KVHandle:    g.transferKV(ctx, source, p.state),
+		Stop:        g.req.Stop,
+		Temperature: g.req.Temperature,
+		TopP:        g.req.TopP,
+		Seed:        g.req.Seed,
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	emitted, offset, wanted := g.machine.Sent(p.id)
+	if g.service.options.Baseline.Restart {
+		p.restart = restart{bytes: len(emitted), tokens: offset}
+		return req, wanted
+	}
+	req.Emitted, req.EmittedTokens = emitted, offset
+	return req, wanted
+}
+
+// run sends the attempt and reads its frames. The error is nil for a whole answer.
+func (p *pump) run(ctx context.Context, req *endpoint.GenerateRequest) error {
+	stream, err := p.generation.service.options.Engine.Generate(ctx, p.state.baseURL, req)
+	if err != nil {
+		p.lost(err)
+		return err
+	}
+	defer stream.Close()
+	if idle, ok := stream.(port.IdleStream); ok {
 		idle.SetIdle(time.Duration(p.generation.doc.Limits.SilentStreamMS) * time.Millisecond)
 	}
 	var frame endpoint.Frame
 	for {
-		if err := p.stream.Next(&frame); err != nil {
-			return p.broken(ctx, err)
-		}
-		if frame.AttemptID != p.req.AttemptID {
-			// A frame of another attempt, late or crossed.
-			continue
-		}
-		if done, result := p.take(ctx, &frame); done {
-			return result
+		if err := stream.Next(&frame); err != nil {
+			if errors.Is(err, io.EOF) && p.whole {
+				return nil
+			}
+			p.lost(err)
+			return err
 		}
+		p.take(&frame)
 		if p.movesNow(time.Now()) {
-			return p.move(ctx)
+			p.notice()
 		}
 	}
 }
 
-// take handles one frame. It reports true when the attempt is over.
-func (p *pump) take(ctx context.Context, frame *endpoint.Frame) (bool, outcome) {
-	switch frame.Type {
-	case endpoint.FrameTokens:
-		err := p.deliver(ctx, frame)
-		return err != nil, outcome{err: err}
-	case endpoint.FrameDone:
-		if frame.Offset != p.offset {
-			return true, p.invalid(frame.Offset)
+// take passes one frame to the machine.
+func (p *pump) take(frame *endpoint.Frame) {
+	g := p.generation
+	if frame.Type == endpoint.FrameTokens && frame.AttemptID == p.id {
+		if !p.restart.skip(frame) {
+			return
 		}
-		p.finish(frame)
-		return true, outcome{whole: true}
-	case endpoint.FrameError:
-		return true, outcome{err: &EngineError{Message: frame.Error}}
-	default:
-		return false, outcome{}
+		p.observe(frame.Count, time.Now())
 	}
+	if frame.Type == endpoint.FrameDone && frame.AttemptID == p.id {
+		p.whole = true
+	}
+	g.event(func() []attempt.Action {
+		actions := g.machine.Frame(p.id, frame)
+		if !p.whole && !g.machine.Ended() && !g.machine.Running(p.id) {
+			// The machine gave the attempt up because of what the endpoint sent.
+			g.avoid = append(g.avoid, p.state.id)
+			p.state.breaker.Failure(time.Now())
+		}
+		return actions
+	})
 }
 
-// deliver hands the tokens of a frame to the journal and the caller. A frame
-// that repeats delivered tokens is dropped, a gap ends the attempt.
-func (p *pump) deliver(ctx context.Context, frame *endpoint.Frame) error {
-	if frame.Offset+frame.Count <= p.offset {
-		return nil
-	}
-	if frame.Offset != p.offset {
-		p.state.breaker.Failure(time.Now())
-		return &OffsetError{Want: p.offset, Got: frame.Offset}
-	}
-	p.offset += frame.Count
-	p.observe(frame.Count, time.Now())
+// lost tells the machine that the attempt ended early, after the endpoint was
+// looked at: a crash marks the requests that ran there before one is retried.
+func (p *pump) lost(err error) {
 	g := p.generation
-	if behind := p.offset - g.journal.Tokens(); behind < frame.Count {
-		// Only a restarted attempt repeats tokens that the caller has.
-		return p.deliverRest(ctx, frame, behind)
+	cause := err
+	if g.ctx.Err() == nil && !p.cancelled() {
+		cause = p.blame(err)
 	}
-	return g.emit(ctx, frame.Count, frame.Text)
+	g.event(func() []attempt.Action {
+		if refusal, ok := refused(err); ok {
+			return g.machine.Refused(p.id, refusal.Body.Run, cause)
+		}
+		var transport *port.TransportError
+		sent := !errors.As(err, &transport) || transport.Sent
+		return g.machine.Lost(p.id, sent, cause)
+	})
 }
 
-// emit appends tokens to the journal and sends them to the caller.
-func (g *generation) emit(ctx context.Context, count int, text string) error {
-	offset := g.journal.Tokens()
-	g.journal.Append(count, text)
-	g.service.metrics.tokens.Add(int64(count))
-	g.observeCaller(time.Now())
-	if g.sink == nil {
-		return nil
-	}
-	if err := g.sink.Tokens(offset, count, text); err != nil {
-		g.sink = nil
-		if !g.req.Resumable {
-			return &CallerGoneError{Err: err}
-		}
-	}
-	return context.Cause(ctx)
+// cancelled reports whether the machine no longer wants the attempt.
+func (p *pump) cancelled() bool {
+	g := p.generation
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Ended() || !g.machine.Running(p.id)
 }
 
-// observeCaller measures what the caller sees.
-func (g *generation) observeCaller(now time.Time) {
-	if g.lastToken.IsZero() {
-		g.service.metrics.firstToken.Record(now.Sub(g.req.Arrived))
-	} else {
-		g.service.metrics.betweenTokens.Record(now.Sub(g.lastToken))
+// blame records what the failure says about the endpoint, and returns the
+// cause of the end of the attempt.
+func (p *pump) blame(err error) error {
+	p.generation.avoidEndpoint(p.state.id)
+	crashed := p.generation.service.noteFailure(p.state, err)
+	if p.isLeaving() || isLeavingRefusal(err) {
+		return &ReclaimedError{Endpoint: p.state.id, Err: err}
+	}
+	if crashed || isSilent(err) {
+		return &LostError{Endpoint: p.state.id, Err: err}
+	}
+	if _, refusal := refused(err); !refusal {
+		p.state.breaker.Failure(time.Now())
 	}
-	g.lastToken = now
+	return err
 }
 
-// deliverRest emits the part of a frame that the caller does not have yet. A
-// restarted generation repeats its text, so that lengths can be compared.
-func (p *pump) deliverRest(ctx context.Context, frame *endpoint.Frame, behind int) error {
-	p.bytes += len(frame.Text)
-	if behind <= 0 {
-		return nil
-	}
-	extra := min(max(p.bytes-p.generation.journal.Bytes(), 0), len(frame.Text))
-	return p.generation.emit(ctx, behind, frame.Text[len(frame.Text)-extra:])
+func isSilent(err error) bool {
+	var transport *port.TransportError
+	return errors.As(err, &transport) && transport.Silent
 }
 
 // observe feeds the speed learner and the limiter.
@@ -158,42 +204,6 @@
 	}
 }
 
-func (p *pump) finish(frame *endpoint.Frame) {
-	g := p.generation
-	g.result.FinishReason = frame.FinishReason
-	g.result.Usage.PromptTokens = g.req.PromptTokens
-	g.result.Usage.GeneratedTokens = g.journal.Tokens()
-	if frame.Usage == nil {
-		return
-	}
-	g.result.Usage.CachedTokens = min(frame.Usage.CachedTokens, g.req.PromptTokens)
-	if g.result.Attempts > 1 {
-		g.result.RecomputedTokens = max(0, g.result.RecomputedTokens-frame.Usage.CachedTokens)
-	}
-}
-
-func (p *pump) invalid(offset int) outcome {
-	p.state.breaker.Failure(time.Now())
-	return outcome{err: &OffsetError{Want: p.offset, Got: offset}}
-}
-
-// broken classifies a stream that ended early.
-func (p *pump) broken(ctx context.Context, err error) outcome {
-	if isEnd(err) {
-		return outcome{err: &EngineError{Message: "stream ended without its last frame"}}
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		return outcome{err: cause}
-	}
-	crashed := p.generation.service.noteFailure(p.state, err)
-	leaving := p.isLeaving()
-	if !crashed && !leaving {
-		p.state.breaker.Failure(time.Now())
-	}
-	p.generation.avoid = append(p.generation.avoid, p.state.id)
-	return outcome{err: err, reclaimed: leaving}
-}
-
 func (p *pump) isLeaving() bool {
 	select {
 	case <-p.state.leaving:
@@ -216,19 +226,18 @@
 	unknownNotice = 2 * time.Second
 )
 
-// movesNow reports whether the generation leaves its endpoint now. Generation
-// goes on while a leaving endpoint still serves.
+// movesNow reports whether the move away from a leaving endpoint begins now.
 func (p *pump) movesNow(now time.Time) bool {
+	if p.noticed || !p.isLeaving() || p.generation.service.options.Baseline.Restart {
+		return false
+	}
 	if p.moveAt.IsZero() {
-		if !p.isLeaving() || p.generation.service.options.Baseline.Restart {
-			return false
-		}
 		p.moveAt = p.planMove(now)
 	}
 	return now.After(p.moveAt)
 }
 
-// planMove returns when to move. A generation that ends soon does not move before it must.
+// planMove returns when to move. A generation that is about to end moves only when it must.
 func (p *pump) planMove(now time.Time) time.Time {
 	notice := p.state.noticeLeft(now)
 	if p.remaining() < time.Duration(float64(notice)*stayShare) {
@@ -238,20 +247,52 @@
 	return now.Add(rand.N(spread + 1))
 }
 
+// notice makes the machine move the request. The attempt goes on meanwhile.
+func (p *pump) notice() {
+	p.noticed = true
+	g := p.generation
+	g.avoidEndpoint(p.state.id)
+	g.event(func() []attempt.Action { return g.machine.Notice(p.state.id) })
+}
+
 // remaining estimates the time to the end of the answer.
 func (p *pump) remaining() time.Duration {
 	g := p.generation
 	expected := g.service.lengths.Expect(g.req.Workspace, g.req.Model, g.req.MaxTokens)
 	left := max(expected-g.journal.Tokens(), 1)
 	if p.tokens < 2 {
-		return time.Duration(left) * time.Duration(g.doc.Ranks[max(g.req.RankIndex, 0)].PerTokenMS) * time.Millisecond
+		return time.Duration(left*g.rank().PerTokenMS) * time.Millisecond
 	}
 	return time.Since(p.sentAt) / time.Duration(p.tokens) * time.Duration(left)
 }
 
-// move ends the attempt so that the next one resumes elsewhere.
-func (p *pump) move(ctx context.Context) outcome {
-	p.generation.avoid = append(p.generation.avoid, p.state.id)
-	p.generation.exportKV(ctx, p)
-	return outcome{err: &ReclaimedError{Endpoint: p.state.id}, reclaimed: true}
+// rank returns the configuration of the request's rank.
+func (g *generation) rank() conf.Rank {
+	if g.req.RankIndex < 0 || g.req.RankIndex >= len(g.doc.Ranks) {
+		return conf.Rank{}
+	}
+	return g.doc.Ranks[g.req.RankIndex]
+}
+
+// restart drops what a restarted generation repeats. A restarted generation
+// begins with the same text, so that lengths can be compared.
+type restart struct {
+	bytes, tokens int
+}
+
+// skip cuts a frame down to what the caller does not have, and reports whether anything is left.
+func (r *restart) skip(frame *endpoint.Frame) bool {
+	if r.tokens == 0 {
+		return true
+	}
+	if frame.Offset+frame.Count <= r.tokens {
+		r.bytes -= len(frame.Text)
+		return false
+	}
+	repeated := r.tokens - frame.Offset
+	frame.Offset = r.tokens
+	frame.Count -= repeated
+	frame.Text = frame.Text[min(max(r.bytes, 0), len(frame.Text)):]
+	r.tokens, r.bytes = 0, 0
+	return true
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -42,6 +42,8 @@
 	group    sync.WaitGroup
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// isolated counts endpoints reserved for suspect requests.
+	isolated atomic.Int64
 	// serviceTurn takes the endpoints of plain services in turn.
 	serviceTurn atomic.Uint32
 	// generation is the configuration that the decisions work by.
