Compare hashes in anti-entropy and test the membership against a model

The property test found an endpoint that stayed missing after its host had been cut off: peers held a tombstone whose stamp was higher than that of the next host, took the host's version as known and ignored its load deltas. Change: an exchange first compares one hash; stamps follow the endpoint's own report numbers, so they are ordered across hosts; a delta for an endpoint known from another host or as expired makes the receiver pull the host's records; expired endpoints are remembered for 30 s instead of 5 min. A peer that does not hear this daemon yet gets all payloads. Only relays pull the configuration across domains. Lookups by model no longer allocate.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -32,6 +32,15 @@
 	port.PeerServer
 }
 
+// Datagrams carries membership datagrams.
+type Datagrams interface {
+	Send(address string, data []byte) error
+	// Serve passes each datagram on until Close.
+	Serve(handle func(from string, data []byte)) error
+	Stats() gossipudp.Stats
+	Close() error
+}
+
 // Source gives the generations of the replicated state.
 type Source interface {
 	// WatchGeneration waits for a generation with a number above after.
@@ -48,6 +57,8 @@
 	StateReplicas []string
 	Registry      *member.Registry
 	RPC           RPC
+	// Datagrams is a UDP socket on the address of Self if it is nil.
+	Datagrams Datagrams
 	// Install puts a generation in force on this daemon.
 	Install func(port.Generation) error
 	// Source is nil on a daemon without the replicated state.
@@ -67,7 +78,7 @@
 	options Options
 	log     *zap.Logger
 	node    *member.Node
-	socket  *gossipudp.Socket
+	socket  Datagrams
 	state   *distribute.State
 	remote  remoteCache
 
@@ -93,16 +104,19 @@
 	if options.Log == nil {
 		options.Log = zap.NewNop()
 	}
-	socket, err := gossipudp.Listen(options.Self.Address, options.Self.Name)
-	if err != nil {
-		return nil, err
+	if options.Datagrams == nil {
+		socket, err := gossipudp.Listen(options.Self.Address, options.Self.Name)
+		if err != nil {
+			return nil, err
+		}
+		options.Datagrams = socket
 	}
 	options.Self.Instance = rand.Uint64()
 	options.Self.Incarnation = 1
 	c := &Cluster{
 		options:   options,
 		log:       options.Log.Named("[member]"),
-		socket:    socket,
+		socket:    options.Datagrams,
 		state:     distribute.New(options.Install),
 		exchanges: make(map[string]bool),
 	}
@@ -226,12 +240,19 @@
 	})
 }
 
+// sync compares hashes with another daemon and exchanges the rest if they differ.
 func (c *Cluster) sync(ctx context.Context, address string) error {
-	reply, err := c.options.RPC.Call(ctx, address, member.MethodSync, c.node.BuildSync(time.Now()))
-	if err != nil {
-		return err
+	for _, brief := range []bool{true, false} {
+		reply, err := c.options.RPC.Call(ctx, address, member.MethodSync, c.node.BuildSync(time.Now(), brief))
+		if err != nil {
+			return err
+		}
+		again, err := c.node.ApplySync(time.Now(), reply)
+		if err != nil || !again {
+			return err
+		}
 	}
-	return c.node.ApplySync(time.Now(), address, reply)
+	return nil
 }
 
 func (c *Cluster) pull(ctx context.Context, pull member.Pull) error {
--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,139 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/distribute"
+	"github.com/boragelead/boragelead/internal/core/member"
+)
+
+// goal is the time within which a new generation is in force inside a domain
+// that hears the leader; recovery is that after a partition: two summaries, a
+// pull and a round.
+const (
+	goal     = time.Second
+	recovery = 10 * time.Second
+)
+
+func allAt(list []*daemon, number uint64) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(list, func(d *daemon) bool { return d.Generation().Number != number })
+	}
+}
+
+// Guards against a domain that stops without the log, against a generation
+// that goes back, and against a cut-off domain that does not catch up.
+func TestCutOffDomainContinuesAndCatchesUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	src := newSource()
+	a := startDomain(t, 3, "a", src)
+	b := startDomain(t, 3, "b", nil, a[0].address)
+	all := append(slices.Clone(a), b...)
+	waitFor(t, 10*time.Second, "join", func() bool { return joined(a) && joined(b) })
+	g.Expect(b[2].Ready()).To(gomega.BeFalse(), "a daemon must not be ready before the first generation")
+	waitFor(t, 10*time.Second, "domains known", func() bool { return len(a[0].Node().Domains(time.Now())) == 1 })
+	src.promote(1, []byte("one"))
+	waitFor(t, goal, "first generation", allAt(all, 1))
+
+	for _, d := range a {
+		d.cut.set(b)
+	}
+	for _, d := range b {
+		d.cut.set(a)
+	}
+	src.promote(2, []byte("two"))
+	waitFor(t, goal, "second generation in the leader's domain", allAt(a, 2))
+	time.Sleep(2 * time.Second)
+	g.Expect(allAt(b, 1)()).To(gomega.BeTrue())
+	age, known := b[2].SourceAge()
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(age).To(gomega.BeNumerically(">", time.Second))
+	silent := 0
+	for _, s := range a[1].Status(t.Context()) {
+		if s.Domain == "b" && !s.Answers {
+			silent++
+		}
+	}
+	g.Expect(silent).To(gomega.BeNumerically(">", 0), "the status must name daemons that do not answer")
+
+	for _, d := range all {
+		d.cut.set(nil)
+	}
+	t.Logf("caught up after %v", waitFor(t, recovery, "catching up", allAt(b, 2)))
+	waitFor(t, recovery, "complete status", func() bool {
+		list := a[1].Status(t.Context())
+		return len(list) == len(all) && !slices.ContainsFunc(list, func(s distribute.DaemonStatus) bool {
+			return !s.Answers || s.Generation != 2
+		})
+	})
+	for _, d := range all {
+		g.Expect(d.lowered).To(gomega.BeFalse())
+	}
+}
+
+// Guards against an old push that arrives late, and against a daemon that
+// joins late and never gets the generation.
+func TestLatePushAndLateJoiner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	src := newSource()
+	src.promote(7, []byte("seven"))
+	list := startDomain(t, 2, "a", src)
+	waitFor(t, 5*time.Second, "generation by pull", allAt(list, 7))
+	old := newSource()
+	old.promote(6, []byte("six"))
+	_, err := list[0].rpc.Call(t.Context(), list[1].address, distribute.MethodPush, distribute.Encode(old.current, false))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	forged := src.current
+	forged.Number, forged.Document = 8, []byte("forged")
+	_, err = list[0].rpc.Call(t.Context(), list[1].address, distribute.MethodPush, distribute.Encode(forged, false))
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(allAt(list, 7)()).To(gomega.BeTrue())
+	late := startDaemon(t, "a-late", "a", nil, list[1].address)
+	waitFor(t, 5*time.Second, "late joiner", allAt([]*daemon{late}, 7))
+}
+
+// Guards against endpoints of another domain that cannot be reached for
+// routing, and against summaries that leave endpoints out.
+func TestFetchAcrossDomains(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := startDomain(t, 2, "a", nil)
+	b := startDomain(t, 3, "b", nil, a[0].address)
+	for i, d := range b {
+		d.registry.Announce(announcement(fmt.Sprintf("e%d", i), 1, 1, endpoint.StateReady), time.Now())
+	}
+	waitFor(t, 20*time.Second, "summary", func() bool {
+		domains := a[1].Node().Domains(time.Now())
+		return len(domains) == 1 && len(domains[0].Models) == 1 && domains[0].Models[0].Ready == 3
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	found, err := a[1].Fetch(ctx, "b", "draft-large", "")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(found).To(gomega.HaveLen(3))
+	g.Expect(a[1].registry.List()).To(gomega.BeEmpty())
+	_, err = a[1].Fetch(ctx, "nowhere", "draft-large", "")
+	g.Expect(err).To(gomega.HaveOccurred())
+}
+
+// Guards against a daemon that leaves and is taken for dead, and against a
+// restarted daemon that its peers ignore.
+func TestLeaveAndRestart(t *testing.T) {
+	list := startDomain(t, 3, "a", nil)
+	waitFor(t, 10*time.Second, "join", func() bool { return joined(list) })
+	list[2].Close()
+	waitFor(t, goal, "leave", func() bool {
+		return slices.ContainsFunc(list[0].Node().Peers(), func(p member.Peer) bool {
+			return p.Name == "a-002" && p.Status == member.Left
+		})
+	})
+	list[1].Kill()
+	again := startDaemon(t, "a-001", "a", nil, list[0].address)
+	waitFor(t, 10*time.Second, "restart", func() bool { return joined([]*daemon{list[0], again}) })
+}
--- a/internal/cluster/harness_test.go
+++ b/internal/cluster/harness_test.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/adapter/gossipudp"
 	"github.com/boragelead/boragelead/internal/adapter/peerrpc"
 	"github.com/boragelead/boragelead/internal/core/member"
 	"github.com/boragelead/boragelead/internal/port"
@@ -22,6 +24,8 @@
 	rpc      *peerrpc.Node
 	registry *member.Registry
 	address  string
+	// cut refuses traffic to the listed addresses.
+	cut *cutList
 
 	mu        sync.Mutex
 	installed map[uint64]time.Time
@@ -44,6 +48,50 @@
 	return d.installed[number]
 }
 
+// cutList is a network partition in one direction, over TCP and UDP.
+type cutList struct {
+	addresses atomic.Pointer[map[string]bool]
+}
+
+func (c *cutList) set(list []*daemon) {
+	addresses := make(map[string]bool)
+	for _, d := range list {
+		addresses[d.address] = true
+	}
+	c.addresses.Store(&addresses)
+}
+
+func (c *cutList) has(address string) bool {
+	list := c.addresses.Load()
+	return list != nil && (*list)[address]
+}
+
+type cutRPC struct {
+	*peerrpc.Node
+	cut *cutList
+}
+
+// Call implements port.PeerCaller.
+func (c cutRPC) Call(ctx context.Context, address, method string, params []byte) ([]byte, error) {
+	if c.cut.has(address) {
+		return nil, &peerrpc.UnreachableError{Address: address}
+	}
+	return c.Node.Call(ctx, address, method, params)
+}
+
+type cutSocket struct {
+	*gossipudp.Socket
+	cut *cutList
+}
+
+// Send implements Datagrams.
+func (c cutSocket) Send(address string, data []byte) error {
+	if c.cut.has(address) {
+		return nil
+	}
+	return c.Socket.Send(address, data)
+}
+
 // bind finds a port that is free over TCP and UDP.
 func bind(t testing.TB) net.Listener {
 	t.Helper()
@@ -69,13 +117,16 @@
 	listener := bind(t)
 	d := &daemon{
 		rpc: peerrpc.New(peerrpc.Options{}), registry: member.NewRegistry(),
-		address: listener.Addr().String(), installed: make(map[uint64]time.Time),
+		address: listener.Addr().String(), installed: make(map[uint64]time.Time), cut: &cutList{},
+	}
+	socket, err := gossipudp.Listen(d.address, "")
+	if err != nil {
+		t.Fatal(err)
 	}
-	var err error
 	d.Cluster, err = New(Options{
 		Self:     member.Identity{Name: name, Domain: domain, Address: d.address},
 		Seeds:    seeds,
-		Registry: d.registry, RPC: d.rpc, Install: d.install, Source: source,
+		Registry: d.registry, RPC: cutRPC{d.rpc, d.cut}, Datagrams: cutSocket{socket, d.cut}, Install: d.install, Source: source,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/core/member/domain.go
+++ b/internal/core/member/domain.go
@@ -209,17 +209,26 @@
 			addresses = append(addresses, address)
 		}
 	}
+	// Only relays pull across domains, so that a healed partition is not
+	// crossed by every daemon at once.
+	if n.rank() >= 0 {
+		for name, d := range n.domains {
+			for _, relay := range d.summary.Relays {
+				if name != n.self.Domain {
+					note(d.summary.Generation, relay.Address)
+				}
+			}
+		}
+	}
+	foreign, far := number, addresses
+	number, addresses = 0, nil
 	for _, p := range n.peers {
 		if p.Status == Alive {
 			note(p.Generation, p.Address)
 		}
 	}
-	for name, d := range n.domains {
-		for _, relay := range d.summary.Relays {
-			if name != n.self.Domain {
-				note(d.summary.Generation, relay.Address)
-			}
-		}
+	if foreign > number {
+		return foreign, far
 	}
 	return number, addresses
 }
--- a/internal/core/member/exchange.go
+++ b/internal/core/member/exchange.go
@@ -268,7 +268,7 @@
 }
 
 // applyDelta reports false when the host vouches for an endpoint that is
-// removed here, which a full list of the host has to settle.
+// removed here or known from another host, which a full list of the host has to settle.
 func (r *Registry) applyDelta(instance uint64, id string, d *Delta, now time.Time) bool {
 	s := r.shard(id)
 	s.mu.Lock()
@@ -277,13 +277,13 @@
 	if e == nil {
 		return false
 	}
+	if e.Host != instance || e.Removed != NotRemoved {
+		return e.Removed == Withdrawn
+	}
 	ahead := int16(d.Seq - uint16(e.Stamp))
-	if e.Host != instance || ahead <= 0 {
+	if ahead <= 0 {
 		return true
 	}
-	if e.Removed != NotRemoved {
-		return e.Removed == Withdrawn
-	}
 	next := *e
 	next.Stamp += uint32(ahead)
 	seq := next.Load.Seq
--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -79,9 +79,8 @@
 	urgent       bool
 	spread       int
 
-	seedsDone map[string]bool
-	out       Output
-	stats     Stats
+	out   Output
+	stats Stats
 }
 
 // Stats count what a node did.
@@ -115,15 +114,14 @@
 // New returns the membership of a daemon that knows only itself.
 func New(options Options, now time.Time) *Node {
 	n := &Node{
-		options:   options,
-		self:      options.Self,
-		registry:  options.Registry,
-		random:    options.Random,
-		peers:     make(map[uint64]*peer),
-		byName:    make(map[string]*peer),
-		domains:   make(map[string]*domain),
-		seedsDone: make(map[string]bool),
-		lastTick:  now,
+		options:  options,
+		self:     options.Self,
+		registry: options.Registry,
+		random:   options.Random,
+		peers:    make(map[uint64]*peer),
+		byName:   make(map[string]*peer),
+		domains:  make(map[string]*domain),
+		lastTick: now,
 	}
 	n.payloads.init()
 	n.registry.SetSelf(n.self.Instance)
@@ -298,6 +296,7 @@
 	}
 	if !p.HearsMe {
 		b.add(sectionIdentity, pack(&n.self))
+		body = append(body[:len(body):len(body)], n.payloads.all()...)
 	}
 	for _, s := range body {
 		b.add(s.tag, s.body)
--- a/internal/core/member/payload.go
+++ b/internal/core/member/payload.go
@@ -34,6 +34,15 @@
 	return list
 }
 
+// all returns every payload, for a peer that does not hear this daemon yet.
+func (p *payloads) all() []section {
+	list := make([]section, 0, len(p.own))
+	for kind, data := range p.own {
+		list = append(list, section{sectionPayload, pack(&wirePayload{Kind: kind, Data: data})})
+	}
+	return list
+}
+
 // SetPayload makes the next datagrams carry data of a kind, in place of what
 // the kind had before. The error is a *PayloadSizeError.
 func (n *Node) SetPayload(kind string, data []byte) error {
--- a/internal/core/member/registry.go
+++ b/internal/core/member/registry.go
@@ -16,6 +16,10 @@
 	// delayed message cannot bring it back. It exceeds the longest lease in use
 	// plus the anti-entropy cycle of a whole domain (31 daemons, 5 s each).
 	tombstoneTTL = 5 * time.Minute
+	// expiredTTL is that time for an endpoint whose lease ended while it was
+	// not leaving: it may come back through another daemon, whose stamps can
+	// start lower if the endpoint numbers no load reports.
+	expiredTTL = 30 * time.Second
 )
 
 // Registry holds the endpoints that this daemon knows. It is safe for
@@ -34,7 +38,7 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	r := &Registry{}
-	r.groups.all = newGroup()
+	r.groups.init()
 	r.hosting.init()
 	for i := range r.shards {
 		r.shards[i].endpoints = make(map[string]*Endpoint)
@@ -74,6 +78,11 @@
 		}
 	}
 	next.Stamp++
+	// The endpoint's own sequence number orders its announcements to different
+	// daemons, also when this one does not know of the earlier ones.
+	if seq := uint32(a.Load.Seq); int32(seq-next.Stamp) > 0 {
+		next.Stamp = seq
+	}
 	keepLeaving(next, known)
 	r.hosting.adopt(next, known)
 	r.store(s, known, next)
@@ -177,7 +186,11 @@
 		if e.removedAt.IsZero() {
 			e.removedAt = now
 		}
-		if now.Sub(e.removedAt) > tombstoneTTL {
+		ttl := tombstoneTTL
+		if e.Removed == Expired && e.State != endpoint.StateLeaving {
+			ttl = expiredTTL
+		}
+		if now.Sub(e.removedAt) > ttl {
 			delete(s.endpoints, e.ID)
 		}
 		return false
@@ -222,10 +235,10 @@
 func (r *Registry) List() []*Endpoint { return r.groups.all.read() }
 
 // Candidates returns the endpoints that hold a model, like List.
-func (r *Registry) Candidates(model string) []*Endpoint { return r.groups.read(modelKey(model)) }
+func (r *Registry) Candidates(model string) []*Endpoint { return r.groups.read(groupKey{model: model}) }
 
 // Service returns the endpoints of a plain service, like List.
-func (r *Registry) Service(name string) []*Endpoint { return r.groups.read(serviceKey(name)) }
+func (r *Registry) Service(name string) []*Endpoint { return r.groups.read(groupKey{service: name}) }
 
 // Find returns an endpoint by its ID, or nil.
 func (r *Registry) Find(id string) *Endpoint {
--- /dev/null
+++ b/internal/core/member/sim_test.go
@@ -0,0 +1,294 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+)
+
+const (
+	simStep  = 50 * time.Millisecond
+	simLease = 4 * time.Second
+)
+
+// simNet is a network of daemons in virtual time that loses, repeats, delays
+// and reorders datagrams, and cuts paths in one direction.
+type simNet struct {
+	random *rand.Rand
+	now    time.Time
+	// loss and repeat are shares of datagrams in percent; delay is the longest delay in steps.
+	loss, repeat, delay int
+	cut                 map[[2]string]bool
+	nodes               map[string]*simNode
+	flying              []simPacket
+	births              uint64
+	endpoints           map[string]*simEndpoint
+	faults              []string
+}
+
+type simPacket struct {
+	from, to string
+	due      time.Time
+	data     []byte
+}
+
+// simNode is a daemon and what it showed so far.
+type simNode struct {
+	*Node
+	registry *Registry
+	silent   bool
+	// shown holds the highest incarnation shown per endpoint.
+	shown map[string]uint64
+	// left and stopped hold incarnations seen leaving and seen stopped by withdrawal.
+	left map[string]uint64
+	// dead holds the identities that this daemon declared dead.
+	dead map[Identity]bool
+}
+
+// simEndpoint is the naive model of an endpoint.
+type simEndpoint struct {
+	id          string
+	host        string
+	incarnation uint64
+	seq         uint64
+	state       endpoint.State
+	up          bool
+	next        time.Time
+}
+
+func newSim(seed uint64) *simNet {
+	return &simNet{
+		random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), cut: make(map[[2]string]bool),
+		nodes: make(map[string]*simNode), endpoints: make(map[string]*simEndpoint),
+	}
+}
+
+// start starts a daemon; a daemon of the same name and address is replaced without a word.
+func (s *simNet) start(name string, seeds ...string) {
+	s.births++
+	registry := NewRegistry()
+	node := New(Options{
+		Self:  Identity{Name: name, Instance: s.births<<32 | uint64(s.random.Uint32()), Incarnation: 1, Domain: "a", Address: name},
+		Seeds: seeds, Registry: registry, Random: rand.New(rand.NewPCG(s.births, 3)),
+	}, s.now)
+	s.nodes[name] = &simNode{
+		Node: node, registry: registry, shown: make(map[string]uint64), left: make(map[string]uint64), dead: make(map[Identity]bool),
+	}
+}
+
+func (s *simNet) names() []string {
+	names := make([]string, 0, len(s.nodes))
+	for name := range s.nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *simNet) reachable(from, to string) bool {
+	target := s.nodes[to]
+	return target != nil && !target.silent && !s.cut[[2]string{from, to}]
+}
+
+func (s *simNet) transmit(from string, out Output) {
+	for _, p := range out.Packets {
+		copies := 1
+		if s.random.IntN(100) < s.repeat {
+			copies = 2
+		}
+		for range copies {
+			if s.random.IntN(100) < s.loss {
+				continue
+			}
+			due := s.now.Add(time.Duration(s.random.IntN(s.delay+1)) * simStep)
+			s.flying = append(s.flying, simPacket{from, p.Address, due, p.Data})
+		}
+	}
+	for _, address := range out.Syncs {
+		s.sync(from, address)
+	}
+	for _, pull := range out.Pulls {
+		if reply, ok := s.call(from, pull.Address, func(n *simNode) ([]byte, error) { return n.HandlePull(s.now, pull.Request) }); ok {
+			s.must(s.nodes[from].ApplyPull(s.now, reply))
+		}
+	}
+}
+
+func (s *simNet) sync(from, to string) {
+	for _, brief := range []bool{true, false} {
+		request := s.nodes[from].BuildSync(s.now, brief)
+		reply, ok := s.call(from, to, func(n *simNode) ([]byte, error) { return n.HandleSync(s.now, request) })
+		if !ok {
+			return
+		}
+		again, err := s.nodes[from].ApplySync(s.now, reply)
+		s.must(err)
+		if !again {
+			return
+		}
+	}
+}
+
+// call is an RPC: it needs both directions.
+func (s *simNet) call(from, to string, run func(*simNode) ([]byte, error)) ([]byte, bool) {
+	if !s.reachable(from, to) || !s.reachable(to, from) {
+		return nil, false
+	}
+	reply, err := run(s.nodes[to])
+	s.must(err)
+	return reply, true
+}
+
+func (s *simNet) must(err error) {
+	if err != nil {
+		s.faults = append(s.faults, err.Error())
+	}
+}
+
+// run advances the time.
+func (s *simNet) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(simStep)
+		s.announce()
+		s.deliver()
+		for _, name := range s.names() {
+			if n := s.nodes[name]; !n.silent {
+				out := n.Tick(s.now)
+				s.watch(n, out)
+				s.transmit(name, out)
+			}
+		}
+		for _, name := range s.names() {
+			s.inspect(name, s.nodes[name])
+		}
+	}
+}
+
+func (s *simNet) deliver() {
+	due := s.flying[:0:0]
+	var later []simPacket
+	for _, p := range s.flying {
+		if p.due.After(s.now) {
+			later = append(later, p)
+		} else {
+			due = append(due, p)
+		}
+	}
+	s.flying = later
+	s.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, p := range due {
+		if !s.reachable(p.from, p.to) {
+			continue
+		}
+		n := s.nodes[p.to]
+		out, err := n.Receive(s.now, p.from, p.data)
+		s.must(err)
+		s.watch(n, out)
+		s.transmit(p.to, out)
+	}
+}
+
+// announce lets endpoints announce themselves every second, to another daemon if theirs does not answer.
+func (s *simNet) announce() {
+	for _, id := range s.endpointIDs() {
+		e := s.endpoints[id]
+		if !e.up || s.now.Before(e.next) {
+			continue
+		}
+		e.next = s.now.Add(time.Second)
+		if n := s.nodes[e.host]; n == nil || n.silent {
+			e.host = s.names()[s.random.IntN(len(s.nodes))]
+			continue
+		}
+		e.seq++
+		s.nodes[e.host].registry.Announce(endpoint.Announcement{
+			ID: e.id, Incarnation: e.incarnation, State: e.state, Slots: 4, LeaseMS: simLease.Milliseconds(),
+			Models: []endpoint.LoadedModel{{Name: "m"}}, Load: endpoint.Load{Seq: e.seq, Running: s.random.IntN(4)},
+		}, s.now)
+	}
+}
+
+func (s *simNet) endpointIDs() []string {
+	ids := make([]string, 0, len(s.endpoints))
+	for id := range s.endpoints {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// watch checks that no daemon comes back in an incarnation that was declared dead.
+func (s *simNet) watch(n *simNode, out Output) {
+	for _, event := range out.Events {
+		if event.Status == Dead || event.Status == Left {
+			n.dead[event.Peer] = true
+		} else if n.dead[event.Peer] {
+			s.faults = append(s.faults, fmt.Sprintf("%s: dead daemon %v is %v again", n.self.Name, event.Peer, event.Status))
+		}
+	}
+}
+
+// inspect checks what a daemon shows of the endpoints at every step.
+func (s *simNet) inspect(name string, n *simNode) {
+	for _, e := range n.registry.List() {
+		fault := ""
+		switch {
+		case e.Incarnation < n.shown[e.ID]:
+			fault = "older incarnation shown"
+		case e.Incarnation == n.left[e.ID] && e.State != endpoint.StateLeaving:
+			fault = "leaving endpoint shown as " + string(e.State)
+		case s.endpoints[e.ID] != nil && e.Incarnation > s.endpoints[e.ID].incarnation:
+			fault = "unborn incarnation shown"
+		}
+		if fault != "" {
+			s.faults = append(s.faults, fmt.Sprintf("%v %s: %s %d: %s", s.now, name, e.ID, e.Incarnation, fault))
+		}
+		n.shown[e.ID] = e.Incarnation
+		if e.State == endpoint.StateLeaving {
+			n.left[e.ID] = e.Incarnation
+		}
+	}
+}
+
+// heal ends all faults of the network.
+func (s *simNet) heal() {
+	clear(s.cut)
+	s.loss, s.repeat, s.delay = 0, 0, 0
+	for _, n := range s.nodes {
+		n.silent = false
+	}
+}
+
+// differences compares every daemon's picture with the naive model.
+func (s *simNet) differences() []string {
+	var list []string
+	for _, name := range s.names() {
+		n := s.nodes[name]
+		alive := 0
+		for _, p := range n.Peers() {
+			if p.Status == Alive && p.HearsMe && s.nodes[p.Name].self.Instance == p.Instance {
+				alive++
+			} else if p.Status != Dead && p.Status != Left {
+				list = append(list, fmt.Sprintf("%s sees %s as %v, hears me %t", name, p.Name, p.Status, p.HearsMe))
+			}
+		}
+		if alive != len(s.nodes)-1 {
+			list = append(list, fmt.Sprintf("%s hears %d of %d daemons", name, alive, len(s.nodes)-1))
+		}
+		for _, id := range s.endpointIDs() {
+			want, got := s.endpoints[id], n.registry.Find(id)
+			switch {
+			case want.up && got == nil:
+				list = append(list, fmt.Sprintf("%s misses %s", name, id))
+			case want.up && (got.Incarnation != want.incarnation || got.State != want.state):
+				list = append(list, fmt.Sprintf("%s has %s %d %s, want %d %s", name, id, got.Incarnation, got.State, want.incarnation, want.state))
+			case !want.up && got != nil:
+				list = append(list, fmt.Sprintf("%s still has %s", name, id))
+			}
+		}
+	}
+	return list
+}
--- a/internal/core/member/snapshot.go
+++ b/internal/core/member/snapshot.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -66,26 +67,40 @@
 	return *g.snapshot.Load()
 }
 
-// groups maps models and services to their endpoints.
+// groups maps models and services to their endpoints. The map is copied on
+// write, because a new model is rare and a read must not allocate.
 type groups struct {
 	all    *group
-	byName sync.Map
+	mu     sync.Mutex
+	byName atomic.Pointer[map[groupKey]*group]
 }
 
-func modelKey(name string) string   { return "model/" + name }
-func serviceKey(name string) string { return "service/" + name }
+type groupKey struct{ model, service string }
 
-func (g *groups) get(key string) *group {
-	if found, ok := g.byName.Load(key); ok {
-		return found.(*group)
+func (g *groups) init() {
+	g.all = newGroup()
+	g.byName.Store(&map[groupKey]*group{})
+}
+
+func (g *groups) get(key groupKey) *group {
+	if found := (*g.byName.Load())[key]; found != nil {
+		return found
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := *g.byName.Load()
+	if found := old[key]; found != nil {
+		return found
 	}
-	found, _ := g.byName.LoadOrStore(key, newGroup())
-	return found.(*group)
+	next := maps.Clone(old)
+	next[key] = newGroup()
+	g.byName.Store(&next)
+	return next[key]
 }
 
-func (g *groups) read(key string) []*Endpoint {
-	if found, ok := g.byName.Load(key); ok {
-		return found.(*group).read()
+func (g *groups) read(key groupKey) []*Endpoint {
+	if found := (*g.byName.Load())[key]; found != nil {
+		return found.read()
 	}
 	return nil
 }
@@ -111,13 +126,13 @@
 }
 
 // keys lists the groups of an endpoint.
-func (e *Endpoint) keys() []string {
+func (e *Endpoint) keys() []groupKey {
 	if e.Service != "" {
-		return []string{serviceKey(e.Service)}
+		return []groupKey{{service: e.Service}}
 	}
-	keys := make([]string, 0, len(e.Models))
+	keys := make([]groupKey, 0, len(e.Models))
 	for i := range e.Models {
-		key := modelKey(e.Models[i].Name)
+		key := groupKey{model: e.Models[i].Name}
 		if !slices.Contains(keys, key) {
 			keys = append(keys, key)
 		}
--- a/internal/core/member/sync.go
+++ b/internal/core/member/sync.go
@@ -1,7 +1,10 @@
 package member
 
 import (
+	"encoding/binary"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Methods between daemons, served by the I/O layer.
@@ -21,7 +24,13 @@
 
 // syncMessage is the request and the answer of the anti-entropy exchange.
 type syncMessage struct {
-	From      Identity
+	From Identity
+	// Hash sums up what the sender knows of its domain.
+	Hash uint64
+	// Brief is set on a request that only asks whether the hashes are equal.
+	Brief bool
+	// Same is set on the answer when they are.
+	Same      bool
 	Order     []uint64
 	Members   []memberInfo
 	Digests   []HostDigest
@@ -39,16 +48,49 @@
 	Service string
 }
 
-// BuildSync makes the request of an anti-entropy exchange.
-func (n *Node) BuildSync(now time.Time) []byte {
+// BuildSync makes the request of an anti-entropy exchange. A brief one only
+// compares hashes, which is enough nearly always.
+func (n *Node) BuildSync(now time.Time, brief bool) []byte {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.stats.Syncs++
+	if brief {
+		return pack(&syncMessage{From: n.self, Hash: n.hash(), Brief: true})
+	}
 	return pack(n.syncMessage(now))
 }
 
+// hash covers the daemons with incarnation and presence, and the digests of
+// all hosts.
+func (n *Node) hash() uint64 {
+	var sum uint64
+	add := func(words ...uint64) {
+		b := make([]byte, 0, 32)
+		for _, word := range words {
+			b = binary.LittleEndian.AppendUint64(b, word)
+		}
+		sum += xxhash.Sum64(b)
+	}
+	add(n.self.Instance, uint64(n.self.Incarnation), 1)
+	for _, p := range n.peers {
+		present := uint64(0)
+		if p.present() {
+			present = 1
+		}
+		add(p.Instance, uint64(p.Incarnation), present)
+	}
+	for _, d := range n.registry.Digests() {
+		// A host without endpoints is listed only by itself.
+		if d.Sum == 0 {
+			continue
+		}
+		add(d.Host, d.Version, uint64(d.Sum), 2)
+	}
+	return sum
+}
+
 func (n *Node) syncMessage(now time.Time) *syncMessage {
-	m := &syncMessage{From: n.self, Order: n.order, Digests: n.registry.Digests(), Summaries: n.summaries(now)}
+	m := &syncMessage{From: n.self, Hash: n.hash(), Order: n.order, Digests: n.registry.Digests(), Summaries: n.summaries(now)}
 	m.Members = append(m.Members, memberInfo{Identity: n.self, Status: Alive})
 	for _, p := range n.peers {
 		if n.leaving {
@@ -78,6 +120,12 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if m.Brief && m.From.Domain == n.self.Domain {
+		if m.Hash == n.hash() {
+			return pack(&syncMessage{From: n.self, Same: true, Summaries: n.summaries(now)}), nil
+		}
+		return pack(n.syncMessage(now)), nil
+	}
 	n.applySync(&m, now)
 	reply := n.syncMessage(now)
 	if m.From.Domain != n.self.Domain {
@@ -90,17 +138,17 @@
 	return pack(reply), nil
 }
 
-// ApplySync takes the answer of an anti-entropy exchange with an address.
-func (n *Node) ApplySync(now time.Time, address string, reply []byte) error {
+// ApplySync takes the answer of an anti-entropy exchange. After a brief one it
+// reports whether a full exchange has to follow.
+func (n *Node) ApplySync(now time.Time, reply []byte) (again bool, err error) {
 	var m syncMessage
 	if err := unpack("sync reply", reply, &m); err != nil {
-		return err
+		return false, err
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.seedsDone[address] = true
 	n.applySync(&m, now)
-	return nil
+	return !m.Same && m.From.Domain == n.self.Domain && m.Hash != n.hash(), nil
 }
 
 func (n *Node) applySync(m *syncMessage, now time.Time) {
