--- a/cmd/boragelead/dev.go
+++ b/cmd/boragelead/dev.go
@@ -47,10 +47,12 @@
 	}
 	defer d.Close()
 	d.Config().Install(1, doc, conf.Digest(doc), time.Now())
+	class := doc.Fleet.Classes[0]
 	for i, domain := range doc.Fleet.Domains {
 		e, err := engine.Start(engine.Config{
-			ID: fmt.Sprintf("engine-%d", i+1), FailureDomain: domain.FailureDomain, Class: doc.Fleet.Classes[0].Name,
-			Models: loadedModels(doc), Slots: doc.Fleet.Classes[0].Slots, Speed: devSpeed,
+			ID: fmt.Sprintf("engine-%d", i+1), FailureDomain: domain.FailureDomain, Class: class.Name,
+			Models: loadedModels(doc), Slots: class.Slots,
+			Speed:   engine.ClassSpeed(class.PrefillTokensPerS, class.DecodeTokensPerS, class.Slots),
 			Entries: []string{"http://" + config.Listen.Endpoints}, Listen: "127.0.0.1:0",
 		})
 		if err != nil {
@@ -65,9 +67,6 @@
 	return nil
 }
 
-// devSpeed is the speed of the engines of the dev command.
-var devSpeed = engine.Speed{PrefillTokensPerSecond: 20_000, DecodeStep: 10 * time.Millisecond, DecodeStepPerSequence: 100 * time.Microsecond}
-
 func loadedModels(doc *conf.Document) []endpoint.LoadedModel {
 	var models []endpoint.LoadedModel
 	for _, m := range doc.Models {
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -47,6 +47,21 @@
 	DecodeStepPerSequence:  200 * time.Microsecond,
 }
 
+// batchShare is the part of a full batch's step time that grows with the batch.
+const batchShare = 0.5
+
+// ClassSpeed returns the speed of a machine class that is described by its
+// prefill speed and by its decode throughput with all slots in use.
+func ClassSpeed(prefillTokensPerSecond, decodeTokensPerSecond float64, slots int) Speed {
+	full := float64(slots) / decodeTokensPerSecond * float64(time.Second)
+	grown := time.Duration(full * batchShare / float64(max(slots-1, 1)))
+	return Speed{
+		PrefillTokensPerSecond: prefillTokensPerSecond,
+		DecodeStep:             time.Duration(full) - time.Duration(slots-1)*grown,
+		DecodeStepPerSequence:  grown,
+	}
+}
+
 // Weights fetches weights from the weight store.
 type Weights interface {
 	// Fetch downloads the weights of a model version, or of an adapter if one
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -163,3 +163,23 @@
 	f()
 	return time.Since(begin)
 }
+
+var _ = Describe("machine classes", func() {
+	It("guards against a full batch that is faster or slower than the class", func() {
+		speed := engine.ClassSpeed(12000, 2400, 32)
+		full := speed.DecodeStep + 31*speed.DecodeStepPerSequence
+		Expect(32 / full.Seconds()).To(BeNumerically("~", 2400, 1))
+		e := start(func(c *engine.Config) { c.Speed = speed; c.Slots = 32; c.TimeScale = 1 })
+		begin := time.Now()
+		var group sync.WaitGroup
+		for i := range 32 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				generate(e, request(time.Duration(i).String(), "x", 50))
+			})
+		}
+		group.Wait()
+		// 1600 tokens at 2400 tokens/s take 667 ms; timers may be late on a busy machine.
+		Expect(time.Since(begin)).To(And(BeNumerically(">", 600*time.Millisecond), BeNumerically("<", 1400*time.Millisecond)))
+	})
+})
