--- a/internal/core/conf/parse.go
+++ b/internal/core/conf/parse.go
@@ -1,22 +1,47 @@
 package conf
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"reflect"
+
+	"github.com/boragelead/boragelead/internal/jsoncheck"
 )
 
 // Parse decodes and validates a document. The error is a *ValidationError
-// that lists every mistake found.
+// that lists every mistake found. Meaning is checked only where the form is
+// right, because wrong forms cause misleading follow-up mistakes.
 func Parse(data []byte) (*Document, error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	var doc Document
-	if err := decoder.Decode(&doc); err != nil {
-		return nil, &ValidationError{Problems: []Problem{{Path: "$", Message: err.Error()}}}
+	problems := formProblems(data)
+	if len(problems) > 0 {
+		return nil, &ValidationError{Problems: problems}
+	}
+	doc := new(Document)
+	if err := json.Unmarshal(data, doc); err != nil {
+		// The schema accepts 1.0 for an integer, the decoder does not.
+		return nil, &ValidationError{Problems: decodeProblems(data, err)}
+	}
+	if problems := doc.problems(); len(problems) > 0 {
+		return nil, &ValidationError{Problems: problems}
+	}
+	return doc, nil
+}
+
+func decodeProblems(data []byte, err error) []Problem {
+	found := fromJSONCheck(jsoncheck.Check(data, reflect.TypeFor[Document]()))
+	if len(found) > 0 {
+		return found
+	}
+	return []Problem{{Path: "$", Message: err.Error()}}
+}
+
+func fromJSONCheck(found []jsoncheck.Problem) []Problem {
+	problems := make([]Problem, 0, len(found))
+	for _, p := range found {
+		problems = append(problems, Problem(p))
 	}
-	return &doc, nil
+	return problems
 }
 
 // Digest returns the SHA-256 of the canonical encoding of the document in hexadecimal.
