--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/url"
 	"os"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
@@ -79,7 +81,7 @@
 		options = append(options, sdktrace.WithBatcher(exporter))
 	}
 	if config.OTLPURL != "" {
-		exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpointURL(config.OTLPURL))
+		exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpointURL(tracesURL(config.OTLPURL)))
 		if err != nil {
 			t.closeFile()
 			return nil, eris.Wrap(err, "trace collector")
@@ -91,6 +93,16 @@
 	return t, nil
 }
 
+// tracesURL adds the standard path to a base URL. The exporter would send to
+// the root path instead.
+func tracesURL(base string) string {
+	parsed, err := url.Parse(base)
+	if err != nil || strings.Trim(parsed.Path, "/") != "" {
+		return base
+	}
+	return parsed.JoinPath("v1", "traces").String()
+}
+
 // Close writes out pending spans. The context bounds the wait.
 func (t *Tracing) Close(ctx context.Context) error {
 	if t == nil {
