Measure what a daemon adds and send tokens on together

Cause: with one token per frame the entry carried 55.7% of the direct throughput at 500 streams (118,823 against 213,338 tokens/s); half of the time went to system calls, one write per token and a deadline per write.

--- a/internal/adapter/callerhttp/reply.go
+++ b/internal/adapter/callerhttp/reply.go
@@ -11,6 +11,9 @@
 	"github.com/boragelead/boragelead/internal/entry"
 )
 
+// maxBuffered bounds the tokens that are collected before they are sent, in bytes.
+const maxBuffered = 16 << 10
+
 // callerWriteTimeout is how long a write to a caller may block before the caller counts as gone.
 const callerWriteTimeout = 30 * time.Second
 
@@ -27,6 +30,8 @@
 	buffer  []byte
 	// chunkHead and chunkTail enclose the text of a chunk of tokens.
 	chunkHead, chunkTail []byte
+	// extended is when the write deadline was last moved.
+	extended time.Time
 	// resumedAt is the offset of the first token that this connection sends.
 	resumedAt int
 }
@@ -51,11 +56,14 @@
 	if err := r.start(); err != nil {
 		return err
 	}
-	r.buffer = appendEventID(r.buffer[:0], offset+count)
+	r.buffer = appendEventID(r.buffer, offset+count)
 	r.buffer = append(r.buffer, r.chunkHead...)
 	r.buffer = appendJSONString(r.buffer, text)
 	r.buffer = append(r.buffer, r.chunkTail...)
-	return r.flush()
+	if len(r.buffer) < maxBuffered {
+		return nil
+	}
+	return r.Flush()
 }
 
 // start sends the header and, for a chat, the chunk that names the role.
@@ -107,22 +115,38 @@
 	if err != nil {
 		return err
 	}
-	r.buffer = appendEventID(r.buffer[:0], id)
+	r.buffer = appendEventID(r.buffer, id)
 	r.buffer = append(r.buffer, "data: "...)
 	r.buffer = append(r.buffer, data...)
 	r.buffer = append(r.buffer, "\n\n"...)
-	return r.flush()
+	return nil
 }
 
-// flush writes the buffer within the time that a stalled caller is given.
-func (r *reply) flush() error {
-	_ = r.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	if _, err := r.writer.Write(r.buffer); err != nil {
+// Flush implements entry.Sink. A stalled caller is given a bounded time.
+func (r *reply) Flush() error {
+	if len(r.buffer) == 0 {
+		return nil
+	}
+	r.extendDeadline(time.Now())
+	_, err := r.writer.Write(r.buffer)
+	r.buffer = r.buffer[:0]
+	if err != nil {
 		return err
 	}
 	return r.control.Flush()
 }
 
+// extendDeadline moves the write deadline about once a second: setting it for
+// each write took a twelfth of the time of the write.
+func (r *reply) extendDeadline(now time.Time) {
+	const step = time.Second
+	if now.Sub(r.extended) < step {
+		return
+	}
+	r.extended = now
+	_ = r.control.SetWriteDeadline(now.Add(callerWriteTimeout + step))
+}
+
 func appendEventID(buffer []byte, id int) []byte {
 	buffer = append(buffer, "id: "...)
 	buffer = strconv.AppendInt(buffer, int64(id), 10)
@@ -179,8 +203,8 @@
 			return
 		}
 	}
-	_, _ = r.writer.Write([]byte("data: [DONE]\n\n"))
-	_ = r.control.Flush()
+	r.buffer = append(r.buffer, "data: [DONE]\n\n"...)
+	_ = r.Flush()
 }
 
 func (r *reply) finishWhole(result entry.Result, usage *usageBody) {
@@ -200,6 +224,8 @@
 	_, detail, _ := describe(err)
 	detail.RequestID = r.req.ID
 	data, _ := json.Marshal(errorBody{Error: detail})
-	_, _ = r.writer.Write([]byte("event: error\ndata: " + string(data) + "\n\n"))
-	_ = r.control.Flush()
+	r.buffer = append(r.buffer, "event: error\ndata: "...)
+	r.buffer = append(r.buffer, data...)
+	r.buffer = append(r.buffer, "\n\n"...)
+	_ = r.Flush()
 }
--- a/internal/adapter/callerhttp/requests.go
+++ b/internal/adapter/callerhttp/requests.go
@@ -97,7 +97,7 @@
 	for {
 		snapshot := journal.Read(offset)
 		if snapshot.Chunk.Count > 0 {
-			if reply.Tokens(snapshot.Chunk.Offset, snapshot.Chunk.Count, snapshot.Chunk.Text) != nil {
+			if reply.Tokens(snapshot.Chunk.Offset, snapshot.Chunk.Count, snapshot.Chunk.Text) != nil || reply.Flush() != nil {
 				return
 			}
 			offset = snapshot.Chunk.Offset + snapshot.Chunk.Count
@@ -147,10 +147,10 @@
 		return
 	}
 	data, _ := json.Marshal(movedBody{Location: location, RequestID: r.req.ID})
-	r.buffer = append(r.buffer[:0], "event: moved\ndata: "...)
+	r.buffer = append(r.buffer, "event: moved\ndata: "...)
 	r.buffer = append(r.buffer, data...)
 	r.buffer = append(r.buffer, "\n\n"...)
-	_ = r.flush()
+	_ = r.Flush()
 }
 
 // movedBody is the data of the event that ends a stream which a peer continues.
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -40,6 +40,9 @@
 			return entry.Result{}, err
 		}
 	}
+	if err := sink.Flush(); err != nil {
+		return entry.Result{}, err
+	}
 	if f.blocked {
 		<-ctx.Done()
 		close(f.gone)
--- a/internal/adapter/enginehttp/scanner.go
+++ b/internal/adapter/enginehttp/scanner.go
@@ -89,6 +89,11 @@
 	return nil, io.ErrNoProgress
 }
 
+// pending reports whether the next line is in the buffer already.
+func (s *scanner) pending() bool {
+	return bytes.IndexByte(s.buf[s.start:s.end], '\n') >= 0
+}
+
 // makeRoom moves the unread bytes to the front, or doubles a full buffer.
 func (s *scanner) makeRoom() error {
 	unread := s.buf[s.start:s.end]
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -89,6 +89,9 @@
 	return nil
 }
 
+// Pending implements port.BufferedStream.
+func (s *frameStream) Pending() bool { return s.scanner.pending() }
+
 func (s *frameStream) failure(err error) error {
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,6 +99,9 @@
 // Name returns the name of the daemon.
 func (d *Daemon) Name() string { return d.settings.Name }
 
+// FailureDomain returns the failure domain of the daemon.
+func (d *Daemon) FailureDomain() string { return d.settings.FailureDomain }
+
 // Config returns the store of the active generation.
 func (d *Daemon) Config() *conf.Store { return d.config }
 
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -13,7 +13,7 @@
 	// Guards against answers that are cut off, wrong or doubled in plain service.
 	It("answers every request whole", func() {
 		f := newFleet(2, 3)
-		report := f.runLoad(f.daemons[0], 20, 50, time.Second, nil)
+		report := f.runLoad(f.Daemons()[0], 20, 50, time.Second, nil)
 		Expect(report.Whole).To(Equal(report.Calls))
 		Expect(report.Whole).To(BeNumerically(">", 50))
 	})
@@ -21,9 +21,9 @@
 	// Guards against answers lost with an endpoint that dies without notice.
 	It("resumes on another endpoint after a crash", func() {
 		f := newFleet(1, 3)
-		report := f.runLoad(f.daemons[0], 12, 200, 2*time.Second, func() {
+		report := f.runLoad(f.Daemons()[0], 12, 200, 2*time.Second, func() {
 			time.Sleep(300 * time.Millisecond)
-			f.engines[0].Crash()
+			f.Engines()[0].Crash()
 		})
 		Expect(report.Whole).To(Equal(report.Calls), "%+v", report)
 	})
@@ -31,25 +31,25 @@
 	// Guards against answers lost in an announced reclaim, also of two endpoints in a row.
 	It("moves away from endpoints that are reclaimed", func() {
 		f := newFleet(1, 3)
-		report := f.runLoad(f.daemons[0], 12, 300, 3*time.Second, func() {
+		report := f.runLoad(f.Daemons()[0], 12, 300, 3*time.Second, func() {
 			time.Sleep(300 * time.Millisecond)
-			f.engines[0].ReclaimNotice(time.Second)
+			f.Engines()[0].ReclaimNotice(time.Second)
 			time.Sleep(700 * time.Millisecond)
-			f.engines[1].ReclaimNotice(time.Second)
+			f.Engines()[1].ReclaimNotice(time.Second)
 		})
 		Expect(report.Whole).To(Equal(report.Calls), "%+v", report)
-		Expect(f.daemons[0].Metrics().Counter("attempts_resumed").Value()).To(BeNumerically(">", 0))
+		Expect(f.Daemons()[0].Metrics().Counter("attempts_resumed").Value()).To(BeNumerically(">", 0))
 	})
 
 	// Guards against streams that hang because connections went silent while new ones work.
 	It("replaces connections that went silent", func() {
 		f := newFleet(1, 2)
-		report := f.runLoad(f.daemons[0], 8, 200, 2*time.Second, func() {
+		report := f.runLoad(f.Daemons()[0], 8, 200, 2*time.Second, func() {
 			time.Sleep(300 * time.Millisecond)
-			f.engines[0].SilenceConnections()
+			f.Engines()[0].SilenceConnections()
 		})
 		Expect(report.Whole).To(Equal(report.Calls), "%+v", report)
-		Expect(f.daemons[0].Metrics().Counter("streams_silent").Value()).To(BeNumerically(">", 0))
+		Expect(f.Daemons()[0].Metrics().Counter("streams_silent").Value()).To(BeNumerically(">", 0))
 	})
 
 	// Guards against tokens that are lost, doubled or taken from another answer
@@ -57,8 +57,8 @@
 	DescribeTable("gives right answers in spite of damaged frames",
 		func(kind engine.FrameFaultKind) {
 			f := newFleet(1, 2)
-			f.engines[0].SetFrameFault(engine.FrameFault{Kind: kind, Every: 40})
-			report := f.runLoad(f.daemons[0], 4, 100, time.Second, nil)
+			f.Engines()[0].SetFrameFault(engine.FrameFault{Kind: kind, Every: 40})
+			report := f.runLoad(f.Daemons()[0], 4, 100, time.Second, nil)
 			Expect(report.Wrong).To(BeZero(), "%+v", report)
 			Expect(report.Whole).To(Equal(report.Calls), "%+v", report)
 		},
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -195,15 +195,29 @@
 	g.journal.Append(a.Count, a.Text)
 	g.service.metrics.tokens.Add(int64(a.Count))
 	g.observe(time.Now())
-	if g.sink == nil {
+	if g.sink != nil {
+		g.noteSink(g.sink.Tokens(a.Offset, a.Count, a.Text))
+	}
+}
+
+// flush sends delivered tokens to the caller.
+func (g *generation) flush() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sink != nil {
+		g.noteSink(g.sink.Flush())
+	}
+}
+
+// noteSink ends a request whose caller is gone.
+func (g *generation) noteSink(err error) {
+	if err == nil {
 		return
 	}
-	if err := g.sink.Tokens(a.Offset, a.Count, a.Text); err != nil {
-		g.sink = nil
-		if !g.req.Resumable {
-			// The machine is in use by the caller of this function.
-			go g.journal.cancel(&CallerGoneError{Err: err})
-		}
+	g.sink = nil
+	if !g.req.Resumable {
+		// The machine is in use by the caller of this function.
+		go g.journal.cancel(&CallerGoneError{Err: err})
 	}
 }
 
--- a/internal/entry/pump.go
+++ b/internal/entry/pump.go
@@ -99,6 +99,7 @@
 	if idle, ok := stream.(port.IdleStream); ok {
 		idle.SetIdle(time.Duration(p.generation.doc.Limits.SilentStreamMS) * time.Millisecond)
 	}
+	buffered, _ := stream.(port.BufferedStream)
 	var frame endpoint.Frame
 	for {
 		if err := stream.Next(&frame); err != nil {
@@ -109,6 +110,9 @@
 			return err
 		}
 		p.take(&frame)
+		if buffered == nil || !buffered.Pending() {
+			p.generation.flush()
+		}
 		if p.movesNow(time.Now()) {
 			p.notice()
 		}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -40,6 +40,8 @@
 // An error means that the caller is gone.
 type Sink interface {
 	Tokens(offset, count int, text string) error
+	// Flush sends what Tokens took. It is called when no further token is at hand.
+	Flush() error
 }
 
 // Result describes a whole answer.
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -233,3 +234,14 @@
 		}
 	}
 }
+
+// SpreadTarget sends calls to several targets in turn.
+type SpreadTarget struct {
+	Targets []Target
+	turn    atomic.Uint64
+}
+
+// Do implements Target.
+func (t *SpreadTarget) Do(ctx context.Context, call Call, observer Observer) error {
+	return t.Targets[int(t.turn.Add(1))%len(t.Targets)].Do(ctx, call, observer)
+}
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -43,6 +43,13 @@
 	SetIdle(d time.Duration)
 }
 
+// BufferedStream is a FrameStream that knows whether the next frame is here
+// already, so that tokens that arrive together are sent on together.
+type BufferedStream interface {
+	FrameStream
+	Pending() bool
+}
+
 // RefusedError says that an endpoint answered without running the request.
 type RefusedError struct {
 	Status int
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,304 @@
+package rig
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/daemon"
+	"github.com/boragelead/boragelead/internal/settings"
+	"github.com/boragelead/boragelead/standin/engine"
+	"github.com/boragelead/boragelead/standin/service"
+)
+
+// AdminKey is the operators' key of all rigs.
+const AdminKey = "dev-admin"
+
+// loopback lets the system choose a port.
+const loopback = "127.0.0.1:0"
+
+// Config describes a rig. Zero fields have defaults.
+type Config struct {
+	// Document is the operators' document, as JSON.
+	Document []byte
+	// Daemons is the number of daemons per failure domain of the document.
+	Daemons int
+	// Replicas is the number of state replicas among the daemons.
+	Replicas int
+	// Folder holds the data folders of the state replicas; empty takes a
+	// temporary one that Close removes.
+	Folder string
+	// Domains limits the failure domains; 0 takes all of the document.
+	Domains int
+	// CallerAddress and AdminAddress are those of the first daemon; empty lets the system choose.
+	CallerAddress, AdminAddress string
+	// Options of all daemons.
+	Options daemon.Options
+	// Settings changes the settings of a daemon before it starts.
+	Settings func(*settings.Settings)
+	Log      *zap.Logger
+}
+
+// Rig is a running set of daemons and endpoints.
+type Rig struct {
+	config   Config
+	doc      *conf.Document
+	folder   string
+	owned    bool
+	mu       sync.Mutex
+	daemons  []*daemon.Daemon
+	engines  []*engine.Engine
+	services []*service.Service
+	// EngineLedger and ServiceLedger record what the endpoints really ran.
+	EngineLedger  *engine.Ledger
+	ServiceLedger *service.Ledger
+}
+
+// Start starts the daemons of a rig. Endpoints are added after.
+func Start(config Config) (*Rig, error) {
+	doc, err := conf.Parse(config.Document)
+	if err != nil {
+		return nil, err
+	}
+	if config.Log == nil {
+		config.Log = zap.NewNop()
+	}
+	config.Daemons = max(config.Daemons, 1)
+	if config.Domains <= 0 || config.Domains > len(doc.Fleet.Domains) {
+		config.Domains = len(doc.Fleet.Domains)
+	}
+	r := &Rig{config: config, doc: doc, EngineLedger: engine.NewLedger(), ServiceLedger: service.NewLedger()}
+	if err := r.openFolder(); err != nil {
+		return nil, err
+	}
+	if err := r.startDaemons(); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Rig) openFolder() error {
+	r.folder = r.config.Folder
+	if r.folder != "" {
+		return eris.Wrap(os.MkdirAll(r.folder, 0o700), "data folder")
+	}
+	folder, err := os.MkdirTemp("", "boragelead-")
+	r.folder, r.owned = folder, true
+	return eris.Wrap(err, "data folder")
+}
+
+// Domains returns the failure domains of the rig.
+func (r *Rig) Domains() []string {
+	var domains []string
+	for _, domain := range r.doc.Fleet.Domains[:r.config.Domains] {
+		domains = append(domains, domain.FailureDomain)
+	}
+	return domains
+}
+
+// Document returns the operators' document that the rig started with.
+func (r *Rig) Document() *conf.Document { return r.doc }
+
+func (r *Rig) startDaemons() error {
+	for i := range r.config.Daemons * r.config.Domains {
+		domain := r.doc.Fleet.Domains[i%r.config.Domains]
+		if _, err := r.AddDaemon(domain.FailureDomain, domain.Region); err != nil {
+			return err
+		}
+	}
+	for _, d := range r.Daemons() {
+		d.Config().Install(1, r.doc, conf.Digest(r.doc), time.Now())
+	}
+	return nil
+}
+
+// AddDaemon starts one more daemon.
+func (r *Rig) AddDaemon(domain, region string) (*daemon.Daemon, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	number := len(r.daemons) + 1
+	config := settings.Default()
+	config.Name = fmt.Sprintf("entry-%d", number)
+	config.FailureDomain = domain
+	config.Region = region
+	config.Listen = settings.Listen{Callers: loopback, Endpoints: loopback, Peers: loopback, Admin: loopback}
+	config.AdminKeySHA256 = hashKey(AdminKey)
+	config.DataFolder = filepath.Join(r.folder, config.Name)
+	if number == 1 {
+		setAddress(&config.Listen.Callers, r.config.CallerAddress)
+		setAddress(&config.Listen.Admin, r.config.AdminAddress)
+	}
+	for _, other := range r.daemons {
+		config.Peers = append(config.Peers, settings.Peer{Name: other.Name(), Address: other.PeerAddress()})
+	}
+	if r.config.Settings != nil {
+		r.config.Settings(config)
+	}
+	d, err := daemon.Start(config, r.config.Log, r.config.Options)
+	if err != nil {
+		return nil, err
+	}
+	r.daemons = append(r.daemons, d)
+	return d, nil
+}
+
+func setAddress(field *string, address string) {
+	if address != "" {
+		*field = address
+	}
+}
+
+func hashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Daemons returns the daemons in the order of their start.
+func (r *Rig) Daemons() []*daemon.Daemon {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*daemon.Daemon(nil), r.daemons...)
+}
+
+// Engines returns the engines in the order of their start.
+func (r *Rig) Engines() []*engine.Engine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*engine.Engine(nil), r.engines...)
+}
+
+// entriesOf returns where endpoints of a failure domain announce themselves,
+// the daemons of their own domain alone.
+func (r *Rig) entriesOf(domain string, turn int) []string {
+	var own []string
+	for _, d := range r.daemons {
+		if d.FailureDomain() == domain {
+			own = append(own, "http://"+d.EndpointAddress())
+		}
+	}
+	if len(own) > 0 {
+		at := turn % len(own)
+		own = append(own[at:len(own):len(own)], own[:at]...)
+	}
+	return own
+}
+
+// AddEngine starts an engine that holds all models of the document, unless
+// the configuration names others.
+func (r *Rig) AddEngine(config engine.Config) (*engine.Engine, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	number := len(r.engines) + 1
+	if config.ID == "" {
+		config.ID = fmt.Sprintf("engine-%d", number)
+	}
+	if config.Models == nil {
+		config.Models = LoadedModels(r.doc)
+	}
+	config.Entries = r.entriesOf(config.FailureDomain, number)
+	config.Listen = loopback
+	config.Ledger = r.EngineLedger
+	e, err := engine.Start(config)
+	if err != nil {
+		return nil, eris.Wrap(err, "start engine")
+	}
+	r.engines = append(r.engines, e)
+	return e, nil
+}
+
+// AddService starts an endpoint of a plain service.
+func (r *Rig) AddService(config service.Config) (*service.Service, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	number := len(r.services) + 1
+	if config.ID == "" {
+		config.ID = fmt.Sprintf("service-%d", number)
+	}
+	config.Entries = r.entriesOf(config.FailureDomain, number)
+	config.Listen = loopback
+	config.Ledger = r.ServiceLedger
+	s, err := service.Start(config)
+	if err != nil {
+		return nil, eris.Wrap(err, "start service")
+	}
+	r.services = append(r.services, s)
+	return s, nil
+}
+
+// LoadedModels lists the models of a document as an engine announces them.
+func LoadedModels(doc *conf.Document) []endpoint.LoadedModel {
+	var models []endpoint.LoadedModel
+	for _, m := range doc.Models {
+		models = append(models, endpoint.LoadedModel{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
+	}
+	return models
+}
+
+// awaitPoll is how often the rig is looked at while waiting.
+const awaitPoll = 20 * time.Millisecond
+
+// TimeoutError says that a rig did not become ready.
+type TimeoutError struct{ What string }
+
+// Error implements error.
+func (e *TimeoutError) Error() string { return "timeout while waiting for " + e.What }
+
+// Await waits until each daemon knows the endpoints of its failure domain.
+func (r *Rig) Await(timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for !r.settled() {
+		if time.Now().After(deadline) {
+			return &TimeoutError{What: "endpoints to be known"}
+		}
+		time.Sleep(awaitPoll)
+	}
+	return nil
+}
+
+func (r *Rig) settled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wanted := make(map[string]int)
+	for _, e := range r.engines {
+		wanted[e.FailureDomain()]++
+	}
+	for _, s := range r.services {
+		wanted[s.FailureDomain()]++
+	}
+	for _, d := range r.daemons {
+		if len(d.Registry().List()) < wanted[d.FailureDomain()] || d.Config().Current() == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Close stops everything and removes a temporary folder.
+func (r *Rig) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.engines {
+		e.Close()
+	}
+	for _, s := range r.services {
+		s.Close()
+	}
+	var group sync.WaitGroup
+	for _, d := range r.daemons {
+		group.Go(d.Close)
+	}
+	group.Wait()
+	if r.owned {
+		_ = os.RemoveAll(r.folder)
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -89,6 +89,9 @@
 // ID returns the name of the engine.
 func (e *Engine) ID() string { return e.config.ID }
 
+// FailureDomain returns the failure domain that the engine announces.
+func (e *Engine) FailureDomain() string { return e.config.FailureDomain }
+
 // Incarnation returns the incarnation that the engine announces.
 func (e *Engine) Incarnation() uint64 { return e.config.Incarnation }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -110,6 +110,9 @@
 // BaseURL returns the address of the service.
 func (s *Service) BaseURL() string { return s.baseURL }
 
+// FailureDomain returns the failure domain that the service announces.
+func (s *Service) FailureDomain() string { return s.config.FailureDomain }
+
 // Ledger returns the record of what was run.
 func (s *Service) Ledger() *Ledger { return s.config.Ledger }
 
