Share less memory between concurrent decisions

Cause: readers of the prefix index took up to 16 contended read locks per decision, and each request wrote several cache lines per endpoint.

--- a/internal/core/route/endpoints.go
+++ b/internal/core/route/endpoints.go
@@ -70,7 +70,7 @@
 // InFlight returns the number of attempts of this entry at an endpoint.
 func (r *Router) InFlight(id string) int {
 	if st := r.lookup(id); st != nil {
-		return int(st.inFlight.Load())
+		return int(st.inFlight())
 	}
 	return 0
 }
--- a/internal/core/route/prefix.go
+++ b/internal/core/route/prefix.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	prefixShards = 64
+	// readLocks is the number of locks that readers spread over; see PrefixIndex.
+	readLocks = 16
 	// maxDepth bounds the blocks of a prompt that are looked up.
 	maxDepth = 1024
 	// doubtfulShare is the share of a hit that counts while the events of an
@@ -22,11 +23,16 @@
 
 // PrefixIndex knows which endpoints hold which prompt blocks, from cache
 // events. It is bounded: the oldest block that was not looked up since its
-// last chance is dropped first. It is safe for concurrent use.
+// last chance is dropped first. It is safe for concurrent use: a reader takes
+// one of the read locks, a writer all of them, so that the many readers share
+// no memory that they write.
 type PrefixIndex struct {
-	shards [prefixShards]prefixShard
+	locks  [readLocks]paddedLock
+	blocks map[uint64]*holders
+	order  []uint64
+	hand   int
+	limit  int
 
-	mu      sync.Mutex
 	sources map[string]*cacheSource
 	free    []int
 	retired [slotWords]uint64
@@ -36,13 +42,10 @@
 	doubtful [slotWords]atomic.Uint64
 }
 
-type prefixShard struct {
-	mu     sync.RWMutex
-	blocks map[uint64]*holders
-	order  []uint64
-	hand   int
-	limit  int
-	_      [64]byte
+// paddedLock fills a cache line of its own.
+type paddedLock struct {
+	sync.RWMutex
+	_ [64]byte
 }
 
 type cacheSource struct {
@@ -56,22 +59,32 @@
 
 // NewPrefixIndex returns an index of at most maxBlocks blocks.
 func NewPrefixIndex(maxBlocks int) *PrefixIndex {
-	x := &PrefixIndex{sources: make(map[string]*cacheSource)}
+	x := &PrefixIndex{
+		sources: make(map[string]*cacheSource), blocks: make(map[uint64]*holders), limit: max(maxBlocks, 1),
+	}
 	for i := maxSlots - 1; i >= 0; i-- {
 		x.free = append(x.free, i)
 	}
-	for i := range x.shards {
-		x.shards[i].blocks = make(map[uint64]*holders)
-		x.shards[i].limit = max(maxBlocks/prefixShards, 1)
-	}
 	return x
 }
 
+func (x *PrefixIndex) lock() {
+	for i := range x.locks {
+		x.locks[i].Lock()
+	}
+}
+
+func (x *PrefixIndex) unlock() {
+	for i := range x.locks {
+		x.locks[i].Unlock()
+	}
+}
+
 // Apply takes the events of one message. It reports whether the endpoint must
 // be asked for a complete list, because events are missing.
 func (x *PrefixIndex) Apply(batch *endpoint.CacheEvents) (wantReset bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	x.lock()
+	defer x.unlock()
 	src := x.source(batch.ID, batch.Incarnation)
 	if src == nil {
 		return false
@@ -86,8 +99,8 @@
 // reports whether a complete list is needed. Events count as lost when they
 // have not arrived by the announcement after the one that named them.
 func (x *PrefixIndex) Missed(id string, incarnation, newest uint64) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	x.lock()
+	defer x.unlock()
 	src := x.sources[id]
 	if src == nil || src.incarnation != incarnation {
 		return newest > 0
@@ -101,8 +114,8 @@
 
 // Forget drops an endpoint.
 func (x *PrefixIndex) Forget(id string) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	x.lock()
+	defer x.unlock()
 	if src := x.sources[id]; src != nil {
 		x.retire(src.slot)
 		delete(x.sources, id)
@@ -111,13 +124,9 @@
 
 // Len returns the number of blocks held.
 func (x *PrefixIndex) Len() int {
-	n := 0
-	for i := range x.shards {
-		x.shards[i].mu.RLock()
-		n += len(x.shards[i].blocks)
-		x.shards[i].mu.RUnlock()
-	}
-	return n
+	x.locks[0].RLock()
+	defer x.locks[0].RUnlock()
+	return len(x.blocks)
 }
 
 // source returns the record of an incarnation, nil for an old one or when no slot is free.
@@ -155,10 +164,10 @@
 	}
 	src.seq = e.Seq
 	if e.Kind == endpoint.CacheAdd {
-		x.shard(e.Block).add(e.Block, src.slot)
+		x.add(e.Block, src.slot)
 		return
 	}
-	x.shard(e.Block).remove(e.Block, src.slot)
+	x.remove(e.Block, src.slot)
 }
 
 // reset gives the endpoint a new slot: entries under the old one are ignored
@@ -209,9 +218,7 @@
 
 // sweep removes the entries of retired slots and frees the slots.
 func (x *PrefixIndex) sweep() {
-	for i := range x.shards {
-		x.shards[i].removeAll(&x.retired)
-	}
+	x.removeRetired()
 	for slot := range maxSlots {
 		if x.retired[slot/64]&(1<<(slot%64)) != 0 {
 			x.free = append(x.free, slot)
@@ -221,12 +228,10 @@
 	x.waiting = 0
 }
 
-func (x *PrefixIndex) shard(block uint64) *prefixShard { return &x.shards[block%prefixShards] }
-
 // slotOf returns the slot of an endpoint that sent events, and -1 for another.
 func (x *PrefixIndex) slotOf(id string, incarnation uint64) int32 {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	x.locks[0].RLock()
+	defer x.locks[0].RUnlock()
 	src := x.sources[id]
 	if src == nil || src.incarnation != incarnation {
 		return -1
@@ -235,7 +240,11 @@
 }
 
 // match fills depth with the number of leading blocks that each slot holds.
-func (x *PrefixIndex) match(hashes []uint64, depth []uint16) {
+// Readers with different numbers do not contend.
+func (x *PrefixIndex) match(hashes []uint64, depth []uint16, reader int) {
+	lock := &x.locks[reader%readLocks]
+	lock.RLock()
+	defer lock.RUnlock()
 	clear(depth)
 	if len(hashes) > maxDepth {
 		hashes = hashes[:maxDepth]
@@ -246,7 +255,11 @@
 		alive[i] = ^uint64(0)
 	}
 	for i, hash := range hashes {
-		if !x.shard(hash).meet(hash, &alive, words, i, depth) {
+		h := x.blocks[hash]
+		if h != nil && !h.used.Load() {
+			h.used.Store(true)
+		}
+		if !h.meet(&alive, words, i, depth) {
 			return
 		}
 	}
@@ -257,66 +270,50 @@
 	return x.doubtful[slot/64].Load()&(1<<(slot%64)) != 0
 }
 
-func (s *prefixShard) add(block uint64, slot int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h := s.blocks[block]
+func (x *PrefixIndex) add(block uint64, slot int) {
+	h := x.blocks[block]
 	if h == nil {
 		h = &holders{}
-		s.insert(block, h)
+		x.insert(block, h)
 	}
 	h.add(slot)
 }
 
 // insert puts a block in the place of one that had its second chance.
-func (s *prefixShard) insert(block uint64, h *holders) {
-	s.blocks[block] = h
-	if len(s.order) < s.limit {
-		s.order = append(s.order, block)
+func (x *PrefixIndex) insert(block uint64, h *holders) {
+	x.blocks[block] = h
+	if len(x.order) < x.limit {
+		x.order = append(x.order, block)
 		return
 	}
 	for {
-		s.hand = (s.hand + 1) % len(s.order)
-		victim := s.blocks[s.order[s.hand]]
+		x.hand = (x.hand + 1) % len(x.order)
+		victim := x.blocks[x.order[x.hand]]
 		if victim == nil || !victim.used.CompareAndSwap(true, false) {
 			break
 		}
 	}
-	delete(s.blocks, s.order[s.hand])
-	s.order[s.hand] = block
+	delete(x.blocks, x.order[x.hand])
+	x.order[x.hand] = block
 }
 
 // remove keeps the block itself, which has its place in the eviction order.
-func (s *prefixShard) remove(block uint64, slot int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if h := s.blocks[block]; h != nil {
+func (x *PrefixIndex) remove(block uint64, slot int) {
+	if h := x.blocks[block]; h != nil {
 		h.remove(slot)
 	}
 }
 
-func (s *prefixShard) removeAll(slots *[slotWords]uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	kept := s.order[:0]
-	for _, block := range s.order {
-		h := s.blocks[block]
-		h.removeAll(slots)
+func (x *PrefixIndex) removeRetired() {
+	kept := x.order[:0]
+	for _, block := range x.order {
+		h := x.blocks[block]
+		h.removeAll(&x.retired)
 		if h.empty() {
-			delete(s.blocks, block)
+			delete(x.blocks, block)
 			continue
 		}
 		kept = append(kept, block)
 	}
-	s.order, s.hand = kept, 0
-}
-
-func (s *prefixShard) meet(hash uint64, alive *[slotWords]uint64, words, i int, depth []uint16) bool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	h := s.blocks[hash]
-	if h != nil && !h.used.Load() {
-		h.used.Store(true)
-	}
-	return h.meet(alive, words, i, depth)
+	x.order, x.hand = kept, 0
 }
--- a/internal/core/route/prefix_test.go
+++ b/internal/core/route/prefix_test.go
@@ -84,7 +84,7 @@
 		}
 		depth := make([]uint16, maxSlots)
 		hashes := []uint64{0, 1, 2, 3, 4, 5}
-		x.match(hashes, depth)
+		x.match(hashes, depth, 0)
 		for id, set := range naive {
 			want := 0
 			for want < len(hashes) && set[hashes[want]] {
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -28,6 +28,7 @@
 	picker  Picker
 	prefix  *PrefixIndex
 	scratch sync.Pool
+	readers atomic.Int32
 	shards  [stateShards]stateShard
 }
 
@@ -53,6 +54,8 @@
 	view   View
 	scored []Scored
 	depth  []uint16
+	// reader spreads the readers of the prefix index over its locks.
+	reader int
 }
 
 // Option changes a router.
@@ -69,7 +72,9 @@
 		picker:  NearEqualPicker{},
 		prefix:  NewPrefixIndex(indexBlocks),
 	}
-	r.scratch.New = func() any { return &scratch{depth: make([]uint16, maxSlots)} }
+	r.scratch.New = func() any {
+		return &scratch{depth: make([]uint16, maxSlots), reader: int(r.readers.Add(1))}
+	}
 	for i := range r.shards {
 		r.shards[i].states = make(map[string]*state)
 	}
@@ -166,7 +171,7 @@
 		CrossDomain: float64(cfg.routing.CrossDomainPenaltyMS) / 1000,
 	}
 	if len(req.PrefixHashes) > 0 {
-		r.prefix.match(req.PrefixHashes, w.depth)
+		r.prefix.match(req.PrefixHashes, w.depth, w.reader)
 	}
 	if d, ok := r.probe(w, pool, random); ok {
 		return d, nil
--- a/internal/core/route/snapshot.go
+++ b/internal/core/route/snapshot.go
@@ -1,9 +1,11 @@
 package route
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/boragelead/boragelead/api/endpoint"
@@ -19,8 +21,9 @@
 	entries []entry
 	// config is the configuration that prices and priors come from.
 	config *config
-	mu     sync.RWMutex
-	pools  map[poolKey]*pool
+	// pools is replaced as a whole, so that reads take no lock.
+	mu    sync.Mutex
+	pools atomic.Pointer[map[poolKey]*pool]
 	// numbers gives each failure domain a number.
 	numbers map[string]int32
 }
@@ -54,7 +57,8 @@
 // Snapshot prepares candidates for decisions. The candidates must not change after.
 func (r *Router) Snapshot(candidates []*Candidate) *Snapshot {
 	cfg := r.config.Load()
-	s := &Snapshot{entries: make([]entry, len(candidates)), config: cfg, pools: make(map[poolKey]*pool)}
+	s := &Snapshot{entries: make([]entry, len(candidates)), config: cfg}
+	s.pools.Store(&map[poolKey]*pool{})
 	for i, c := range candidates {
 		st := r.endpoint(c, cfg)
 		st.reported.Store(int64(c.Load.Running))
@@ -132,9 +136,7 @@
 // pool returns the candidates for a kind of request. The first request of a
 // kind computes them.
 func (s *Snapshot) pool(key poolKey) *pool {
-	s.mu.RLock()
-	p := s.pools[key]
-	s.mu.RUnlock()
+	p := (*s.pools.Load())[key]
 	if p != nil {
 		return p
 	}
@@ -157,8 +159,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.pools) < maxPools {
-		s.pools[key] = p
+	if known := *s.pools.Load(); len(known) < maxPools {
+		next := maps.Clone(known)
+		next[key] = p
+		s.pools.Store(&next)
 	}
 	return p
 }
@@ -172,24 +176,24 @@
 	v.Candidate, v.state, v.expiresAt, v.Price = e.Candidate, s, e.expiresAt, e.price
 	v.Speed = s.learner.speed()
 	v.Remote = ctx.domain >= 0 && e.domain != ctx.domain
-	known := s.inFlight.Load() + max(s.peerInFlight.Load(), int64(e.PeerInFlight))
-	changed := (s.started.Load() - e.base.started) - (s.done.Load() - e.base.done)
+	now := s.counts()
+	known := now.started - now.done + max(s.peerInFlight.Load(), int64(e.PeerInFlight))
+	changed := (now.started - e.base.started) - (now.done - e.base.done)
 	v.Queue = int(max(known, int64(e.Load.Running+e.Load.Waiting)+changed, 0))
-	v.WaitTokens = e.waitTokens(ctx, &v.Speed)
+	v.WaitTokens = e.waitTokens(ctx, &now, &v.Speed)
 	v.CachedTokens = 0
 }
 
 // waitTokens estimates the prefill work ahead: the reported work less what was
 // done since, and what was sent since. It is at least what this entry and its
 // peers know to be waiting.
-func (e *entry) waitTokens(ctx *Input, speed *Speed) int {
-	s := e.state
+func (e *entry) waitTokens(ctx *Input, now *counts, speed *Speed) int {
 	waiting := 0.0
 	if e.Load.WaitingTokens > 0 {
 		age := float64(ctx.nowNano-e.loadAt) / float64(time.Second)
 		waiting = max(float64(e.Load.WaitingTokens)-age/speed.PrefillS, 0)
 	}
-	sent := (s.startedTokens.Load() - e.base.startedTokens) - (s.donePrefill.Load() - e.base.donePrefill)
+	sent := (now.startedTokens - e.base.startedTokens) - (now.donePrefill - e.base.donePrefill)
 	waiting += float64(max(sent, 0))
-	return int(max(waiting, float64(s.pending.Load()+s.peerPending.Load())))
+	return int(max(waiting, float64(now.startedTokens-now.donePrefill+e.state.peerPending.Load())))
 }
--- a/internal/core/route/state.go
+++ b/internal/core/route/state.go
@@ -26,17 +26,19 @@
 	counts
 }
 
-// state is what the router keeps of one endpoint between decisions.
+// state is what the router keeps of one endpoint between decisions. The
+// counters that each request writes share one cache line, apart from what
+// decisions only read.
 type state struct {
-	learner learner
-	// inFlight counts what this entry has running there; pending its prompt
-	// tokens that wait for a first token.
-	inFlight, pending                         atomic.Int64
 	started, done, startedTokens, donePrefill atomic.Int64
-	blocked, isolated                         atomic.Bool
-	slot                                      atomic.Int32
-	peerInFlight, peerPending                 atomic.Int64
-	probing                                   atomic.Int32
+	// lastMark is the time of the newest mark.
+	lastMark atomic.Int64
+	_        [24]byte
+
+	learner                   learner
+	blocked, isolated         atomic.Bool
+	slot, probing             atomic.Int32
+	peerInFlight, peerPending atomic.Int64
 	// reported is the batch size of the newest load report.
 	reported atomic.Int64
 
@@ -49,6 +51,12 @@
 	peers       map[string]peerReport
 }
 
+// inFlight counts what this entry has running there.
+func (s *state) inFlight() int64 { return s.started.Load() - s.done.Load() }
+
+// pending counts the prompt tokens of this entry that wait for a first token.
+func (s *state) pending() int64 { return s.startedTokens.Load() - s.donePrefill.Load() }
+
 func (s *state) counts() counts {
 	return counts{
 		started: s.started.Load(), done: s.done.Load(),
@@ -59,12 +67,15 @@
 // remember keeps the counters before the first change of each interval.
 func (s *state) remember(now time.Time) {
 	at := now.UnixNano()
+	if last := s.lastMark.Load(); last != 0 && at-last < int64(markInterval) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	last := &s.ring[(s.next+marks-1)%marks]
-	if last.at != 0 && at-last.at < int64(markInterval) {
+	if last := s.lastMark.Load(); last != 0 && at-last < int64(markInterval) {
 		return
 	}
+	s.lastMark.Store(at)
 	s.ring[s.next] = mark{at: at, counts: s.counts()}
 	s.next = (s.next + 1) % marks
 }
@@ -103,8 +114,6 @@
 	f := Flight{state: d.state, tokens: d.tokens, work: d.work, startedAt: now, probe: d.Probe}
 	s := d.state
 	s.remember(now)
-	s.inFlight.Add(1)
-	s.pending.Add(int64(d.tokens))
 	s.started.Add(1)
 	s.startedTokens.Add(int64(d.tokens))
 	if d.Probe {
@@ -140,7 +149,6 @@
 		f.endPrefill(now)
 	}
 	f.state.remember(now)
-	f.state.inFlight.Add(-1)
 	f.state.done.Add(1)
 	if f.probe {
 		f.state.probing.Add(-1)
@@ -149,7 +157,6 @@
 
 func (f *Flight) endPrefill(now time.Time) {
 	f.state.remember(now)
-	f.state.pending.Add(-int64(f.tokens))
 	f.state.donePrefill.Add(int64(f.tokens))
 }
 
@@ -158,7 +165,7 @@
 		return
 	}
 	seconds := now.Sub(f.sampleAt).Seconds() / float64(f.sampled)
-	batch := max(f.state.inFlight.Load()+f.state.peerInFlight.Load(), f.state.reported.Load())
+	batch := max(f.state.inFlight()+f.state.peerInFlight.Load(), f.state.reported.Load())
 	f.state.learner.observeDecode(seconds, int(batch))
 	f.sampleAt, f.sampled = now, 0
 }
--- a/internal/core/route/summary.go
+++ b/internal/core/route/summary.go
@@ -34,7 +34,7 @@
 		shard := &r.shards[i]
 		shard.mu.RLock()
 		for id, st := range shard.states {
-			entry := summary{ID: id, InFlight: st.inFlight.Load(), Pending: st.pending.Load()}
+			entry := summary{ID: id, InFlight: st.inFlight(), Pending: st.pending()}
 			if st.learner.seen.Load() > 0 {
 				speed := st.learner.speed()
 				entry.Prefill, entry.Base, entry.Slope = nanos(speed.PrefillS), nanos(speed.BaseS), nanos(speed.SlopeS)
