--- /dev/null
+++ b/internal/adminclient/doc.go
@@ -0,0 +1,2 @@
+// Package adminclient is the client of the operators' interface.
+package adminclient
