Add the operators' commands to the command line

Cause: the program had one command, dev, and no exit codes to script with. Each command has a file with a registration function. Conclusion: other commands are added to the list in main.go.

--- a/cmd/boragelead/main.go
+++ b/cmd/boragelead/main.go
@@ -2,30 +2,25 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
-
-	"github.com/integrii/flaggy"
+	"os/signal"
+	"syscall"
 )
 
+// registrations lists the commands of the program in the order of the help.
+// Each command has a file of its own with a function that adds it.
+var registrations = []func(*app){
+	registerConfig,
+	registerStatus,
+	registerDrain,
+	registerExplain,
+	registerDev,
+}
+
 func main() {
-	flaggy.SetName("boragelead")
-	flaggy.SetDescription("command line for operators and developers of boragelead")
-	var options devOptions
-	dev := flaggy.NewSubcommand("dev")
-	dev.Description = "run a daemon and stand-in endpoints in one process on loopback"
-	options.document = "examples/portfolio.json"
-	options.listen = "127.0.0.1:8080"
-	dev.String(&options.document, "d", "document", "operators' document")
-	dev.String(&options.listen, "l", "listen", "address for callers")
-	flaggy.AttachSubcommand(dev, 1)
-	flaggy.Parse()
-	if !dev.Used {
-		flaggy.ShowHelp("")
-		os.Exit(1)
-	}
-	if err := runDev(options); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := newApp(os.Stdout, os.Stderr).run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
 }
--- /dev/null
+++ b/cmd/boragelead/promote.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/integrii/flaggy"
+
+	"github.com/boragelead/boragelead/internal/adminclient"
+	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/status"
+)
+
+const (
+	// resendPause lies between resends after a lost answer; an election takes up to 2 s.
+	resendPause = 500 * time.Millisecond
+	// waitPause lies between two looks at the daemons.
+	waitPause = 250 * time.Millisecond
+)
+
+// promotion holds the flags of config promote.
+type promotion struct {
+	*remote
+	file        string
+	operationID string
+	etag        string
+	first       bool
+	wait        bool
+}
+
+func registerPromote(a *app, group *flaggy.Subcommand) {
+	p := &promotion{}
+	sub := a.add(group, "promote", "put a document in force", []string{
+		"boragelead config promote production.json --wait",
+		"boragelead config promote production.json --first   # no configuration yet",
+		"boragelead config promote production.json --operation-id ID --if-match ETAG   # resend",
+	}, p.run)
+	sub.AddPositionalValue(&p.file, "file", 1, true, "operators' document")
+	sub.Bool(&p.wait, "w", "wait", "wait until all daemons have the generation")
+	sub.Bool(&p.first, "", "first", "promote the first configuration")
+	sub.String(&p.operationID, "", "operation-id", "ID of an earlier attempt whose answer was lost")
+	sub.String(&p.etag, "", "if-match", "ETag of the generation to replace; without it the current one is replaced")
+	p.remote = a.remoteFlags(sub)
+}
+
+// promoted is the JSON form of the outcome.
+type promoted struct {
+	status.Config
+	Daemons []status.Daemon `json:"daemons,omitempty"`
+}
+
+func (p *promotion) run(ctx context.Context) error {
+	if err := p.checkFlags(); err != nil {
+		return err
+	}
+	data, _, err := readDocument(p.file)
+	if err != nil {
+		return err
+	}
+	outcome := promoted{}
+	err = p.ask(ctx, func(ctx context.Context, client *adminclient.Client) error {
+		request, err := p.request(ctx, client, data)
+		if err != nil {
+			return err
+		}
+		p.app.note("operation ID %s, replaces %s", request.OperationID, describeETag(request.ETag))
+		outcome.Config, err = p.send(ctx, client, request)
+		if err != nil {
+			return err
+		}
+		if !p.json {
+			p.app.printf("generation %d is promoted\n", outcome.Generation)
+		}
+		if p.wait {
+			outcome.Daemons, err = p.waitEverywhere(ctx, client, outcome.Generation)
+		}
+		return err
+	})
+	if p.json && outcome.Generation > 0 {
+		return errors.Join(err, p.app.printJSON(outcome))
+	}
+	return err
+}
+
+func (p *promotion) checkFlags() error {
+	if p.first && p.etag != "" {
+		return &usageError{message: "give --first or --if-match, not both"}
+	}
+	if p.operationID != "" && p.etag == "" && !p.first {
+		return &usageError{message: "a resend needs the --if-match (or --first) of the first attempt as well"}
+	}
+	return nil
+}
+
+// request chooses operation ID and ETag.
+func (p *promotion) request(ctx context.Context, client *adminclient.Client, data []byte) (adminclient.Promotion, error) {
+	request := adminclient.Promotion{Document: data, OperationID: p.operationID, ETag: quoteETag(p.etag)}
+	if request.OperationID == "" {
+		request.OperationID = uuid.NewString()
+	}
+	if p.first || p.etag != "" {
+		return request, nil
+	}
+	current, err := client.Config(ctx)
+	var answered *adminclient.Error
+	if errors.As(err, &answered) && answered.Detail.Code == status.CodeNotFound {
+		return request, &usageError{message: "there is no configuration yet; give --first"}
+	}
+	if err != nil {
+		return request, err
+	}
+	p.showChanges(current.Document, data)
+	request.ETag = current.ETag
+	return request, nil
+}
+
+func (p *promotion) showChanges(before, after []byte) {
+	if p.json {
+		return
+	}
+	old, err := conf.Parse(before)
+	if err != nil {
+		// Another version of the program promoted it; the promotion goes on without a diff.
+		return
+	}
+	if doc, err := conf.Parse(after); err == nil {
+		p.app.printChanges(conf.Diff(old, doc))
+	}
+}
+
+// quoteETag adds the quotes that a shell took away.
+func quoteETag(tag string) string {
+	if tag == "" || strings.HasPrefix(tag, `"`) {
+		return tag
+	}
+	return `"` + tag + `"`
+}
+
+func describeETag(tag string) string {
+	if tag == "" {
+		return "nothing (first configuration)"
+	}
+	return "ETag " + strings.Trim(tag, `"`)
+}
+
+// send promotes, and resends with the same operation ID while the outcome is
+// unknown, which is safe: an operation takes effect at most once.
+func (p *promotion) send(ctx context.Context, client *adminclient.Client, request adminclient.Promotion) (status.Config, error) {
+	for {
+		config, err := client.Promote(ctx, request)
+		if err == nil || !outcomeUnknown(err) {
+			return config, err
+		}
+		select {
+		case <-ctx.Done():
+			p.app.note("the outcome is unknown; resend with %s", resendFlags(request))
+			return config, err
+		case <-time.After(resendPause):
+			p.app.note("the answer is lost (%v); resending with the same operation ID", err)
+		}
+	}
+}
+
+func resendFlags(request adminclient.Promotion) string {
+	flags := "--operation-id " + request.OperationID
+	if request.ETag == "" {
+		return flags + " --first"
+	}
+	return flags + " --if-match " + strings.Trim(request.ETag, `"`)
+}
+
+// outcomeUnknown reports whether a promotion may have taken effect although
+// its answer did not arrive. A failed dial proves that nothing was sent.
+func outcomeUnknown(err error) bool {
+	var unreachable *adminclient.UnreachableError
+	if errors.As(err, &unreachable) {
+		var network *net.OpError
+		return !errors.As(err, &network) || network.Op != "dial"
+	}
+	var answered *adminclient.Error
+	return errors.As(err, &answered) && answered.Detail.MayTakeEffect != nil && *answered.Detail.MayTakeEffect
+}
+
+// waitEverywhere returns when all daemons have the generation, or with a
+// notEverywhereError when the time is over.
+func (p *promotion) waitEverywhere(ctx context.Context, client *adminclient.Client, generation uint64) ([]status.Daemon, error) {
+	started := time.Now()
+	var daemons []status.Daemon
+	missing := &notEverywhereError{generation: generation}
+	for {
+		view, err := client.Status(ctx)
+		if err == nil {
+			daemons = view.Daemons
+			missing = behind(daemons, generation)
+			if len(missing.behind)+len(missing.silent) == 0 {
+				if !p.json {
+					p.app.printf("in force on all %d daemons after %.1f s\n", len(daemons), time.Since(started).Seconds())
+				}
+				return daemons, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return daemons, missing
+		case <-time.After(waitPause):
+		}
+	}
+}
+
+// behind sorts out the daemons that do not have the generation.
+func behind(daemons []status.Daemon, generation uint64) *notEverywhereError {
+	missing := &notEverywhereError{generation: generation}
+	for _, d := range daemons {
+		switch {
+		case d.Generation >= generation:
+		case d.State == status.Silent:
+			missing.silent = append(missing.silent, d.Name)
+		default:
+			missing.behind = append(missing.behind, d.Name)
+		}
+	}
+	return missing
+}
--- a/internal/adapter/adminhttp/errors.go
+++ b/internal/adapter/adminhttp/errors.go
@@ -82,5 +82,7 @@
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(code)
 	// A failed write means that the operator is gone; nobody is left to tell.
-	_ = json.NewEncoder(w).Encode(body)
+	encoder := json.NewEncoder(w)
+	encoder.SetEscapeHTML(false)
+	_ = encoder.Encode(body)
 }
