Add log files, replica and client

Cause: consensus and ledger need files, a network and an interface. A renewal or release of a lease names its grant, because a late copy of a release would otherwise end a newer grant of the same holder. Schedules with islands of nodes, crashes at deliveries and restarts at once, because the first ones missed a vote forgotten in a restart.

--- a/internal/core/ledger/command.go
+++ b/internal/core/ledger/command.go
@@ -35,6 +35,8 @@
 	Holder  string        `json:"holder"`
 	TTL     time.Duration `json:"ttl"`
 	Release bool          `json:"release,omitempty"`
+	// Fencing is the number of the grant that is renewed or released; 0 asks for a new grant.
+	Fencing uint64 `json:"fencing,omitempty"`
 	// Elapsed is set by the leader, as in Tick: without it the time before the
 	// grant would count against the lease.
 	Elapsed time.Duration `json:"elapsed,omitempty"`
--- a/internal/core/ledger/lease.go
+++ b/internal/core/ledger/lease.go
@@ -20,7 +20,7 @@
 	Name   string        `json:"name"`
 	Holder string        `json:"holder"`
 	TTL    time.Duration `json:"ttl"`
-	// Fencing is the log index of the grant; renewals keep it.
+	// Fencing is the log index of the grant; a renewal that names it keeps it.
 	Fencing uint64 `json:"fencing"`
 	// Expires is the time of the ledger from which another holder can get the lease.
 	Expires time.Duration `json:"expires"`
@@ -38,7 +38,8 @@
 		held = nil
 	}
 	if req.Release {
-		if held != nil && held.Holder == req.Holder {
+		// The number keeps a late copy of a release from ending a newer grant.
+		if held != nil && held.Holder == req.Holder && held.Fencing == req.Fencing {
 			delete(s.leases, req.Name)
 		}
 		return Outcome{}
@@ -49,8 +50,10 @@
 	next := &lease{
 		Name: req.Name, Holder: req.Holder, TTL: req.TTL, Fencing: s.index, Expires: s.now + guarded(req.TTL),
 	}
-	if held != nil {
+	if held != nil && held.Fencing == req.Fencing {
 		next.Fencing = held.Fencing
+	}
+	if held != nil {
 		// A shorter renewal that overtook a longer one must not cut it.
 		next.Expires = max(next.Expires, held.Expires)
 	}
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -141,7 +141,14 @@
 		second := m.lease("b", time.Second, time.Millisecond)
 		Expect(second.Granted).To(BeTrue())
 		Expect(second.FencingNumber).To(BeNumerically(">", first.FencingNumber))
-		Expect(m.lease("b", time.Second, 0).FencingNumber).To(Equal(second.FencingNumber))
+		renew := &ledger.LeaseRequest{Name: "c", Holder: "b", TTL: time.Second, Fencing: second.FencingNumber}
+		Expect(m.do(ledger.Command{Lease: renew}).Lease.FencingNumber).To(Equal(second.FencingNumber))
+		third := m.lease("b", time.Second, 0)
+		Expect(third.FencingNumber).To(BeNumerically(">", second.FencingNumber))
+		// A late copy of the release of the second grant leaves the third alone.
+		release := &ledger.LeaseRequest{Name: "c", Holder: "b", Release: true, Fencing: second.FencingNumber}
+		m.do(ledger.Command{Lease: release})
+		Expect(m.lease("a", time.Second, 0).Granted).To(BeFalse())
 	})
 
 	// Guards against a snapshot that changes after it was taken.
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -179,7 +179,7 @@
 	if !r.termOpened() {
 		return 0, 0, &BusyError{Reason: BusyTerm}
 	}
-	if r.configs[len(r.configs)-1].index > r.log.commit {
+	if !r.ConfigCommitted() {
 		return 0, 0, &BusyError{Reason: BusyChange}
 	}
 	next, err := r.config().apply(change)
@@ -286,6 +286,23 @@
 // Role returns role, term and known leader without allocating.
 func (r *Raft) Role() (Role, uint64, ID) { return r.role, r.term, r.leader }
 
+// ConfigCommitted reports whether the present configuration is committed.
+func (r *Raft) ConfigCommitted() bool { return r.configs[len(r.configs)-1].index <= r.log.commit }
+
+// Applied is the index up to which Advance confirmed that entries were applied.
+func (r *Raft) Applied() uint64 { return r.log.applied }
+
+// Address returns where a member of the present configuration is.
+func (r *Raft) Address(id ID) (string, bool) {
+	config := r.config()
+	for _, list := range [][]Member{config.Voters, config.Learners} {
+		if at := indexOf(list, id); at >= 0 {
+			return list[at].Address, true
+		}
+	}
+	return "", false
+}
+
 // peers returns the tracked members but the node itself, in a fixed order.
 func (r *Raft) peers() []ID {
 	ids := make([]ID, 0, len(r.progress))
--- a/internal/core/raft/schedule_test.go
+++ b/internal/core/raft/schedule_test.go
@@ -96,44 +96,49 @@
 				c.deliver(pick, c.random.IntN(12) == 0, c.random.IntN(12) == 0)
 			}
 		}
-	case action < 70:
+	case action < 62:
 		c.tick(arg)
+	case action < 70:
+		c.island(arg)
 	case action < 90:
 		c.propose(arg)
-	case action < 94:
+	case action < 92:
 		for _, each := range c.nodes {
 			if each.raft != nil {
 				c.read(each)
 				c.process(each, noCrash)
 			}
 		}
-	case action < 99:
+	case action < 97:
 		if n.raft != nil {
 			n.raft.Tick()
 			_, _, _ = n.raft.Propose(c.command(arg))
 			c.process(n, crashPoint(1+arg%2))
 			n.raft = nil
+			if arg/2%2 == 0 {
+				c.start(n)
+			}
 		}
-	case action < 106:
+	case action < 104:
 		for _, each := range c.nodes {
 			if each.raft == nil {
 				c.start(each)
 				break
 			}
 		}
-	case action < 110:
+	case action < 108:
 		c.partition(at, arg)
-	case action < 114:
+	case action < 112:
 		c.blocked = map[[2]int]bool{}
-	case action < 117:
+	case action < 115:
 		if n.raft != nil {
 			c.compact(n)
 		}
-	case action < 119:
+	case action < 117:
 		if len(c.lost) < 3 && c.survives(n.id) {
 			c.addNode(at)
 		}
-	case action < 126:
+	case action < 122:
 		c.change(arg)
 	default:
 		if leader := c.leader(); leader != nil {
@@ -169,6 +174,31 @@
 	}
 }
 
+// island lets a few nodes run alone and drops all else, which leaves logs that
+// are replicated in part and leaders with entries of many terms.
+func (c *cluster) island(arg uint32) {
+	inside := func(id raft.ID) bool {
+		at := c.position(id)
+		return at >= 0 && arg>>at&1 == 1 && c.nodes[at].raft != nil
+	}
+	for round := range arg >> 8 % 24 {
+		for _, n := range c.nodes {
+			if !inside(n.id) {
+				continue
+			}
+			n.raft.Tick()
+			if c.random.IntN(4) == 0 {
+				_, _, _ = n.raft.Propose(c.command(arg + round))
+			}
+			c.process(n, noCrash)
+		}
+		for i := 0; i < 60 && len(c.network) > 0 && c.random.IntN(40) > 0; i++ {
+			c.deliver(0, false, !inside(c.network[0].From) || !inside(c.network[0].To))
+		}
+	}
+	c.network = nil
+}
+
 // partition cuts a node off: both ways, or only what it sends, or only what it receives.
 func (c *cluster) partition(at int, arg uint32) {
 	if leader := c.leader(); leader != nil && arg%2 == 0 {
--- a/internal/core/raft/sim_test.go
+++ b/internal/core/raft/sim_test.go
@@ -67,6 +67,8 @@
 	model     *naive
 	outcomes  []ledger.Outcome
 	contexts  uint64
+	// crashOneIn is the share of deliveries at which the receiver crashes; 0 means none.
+	crashOneIn int
 	// elections, snapshots and reads count what the schedules reached.
 	elections, snapshots, reads, changes int
 }
@@ -78,6 +80,7 @@
 		blocked: map[[2]int]bool{}, lost: map[raft.ID]bool{}, leaders: map[uint64]raft.ID{},
 		random: rand.New(rand.NewPCG(seed, 1)), model: newNaive(),
 	}
+	c.crashOneIn = []int{0, 60, 20, 8}[c.random.IntN(4)]
 	// Index 1 is the snapshot that every first voter starts from.
 	c.committed = make([]raft.Entry, 2)
 	c.outcomes = make([]ledger.Outcome, 2)
@@ -155,7 +158,19 @@
 		return
 	}
 	c.nodes[to].raft.Step(m)
-	c.process(c.nodes[to], noCrash)
+	c.process(c.nodes[to], c.drawCrash())
+	if c.nodes[to].raft == nil {
+		c.start(c.nodes[to])
+	}
+}
+
+// drawCrash lets a node crash while it handles a message and restart at once,
+// which is when a vote or an acknowledgement that was not synced does harm.
+func (c *cluster) drawCrash() crashPoint {
+	if c.crashOneIn == 0 || c.random.IntN(c.crashOneIn) > 0 {
+		return noCrash
+	}
+	return crashPoint(1 + c.random.IntN(2))
 }
 
 func (c *cluster) process(n *node, crash crashPoint) {
@@ -323,6 +338,7 @@
 
 // settle ends all faults and expects that the cluster accepts a command again.
 func (c *cluster) settle() {
+	c.crashOneIn = 0
 	c.blocked = map[[2]int]bool{}
 	for _, n := range c.nodes {
 		if n.raft == nil {
--- /dev/null
+++ b/internal/replica/bench_test.go
@@ -0,0 +1,107 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/replica"
+)
+
+// claimers is the number of concurrent claimers of the benchmarks.
+const claimers = 512
+
+// BenchmarkClaims measures claims per second and their latency on three
+// replicas with synced writes, with group commit and with one sync per claim.
+func BenchmarkClaims(b *testing.B) {
+	for name, batch := range map[string]int{"group": 0, "single": 1} {
+		b.Run(name, func(b *testing.B) {
+			c := newCluster(b, 3, func(o *replica.Options) { o.MaxBatch = batch })
+			leader := c.nodes[c.leader()]
+			syncs := c.status(c.leader()).Syncs
+			var next atomic.Int64
+			var wait sync.WaitGroup
+			times := make([][]time.Duration, claimers)
+			b.ResetTimer()
+			for w := range claimers {
+				wait.Add(1)
+				go func() {
+					defer wait.Done()
+					for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+						begin := time.Now()
+						key := fmt.Sprintf("%s-%d", b.Name(), n)
+						if _, err := leader.Claim(context.Background(), claimRequest(key, key)); err != nil {
+							b.Error(err)
+						}
+						times[w] = append(times[w], time.Since(begin))
+					}
+				}()
+			}
+			wait.Wait()
+			b.StopTimer()
+			all := slices.Concat(times...)
+			slices.Sort(all)
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+			b.ReportMetric(float64(all[len(all)/2].Microseconds())/1000, "p50-ms")
+			b.ReportMetric(float64(all[len(all)*99/100].Microseconds())/1000, "p99-ms")
+			b.ReportMetric(float64(b.N)/float64(c.status(c.leader()).Syncs-syncs), "claims/sync")
+		})
+	}
+}
+
+// BenchmarkSync measures one write and sync of the size of a claim, the floor
+// of a claim without group commit.
+func BenchmarkSync(b *testing.B) {
+	file, err := os.Create(b.TempDir() + "/sync")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	data := make([]byte, 256)
+	for b.Loop() {
+		if _, err := file.Write(data); err != nil {
+			b.Fatal(err)
+		}
+		if err := file.Sync(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkServiceGap measures the longest time between two granted claims
+// around the stop of the leader, at default settings. b.N is the number of stops.
+func BenchmarkServiceGap(b *testing.B) {
+	c := newCluster(b, 3, nil)
+	ctx := context.Background()
+	var gaps []time.Duration
+	for round := range b.N {
+		client, last, gap := c.client(), time.Now(), time.Duration(0)
+		stopped := -1
+		for i := 0; time.Since(last) < 10*time.Second && (stopped < 0 || i < 400); i++ {
+			key := fmt.Sprintf("%d-%d-%d", b.N, round, i)
+			result, err := client.Claim(ctx, claimRequest(key, key))
+			if err == nil && result.State == port.ClaimGranted {
+				gap, last = max(gap, time.Since(last)), time.Now()
+			}
+			if i == 100 {
+				stopped = c.leader()
+				last = time.Now()
+				// Killing the connections without Resign is what a sudden death looks like.
+				go c.stop(stopped)
+			}
+		}
+		gaps = append(gaps, gap)
+		time.Sleep(100 * time.Millisecond)
+		c.start(stopped)
+		c.waitVoters(3)
+	}
+	slices.Sort(gaps)
+	b.ReportMetric(gaps[len(gaps)/2].Seconds(), "median-gap-s")
+	b.ReportMetric(gaps[len(gaps)-1].Seconds(), "max-gap-s")
+}
--- /dev/null
+++ b/internal/replica/member.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/internal/core/raft"
+)
+
+// maintain makes at most one step towards the wanted voters: a learner that
+// caught up replaces the voter that had its address before (whose folder is
+// gone), or fills up the number of voters.
+func (r *Replica) maintain() {
+	s := r.raft.Status()
+	change, ok := nextChange(&s, r.opts.Voters)
+	if !ok {
+		return
+	}
+	if _, _, err := r.raft.ProposeChange(change); err == nil {
+		r.log.Info("Membership changes.", zap.Uint8("kind", uint8(change.Kind)),
+			zap.Uint64("replica", uint64(change.Member.ID)), zap.String("address", change.Member.Address))
+	}
+}
+
+// nextChange returns the next step, if one is due. The newer of two members
+// with one address is behind the other in its list.
+func nextChange(s *raft.Status, voters int) (raft.Change, bool) {
+	for _, list := range [][]raft.Member{s.Config.Voters, s.Config.Learners} {
+		for i, m := range list {
+			if m.ID != s.ID && addressIn(list[i+1:], m.Address) {
+				return raft.Change{Kind: raft.RemoveMember, Member: m}, true
+			}
+		}
+	}
+	for _, m := range s.Config.Learners {
+		replaces := addressIn(s.Config.Voters, m.Address)
+		if s.Active[m.ID] && s.Match[m.ID] > 0 && (replaces || len(s.Config.Voters) < voters) {
+			return raft.Change{Kind: raft.PromoteLearner, Member: m}, true
+		}
+	}
+	return raft.Change{}, false
+}
+
+func addressIn(list []raft.Member, address string) bool {
+	for _, m := range list {
+		if m.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// handleJoin adds a learner. It answers with the cluster once that is committed.
+func (r *Replica) handleJoin(ctx context.Context, req *request) reply {
+	req.Change.Kind = raft.AddLearner
+	answer := r.change(ctx, req.Change)
+	if answer.Error != nil {
+		return answer
+	}
+	return reply{Status: &Status{Cluster: r.cluster.Load()}}
+}
+
+// handleMember promotes, removes or replaces a member.
+func (r *Replica) handleMember(ctx context.Context, req *request) reply {
+	answer := r.change(ctx, req.Change)
+	if answer.Error != nil || req.Lost == 0 {
+		return answer
+	}
+	// Promote first: the learner holds the log, and the lost voter may not be lost after all.
+	return r.change(ctx, raft.Change{Kind: raft.RemoveMember, Member: raft.Member{ID: req.Lost}})
+}
+
+// change proposes a membership change and waits for its commit. A change that
+// is already in force succeeds, so that it can be repeated.
+func (r *Replica) change(ctx context.Context, change raft.Change) reply {
+	return r.await(ctx, &proposal{change: &change, answer: make(chan reply, 1)})
+}
+
+// inForce reports whether a change would change nothing.
+func inForce(config *raft.Configuration, change raft.Change) bool {
+	id := change.Member.ID
+	switch change.Kind {
+	case raft.AddLearner:
+		return config.IsLearner(id) || config.IsVoter(id)
+	case raft.PromoteLearner:
+		return config.IsVoter(id)
+	default:
+		return !config.IsLearner(id) && !config.IsVoter(id)
+	}
+}
+
+// Resign hands the leadership to the voter that is furthest, if this replica leads.
+func (r *Replica) Resign() {
+	r.submit(func() {
+		s := r.raft.Status()
+		var best raft.ID
+		for _, m := range s.Config.Voters {
+			if m.ID != s.ID && s.Active[m.ID] && (best == 0 || s.Match[m.ID] > s.Match[best]) {
+				best = m.ID
+			}
+		}
+		if best != 0 {
+			_ = r.raft.Transfer(best)
+		}
+	})
+}
--- /dev/null
+++ b/internal/replica/process.go
@@ -0,0 +1,140 @@
+package replica
+
+import (
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/internal/adapter/wal"
+	"github.com/boragelead/boragelead/internal/core/raft"
+)
+
+// process writes, sends and applies until the consensus has no more work.
+func (r *Replica) process() error {
+	for {
+		r.noteRole()
+		rd, work := r.raft.Ready()
+		if !work {
+			return nil
+		}
+		r.network.send(rd.Early)
+		if err := r.save(&rd); err != nil {
+			return err
+		}
+		r.network.send(rd.Messages)
+		if err := r.apply(&rd); err != nil {
+			return err
+		}
+		r.raft.Advance(rd)
+		r.answerReads(rd.Reads)
+		r.maybeSnapshot()
+	}
+}
+
+func (r *Replica) save(rd *raft.Ready) error {
+	batch := wal.Batch{HardState: rd.HardState, Entries: rd.Entries}
+	if rd.Snapshot != nil {
+		if err := r.wal.SaveSnapshot(rd.Snapshot); err != nil {
+			return err
+		}
+		batch.Reset = &wal.Position{Index: rd.Snapshot.Index, Term: rd.Snapshot.Term}
+	}
+	if batch.HardState == nil && batch.Reset == nil && len(batch.Entries) == 0 {
+		return nil
+	}
+	return r.wal.Save(batch)
+}
+
+func (r *Replica) apply(rd *raft.Ready) error {
+	if rd.Snapshot != nil {
+		if err := r.ledger.Restore(rd.Snapshot.Data); err != nil {
+			return eris.Wrapf(err, "install snapshot %d", rd.Snapshot.Index)
+		}
+		r.snapshot.index, r.snapshot.bytes = rd.Snapshot.Index, 0
+		rd.Snapshot.Data = nil
+		r.log.Info("Snapshot installed.", zap.Uint64("index", rd.Snapshot.Index))
+	}
+	for i := range rd.Committed {
+		r.applyEntry(&rd.Committed[i])
+	}
+	r.watch.set(r.ledger.Current())
+	return nil
+}
+
+func (r *Replica) applyEntry(e *raft.Entry) {
+	answer := reply{}
+	if e.Kind == raft.EntryCommand {
+		outcome := r.ledger.Apply(e.Index, e.Data)
+		answer.Outcome = &outcome
+	}
+	r.snapshot.bytes += len(e.Data)
+	p := r.pending[e.Index]
+	if p == nil {
+		return
+	}
+	delete(r.pending, e.Index)
+	if p.term != e.Term {
+		answer = reply{Error: &ReplyError{Code: CodeOverwritten, Reason: "another entry was committed"}}
+	}
+	p.answer <- answer
+}
+
+// answerReads runs the reads whose index is applied; Ready returns them together with the entries.
+func (r *Replica) answerReads(states []raft.ReadState) {
+	for _, s := range states {
+		for _, context := range s.Contexts {
+			if call := r.reads[context]; call != nil {
+				delete(r.reads, context)
+				call.answer <- call.view()
+			}
+		}
+	}
+}
+
+// maybeSnapshot starts a snapshot when the log has grown enough. Only the copy
+// of pointers holds up the loop; encoding and writing run beside it.
+func (r *Replica) maybeSnapshot() {
+	applied := r.raft.Applied()
+	grown := applied-r.snapshot.index >= r.opts.SnapshotEntries || r.snapshot.bytes >= r.opts.SnapshotBytes
+	if r.snapshot.running || !grown {
+		return
+	}
+	term, ok := r.raft.TermAt(applied)
+	if !ok {
+		return
+	}
+	r.snapshot.running = true
+	r.snapshot.index, r.snapshot.bytes = applied, 0
+	snapshot := &raft.Snapshot{Index: applied, Term: term, Config: r.raft.ConfigAt(applied)}
+	frozen := r.ledger.Freeze()
+	r.tasks.Add(1)
+	go func() {
+		defer r.tasks.Done()
+		snapshot.Data = frozen.Encode()
+		err := r.wal.SaveSnapshot(snapshot)
+		r.submit(func() { r.compact(snapshot.Index, err) })
+	}()
+}
+
+func (r *Replica) compact(index uint64, err error) {
+	r.snapshot.running = false
+	if err != nil {
+		// The next write reports the failure and stops the replica.
+		return
+	}
+	if index > r.opts.KeepEntries {
+		r.raft.Compact(index - r.opts.KeepEntries)
+	}
+	if err := r.wal.Compact(index); err != nil {
+		r.log.Error("Old segments stay.", zap.Error(err))
+	}
+}
+
+// submit runs a function in the loop. It reports false when the replica has stopped.
+func (r *Replica) submit(call func()) bool {
+	select {
+	case r.calls <- call:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/replica/protocol.go
@@ -0,0 +1,113 @@
+package replica
+
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/boragelead/boragelead/internal/core/ledger"
+	"github.com/boragelead/boragelead/internal/core/raft"
+	"github.com/boragelead/boragelead/internal/port"
+)
+
+// Methods of the protocol between daemons. Params and results are msgpack maps.
+const (
+	MethodStep     = "raft.step"
+	MethodSnapshot = "raft.snapshot"
+	MethodPropose  = "ledger.propose"
+	MethodRead     = "ledger.read"
+	MethodWatch    = "ledger.watch"
+	MethodIdentify = "ledger.identify"
+	MethodJoin     = "ledger.join"
+	MethodMember   = "ledger.member"
+	MethodStatus   = "ledger.status"
+)
+
+// stepParams carries messages of the consensus. They are dropped by replicas of another cluster.
+type stepParams struct {
+	Cluster uint64         `json:"cluster"`
+	Address string         `json:"address"`
+	List    []raft.Message `json:"list"`
+}
+
+// snapshotParams carries a piece of a snapshot.
+type snapshotParams struct {
+	Cluster uint64       `json:"cluster"`
+	Address string       `json:"address"`
+	Message raft.Message `json:"message"`
+	Offset  int          `json:"offset"`
+	Total   int          `json:"total"`
+	Data    []byte       `json:"data"`
+}
+
+// request is the params of the ledger methods; each uses some of the fields.
+type request struct {
+	Group   string               `json:"group"`
+	Command []byte               `json:"command,omitempty"`
+	Lease   *ledger.LeaseRequest `json:"lease,omitempty"`
+	Read    readKind             `json:"read,omitempty"`
+	Limit   int                  `json:"limit,omitempty"`
+	After   uint64               `json:"after,omitempty"`
+	WaitMS  int64                `json:"wait_ms,omitempty"`
+	Change  raft.Change          `json:"change"`
+	Lost    raft.ID              `json:"lost,omitempty"`
+}
+
+type readKind string
+
+const (
+	readCurrent readKind = "current"
+	readHistory readKind = "history"
+	readRunning readKind = "running"
+)
+
+// reply is the result of the ledger methods.
+type reply struct {
+	Error       *ReplyError       `json:"error,omitempty"`
+	Outcome     *ledger.Outcome   `json:"outcome,omitempty"`
+	Generations []port.Generation `json:"generations,omitempty"`
+	Running     map[string]int    `json:"running,omitempty"`
+	Status      *Status           `json:"status,omitempty"`
+}
+
+// Status describes a replica.
+type Status struct {
+	Group   string  `json:"group"`
+	Replica raft.ID `json:"replica"`
+	Cluster uint64  `json:"cluster"`
+	Address string  `json:"address"`
+	Role    string  `json:"role"`
+	Term    uint64  `json:"term"`
+	// Leader is the address of the known leader.
+	Leader  string             `json:"leader"`
+	Commit  uint64             `json:"commit"`
+	Applied uint64             `json:"applied"`
+	Config  raft.Configuration `json:"config"`
+	// Match and Active are known to the leader only.
+	Match  map[raft.ID]uint64 `json:"match,omitempty"`
+	Active map[raft.ID]bool   `json:"active,omitempty"`
+	// Generation is the newest one that this replica applied.
+	Generation uint64 `json:"generation"`
+	Claims     int    `json:"claims"`
+	// Syncs counts the syncs of the log file.
+	Syncs uint64 `json:"syncs"`
+}
+
+func marshal(value any) []byte {
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.SetCustomStructTag("json")
+	encoder.SetOmitEmpty(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(value); err != nil {
+		// The types of the protocol are fixed and all of them encode.
+		panic(err)
+	}
+	return buffer.Bytes()
+}
+
+func unmarshal(data []byte, value any) error {
+	decoder := msgpack.NewDecoder(bytes.NewReader(data))
+	decoder.SetCustomStructTag("json")
+	return decoder.Decode(value)
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,255 @@
+package replica_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/replica"
+)
+
+func promotion(n int) port.PromoteRequest {
+	return port.PromoteRequest{
+		OperationID: fmt.Sprintf("op%d", n), Expect: uint64(n - 1), Document: fmt.Appendf(nil, "doc %d", n), Operator: "x",
+	}
+}
+
+// TestLeaderStopped guards against claims that are lost or granted twice when
+// the leader stops under load, and against a long time without service.
+func TestLeaderStopped(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	ctx := context.Background()
+	granted := sync.Map{}
+	var failures atomic.Int64
+	var wait sync.WaitGroup
+	stop := make(chan struct{})
+	for w := range 8 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			client := c.client()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := fmt.Sprintf("k%d-%d", w, i)
+				result, err := client.Claim(ctx, claimRequest(key, key))
+				if err != nil {
+					failures.Add(1)
+				} else if result.State == port.ClaimGranted {
+					granted.Store(key, true)
+				}
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.stop(c.leader())
+	time.Sleep(2500 * time.Millisecond)
+	close(stop)
+	wait.Wait()
+	c.g.Expect(failures.Load()).To(BeZero())
+	client, count := c.client(), 0
+	granted.Range(func(key, _ any) bool {
+		count++
+		if count%20 == 0 {
+			result, err := client.Claim(ctx, claimRequest(key.(string), "other"))
+			c.g.Expect(err).NotTo(HaveOccurred())
+			c.g.Expect(result.State).To(Equal(port.ClaimRunning))
+		}
+		return true
+	})
+	t.Logf("%d claims granted", count)
+}
+
+// TestSecondLossAfterRepair guards against the classic loss: a replica comes
+// back with an empty folder, is repaired, and right then a second one is lost.
+func TestSecondLossAfterRepair(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	ctx, client := context.Background(), c.client()
+	for n := 1; n <= 20; n++ {
+		_, err := client.Promote(ctx, promotion(n))
+		c.g.Expect(err).NotTo(HaveOccurred())
+	}
+	first := (c.leader() + 1) % 3
+	lostID := c.nodes[first].ID()
+	c.lose(first)
+	_, err := client.Promote(ctx, promotion(21))
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.start(first)
+	c.g.Eventually(func() bool {
+		s := c.status(c.leader())
+		if s == nil {
+			return false
+		}
+		return !s.Config.IsVoter(lostID) && s.Config.IsVoter(c.nodes[first].ID()) && len(s.Config.Voters) == 3
+	}, "20s", "50ms").Should(BeTrue())
+	c.g.Expect(c.nodes[first].ID()).NotTo(Equal(lostID))
+	c.lose(c.leader())
+	g, err := client.Current(ctx)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(g.Number).To(BeEquivalentTo(21))
+	again, err := client.Promote(ctx, promotion(21))
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(again.Number).To(BeEquivalentTo(21))
+}
+
+// TestRestartAfterManyChanges guards against state that a restart of all
+// replicas loses or reverts, with snapshots and removed segments in between.
+func TestRestartAfterManyChanges(t *testing.T) {
+	c := newCluster(t, 3, func(o *replica.Options) { o.SnapshotEntries, o.KeepEntries = 150, 20 })
+	ctx, client := context.Background(), c.client()
+	for n := 1; n <= 1000; n++ {
+		_, err := client.Promote(ctx, promotion(n))
+		c.g.Expect(err).NotTo(HaveOccurred())
+	}
+	for i := range 3 {
+		c.stop(i)
+	}
+	for i := range 3 {
+		c.start(i)
+	}
+	g, err := client.Current(ctx)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(g.Number).To(BeEquivalentTo(1000))
+	early, err := client.Promote(ctx, promotion(5))
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(early.Number).To(BeEquivalentTo(5))
+	history, err := client.History(ctx, 3)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(history).To(HaveLen(3))
+	// A replica that lost its folder now gets a snapshot, because the log starts later.
+	lost := (c.leader() + 1) % 3
+	c.lose(lost)
+	c.start(lost)
+	c.g.Eventually(func() uint64 {
+		if s := c.status(lost); s != nil {
+			return s.Generation
+		}
+		return 0
+	}, "10s", "50ms").Should(BeEquivalentTo(1000))
+}
+
+// TestOperatorsRace guards against two operators who both believe that their
+// change with the same expected generation won, also when they resend.
+func TestOperatorsRace(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	ctx := context.Background()
+	for round := range 10 {
+		var wins atomic.Int64
+		var wait sync.WaitGroup
+		for operator := range 5 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				client := c.client()
+				req := port.PromoteRequest{
+					OperationID: fmt.Sprintf("r%d-o%d", round, operator), Expect: uint64(round),
+					Document: []byte{byte(operator)}, Operator: fmt.Sprint(operator),
+				}
+				first, firstErr := client.Promote(ctx, req)
+				second, secondErr := client.Promote(ctx, req)
+				if first.Number != second.Number || fmt.Sprint(firstErr) != fmt.Sprint(secondErr) {
+					t.Errorf("resend answered %v %v, first was %v %v", second, secondErr, first, firstErr)
+				}
+				var conflict *port.ConflictError
+				if firstErr == nil {
+					wins.Add(1)
+				} else if !errors.As(firstErr, &conflict) {
+					t.Errorf("unexpected error %v", firstErr)
+				}
+			}()
+		}
+		wait.Wait()
+		c.g.Expect(wins.Load()).To(BeEquivalentTo(1))
+	}
+	_, err := c.client().Promote(ctx, port.PromoteRequest{OperationID: "r0-o0", Expect: 10})
+	var reused *port.OperationReusedError
+	c.g.Expect(errors.As(err, &reused)).To(BeTrue())
+}
+
+// TestIsolatedLeader guards against a leader that serves from memory after it
+// was cut off, and against NoQuorumError with a wrong Proposed.
+func TestIsolatedLeader(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	ctx, client := context.Background(), c.client()
+	_, err := client.Promote(ctx, promotion(1))
+	c.g.Expect(err).NotTo(HaveOccurred())
+	old := c.leader()
+	// Only what the leader sends is lost; it still hears the others.
+	for i := range c.addr {
+		c.faults.set(c.addr[old], c.addr[i], i != old)
+	}
+	g, err := client.Promote(ctx, promotion(2))
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(g.Number).To(BeEquivalentTo(2))
+	only := replica.NewClient(replica.DefaultGroup, []string{c.addr[old]}, c.caller)
+	short, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	if g, err := only.Current(short); err == nil {
+		c.g.Expect(g.Number).To(BeEquivalentTo(2))
+	}
+	c.g.Eventually(func() string { return c.status(old).Role }, "5s", "50ms").ShouldNot(Equal("leader"))
+	for i := range c.addr {
+		c.faults.set(c.addr[i], c.addr[old], i != old)
+	}
+	c.g.Eventually(func() string { return c.status(old).Leader }, "5s", "50ms").Should(BeEmpty())
+	var failure *port.NoQuorumError
+	// A new client knows no other address than that of the old leader.
+	only = replica.NewClient(replica.DefaultGroup, []string{c.addr[old]}, c.caller)
+	brief, cancelBrief := context.WithTimeout(ctx, 2*time.Second)
+	defer cancelBrief()
+	_, err = only.Claim(brief, claimRequest("k", "a"))
+	c.g.Expect(errors.As(err, &failure)).To(BeTrue(), "%v", err)
+	c.g.Expect(failure.Proposed).To(BeFalse(), "%v", err)
+	gone := replica.NewClient(replica.DefaultGroup, []string{"127.0.0.1:1"}, c.caller)
+	_, err = gone.Claim(brief, claimRequest("k", "a"))
+	c.g.Expect(errors.As(err, &failure)).To(BeTrue(), "%v", err)
+	c.g.Expect(failure.Proposed).To(BeFalse())
+}
+
+// TestWatchAndLease guards against a watch that misses a generation, a lease
+// that two hold, and an old grant that a late release ends.
+func TestWatchAndLease(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	ctx := context.Background()
+	seen := make(chan port.Generation, 1)
+	go func() {
+		g, _ := c.client().Watch(ctx, 0)
+		seen <- g
+	}()
+	_, err := c.client().Promote(ctx, promotion(1))
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Eventually(seen, "5s").Should(Receive(HaveField("Number", BeEquivalentTo(1))))
+
+	a, b := c.client(), c.client()
+	first, err := a.AcquireLease(ctx, "controller", "a", 700*time.Millisecond)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	asked := time.Now()
+	c.g.Expect(first.Granted).To(BeTrue())
+	other, err := b.AcquireLease(ctx, "controller", "b", time.Second)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(other.Granted).To(BeFalse())
+	c.g.Expect(other.Holder).To(Equal("a"))
+	renewed, err := a.AcquireLease(ctx, "controller", "a", 700*time.Millisecond)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(renewed.FencingNumber).To(Equal(first.FencingNumber))
+	c.g.Eventually(func() bool {
+		other, err = b.AcquireLease(ctx, "controller", "b", time.Second)
+		return err == nil && other.Granted
+	}, "5s", "10ms").Should(BeTrue())
+	c.g.Expect(time.Since(asked)).To(BeNumerically(">=", 700*time.Millisecond))
+	c.g.Expect(other.FencingNumber).To(BeNumerically(">", first.FencingNumber))
+	c.g.Expect(b.ReleaseLease(ctx, "controller", "b")).To(Succeed())
+	again, err := a.AcquireLease(ctx, "controller", "a", time.Second)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(again.Granted).To(BeTrue())
+}
