--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -84,6 +84,22 @@
 	})
 })
 
+// Guards against a limit of 0, which ends all work, and one far beyond the slots.
+func TestLimiterBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots, now := rapid.IntRange(0, 64).Draw(t, "slots"), epoch
+		l := NewLimiter(slots, Target{PerToken: time.Duration(rapid.IntRange(0, 100).Draw(t, "target")) * time.Millisecond})
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			now = now.Add(200 * time.Millisecond)
+			between := time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond
+			l.ObserveTokens(between, rapid.IntRange(0, 50).Draw(t, "count"), rapid.IntRange(0, 100).Draw(t, "inFlight"), now)
+			if n := l.Limit(); n < 1 || float64(n) > slotsBound*float64(max(slots, 1)) {
+				t.Fatalf("limit %d at %d slots", n, slots)
+			}
+		}
+	})
+}
+
 // Guards against parts that exceed the limit or leave some unused, entries
 // without a floor, and entries that compute different divisions.
 func TestDivideProperties(t *testing.T) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -64,6 +64,7 @@
 	result  Result
 	notRun  bool
 	lastErr error
+	flight  route.Flight
 }
 
 // attempt runs one attempt. It returns done for a whole answer, an error when
@@ -76,8 +77,8 @@
 		return false, g.refusal(RefusedNoEndpoint, "no endpoint can serve the model", err)
 	}
 	g.result.Attempts++
-	flight := decision.Start(time.Now())
-	defer func() { flight.Done(time.Now()) }()
+	g.flight = decision.Start(time.Now())
+	defer func() { g.flight.Done(time.Now()) }()
 	engineReq := g.engineRequest()
 	stream, err := g.service.engine.Generate(ctx, decision.Endpoint.BaseURL, engineReq)
 	if err != nil {
@@ -132,6 +133,7 @@
 			if err := g.sink.Tokens(frame.Offset, frame.Count, frame.Text); err != nil {
 				return false, err, nil
 			}
+			g.flight.Tokens(frame.Count, time.Now())
 			g.offset += frame.Count
 			g.emitted.WriteString(frame.Text)
 		case endpoint.FrameDone:
