Shrink the messages between entries and share isolation

Cause: a summary named every learned endpoint in full, several KB per peer; other entries sent work to an endpoint that one had reserved for a suspect. Change: endpoints by hash, speeds only when they changed; isolated endpoints are part of the summary; limit reports leave idle endpoints out.

--- a/internal/core/admit/admitter_test.go
+++ b/internal/core/admit/admitter_test.go
@@ -128,6 +128,7 @@
 		peer.Done(first, 0, epoch)
 		data, err := peer.Usage(epoch)
 		Expect(err).NotTo(HaveOccurred())
+		GinkgoWriter.Printf("usage of one caller: %d bytes\n", len(data))
 		Expect(a.MergeUsage("p", data, epoch)).To(Succeed())
 		Expect(a.ranks[0].peerRunning).To(Equal(1))
 		p := a.peers["p"]
--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -144,6 +144,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(to.Merge(name, data, epoch)).To(Succeed())
 		}
+		b.SetOwn([]EndpointReport{{Endpoint: "e", Wanted: 12}, {Endpoint: "idle"}})
 		exchange(a, b, "a")
 		exchange(b, a, "b")
 		Expect(a.Share("e", 8) + b.Share("e", 8)).To(Equal(10))
@@ -154,5 +155,18 @@
 		a.Expire(epoch.Add(1001 * time.Millisecond))
 		Expect(a.Share("e", 8)).To(Equal(10))
 		Expect(a.Merge("b", []byte{0xc1}, epoch)).NotTo(Succeed())
+		var active []EndpointReport
+		for i := range 192 {
+			report := EndpointReport{Endpoint: fmt.Sprintf("e%04d", i)}
+			if i < 30 {
+				report.Wanted, report.Limit, report.Samples = 1, 32, 100
+			}
+			active = append(active, report)
+		}
+		a.SetOwn(active)
+		data, err := a.Payload()
+		Expect(err).NotTo(HaveOccurred())
+		GinkgoWriter.Printf("report of 30 active endpoints of 192: %d bytes\n", len(data))
+		Expect(len(data)).To(BeNumerically("<", 30*20))
 	})
 })
--- a/internal/core/limit/shares.go
+++ b/internal/core/limit/shares.go
@@ -52,12 +52,15 @@
 	clear(s.parts)
 }
 
-// Payload encodes the own reports for peers.
+// Payload encodes the own reports for peers. Endpoints without demand and
+// measurement are left out, which peers read as such.
 func (s *Shares) Payload() ([]byte, error) {
 	s.mu.RLock()
 	list := make([]EndpointReport, 0, len(s.own))
 	for _, r := range s.own {
-		list = append(list, r)
+		if r.Wanted > 0 || r.Samples > 0 {
+			list = append(list, r)
+		}
 	}
 	s.mu.RUnlock()
 	slices.SortFunc(list, func(a, b EndpointReport) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
--- a/internal/core/route/endpoints.go
+++ b/internal/core/route/endpoints.go
@@ -25,7 +25,7 @@
 	shard.mu.Lock()
 	st := shard.states[c.ID]
 	if st == nil {
-		st = &state{peers: make(map[string]peerReport)}
+		st = &state{key: uint32(xxhash.Sum64String(c.ID)), peers: make(map[string]peerReport)}
 		st.slot.Store(-1)
 		shard.states[c.ID] = st
 	}
--- a/internal/core/route/filters.go
+++ b/internal/core/route/filters.go
@@ -47,7 +47,7 @@
 func (isolationFilter) Name() string { return "isolation" }
 
 func (isolationFilter) Keep(ctx *Input, v *View) bool {
-	if v.state.isolated.Load() {
+	if v.state.isolated.Load() || v.state.peerIsolated.Load() {
 		return false
 	}
 	// A suspect stays in its failure domain, so that it costs no other one an endpoint.
--- a/internal/core/route/model_test.go
+++ b/internal/core/route/model_test.go
@@ -93,10 +93,13 @@
 		c.LoadAt = m.now()
 		list = append(list, &c)
 	}
+	summaries := make([][]byte, len(m.routers))
 	for i, r := range m.routers {
-		for j, peer := range m.routers {
-			data, err := peer.Summary()
-			if err == nil && i != j {
+		summaries[i], _ = r.Summary(m.now())
+	}
+	for i, r := range m.routers {
+		for j, data := range summaries {
+			if i != j {
 				_ = r.MergeSummary(string(rune('a'+j)), data, m.now())
 			}
 		}
--- a/internal/core/route/router_test.go
+++ b/internal/core/route/router_test.go
@@ -114,18 +114,43 @@
 		Expect(err).NotTo(HaveOccurred())
 		flight := d.Start(epoch)
 		flight.Tokens(1, epoch.Add(time.Second))
-		data, err := peer.Summary()
+		Expect(peer.Isolate(list[0].ID)).To(BeTrue())
+		data, err := peer.Summary(epoch)
 		Expect(err).NotTo(HaveOccurred())
 		snapshot := r.Snapshot(list)
 		Expect(r.MergeSummary("p", data, epoch)).To(Succeed())
 		st := snapshot.entries[0].state
 		Expect(st.peerInFlight.Load()).To(Equal(int64(1)))
 		Expect(st.learner.speed().PrefillS).To(BeNumerically("~", 1.0/600, 1e-5))
-		Expect(r.MergeSummary("q", []byte{0x90}, epoch.Add(peerLease*2))).To(Succeed())
+		_, err = r.Route(testRequest(), snapshot, epoch, seeded(1))
+		Expect(err).To(HaveOccurred())
+		r.ExpirePeers(epoch.Add(peerLease * 2))
+		_, err = r.Route(testRequest(), snapshot, epoch, seeded(1))
+		Expect(err).NotTo(HaveOccurred())
 		Expect(st.peerInFlight.Load()).To(BeZero())
 		Expect(r.MergeSummary("q", []byte{0xc1}, epoch)).NotTo(Succeed())
 	})
 
+	// Guards against messages that fill the budget of the network.
+	It("keeps summaries small", func() {
+		list := testCandidates(192, 1)
+		snapshot := r.Snapshot(list)
+		for i := range 30 { // in flight at one of 370 entries at 3,700 requests/s for 3 s each
+			req := testRequest()
+			req.Avoid = append(req.Avoid, list[0].ID)
+			d, err := r.Route(req, snapshot, epoch, seeded(uint64(i)))
+			Expect(err).NotTo(HaveOccurred())
+			flight := d.Start(epoch)
+			flight.Tokens(1, epoch.Add(100*time.Millisecond))
+		}
+		first, err := r.Summary(epoch)
+		Expect(err).NotTo(HaveOccurred())
+		next, err := r.Summary(epoch.Add(time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		GinkgoWriter.Printf("summary of 30 in flight: %d bytes with new speeds, %d after\n", len(first), len(next))
+		Expect(len(next)).To(BeNumerically("<=", 300))
+	})
+
 	// Guards against an estimate that does not grow with the batch or keeps the class's figures.
 	It("learns the time between tokens over batch size", func() {
 		var l learner
--- a/internal/core/route/state.go
+++ b/internal/core/route/state.go
@@ -35,14 +35,20 @@
 	lastMark atomic.Int64
 	_        [24]byte
 
-	learner                   learner
-	blocked, isolated         atomic.Bool
-	slot, probing             atomic.Int32
-	peerInFlight, peerPending atomic.Int64
+	learner learner
+	// isolated is set by this entry, peerIsolated by a live peer.
+	blocked, isolated, peerIsolated atomic.Bool
+	slot, probing                   atomic.Int32
+	peerInFlight, peerPending       atomic.Int64
 	// reported is the batch size of the newest load report.
 	reported atomic.Int64
 
+	// key names the endpoint in summaries.
+	key uint32
+
 	mu          sync.Mutex
+	sent        Speed
+	sentAt      time.Time
 	incarnation uint64
 	class       string
 	prior       Speed
@@ -80,7 +86,8 @@
 	s.next = (s.next + 1) % marks
 }
 
-// at returns the counters as they were at a past moment.
+// at returns the counters as they were at a past moment, or up to markInterval
+// after it.
 func (s *state) at(moment time.Time) counts {
 	t := moment.UnixNano()
 	s.mu.Lock()
--- a/internal/core/route/summary.go
+++ b/internal/core/route/summary.go
@@ -1,86 +1,143 @@
 package route
 
 import (
+	"cmp"
+	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/boragelead/boragelead/internal/core/payload"
 )
 
-// peerLease is how long the report of a peer counts. A peer reports several
-// times a second.
-const peerLease = 3 * time.Second
+const (
+	// peerLease is how long the report of a peer counts. A peer reports at
+	// least once a second.
+	peerLease = 3 * time.Second
+	// speedChange and speedInterval say when a learned speed is sent again:
+	// after a change of this share, and otherwise seldom, for entries that joined.
+	speedChange   = 0.1
+	speedInterval = 30 * time.Second
+)
 
 type peerReport struct {
 	at                time.Time
 	inFlight, pending int64
+	isolated          bool
 }
 
-// summary is what one entry tells its peers of one endpoint.
+// summary is what one entry tells its peers. Endpoints are named by a hash of
+// their ID; two that share it get each other's figures, which are estimates.
 type summary struct {
-	ID                string
+	Loads    []loadSummary
+	Speeds   []speedSummary
+	Isolated []uint32
+}
+
+type loadSummary struct {
+	Key               uint32
 	InFlight, Pending int64
-	// Prefill, Base and Slope are the learned speed in nanoseconds per token;
-	// all zero where this entry observed nothing.
+}
+
+// speedSummary is a learned speed in nanoseconds per token.
+type speedSummary struct {
+	Key                  uint32
 	Prefill, Base, Slope uint32
 }
 
-// Summary encodes what this entry has in flight and what it learned, for its
-// peers. Endpoints without either are left out.
-func (r *Router) Summary() ([]byte, error) {
-	var list []summary
+// Summary encodes, for peers, what this entry has in flight, which endpoints
+// it isolates, and the learned speeds that changed since the last call. One
+// summary goes to all peers.
+func (r *Router) Summary(now time.Time) ([]byte, error) {
+	var s summary
 	for i := range r.shards {
 		shard := &r.shards[i]
 		shard.mu.RLock()
-		for id, st := range shard.states {
-			entry := summary{ID: id, InFlight: st.inFlight(), Pending: st.pending()}
-			if st.learner.seen.Load() > 0 {
-				speed := st.learner.speed()
-				entry.Prefill, entry.Base, entry.Slope = nanos(speed.PrefillS), nanos(speed.BaseS), nanos(speed.SlopeS)
-			}
-			if entry.InFlight > 0 || entry.Base > 0 {
-				list = append(list, entry)
-			}
+		for _, st := range shard.states {
+			st.summarize(&s, now)
 		}
 		shard.mu.RUnlock()
 	}
-	slices.SortFunc(list, func(a, b summary) int { return strings.Compare(a.ID, b.ID) })
-	return payload.Encode(list)
+	slices.SortFunc(s.Loads, func(a, b loadSummary) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(s.Speeds, func(a, b speedSummary) int { return cmp.Compare(a.Key, b.Key) })
+	slices.Sort(s.Isolated)
+	return payload.Encode(&s)
+}
+
+func (s *state) summarize(out *summary, now time.Time) {
+	if n := s.inFlight(); n > 0 {
+		out.Loads = append(out.Loads, loadSummary{Key: s.key, InFlight: n, Pending: s.pending()})
+	}
+	if s.isolated.Load() {
+		out.Isolated = append(out.Isolated, s.key)
+	}
+	if s.learner.seen.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	speed := s.learner.speed()
+	if now.Sub(s.sentAt) < speedInterval && !changed(speed, s.sent) {
+		return
+	}
+	s.sent, s.sentAt = speed, now
+	out.Speeds = append(out.Speeds, speedSummary{s.key, nanos(speed.PrefillS), nanos(speed.BaseS), nanos(speed.SlopeS)})
+}
+
+func changed(a, b Speed) bool {
+	const batch = 8
+	return math.Abs(a.PrefillS-b.PrefillS) > speedChange*b.PrefillS ||
+		math.Abs(a.Between(batch)-b.Between(batch)) > speedChange*b.Between(batch)
 }
 
 func nanos(seconds float64) uint32 { return uint32(min(max(seconds*1e9, 0), 4e9)) }
 
 // MergeSummary takes the summary of a peer. Speeds count only for endpoints
 // that this entry did not observe itself. Endpoints that the peer left out
-// have nothing in flight from it once its older report ends.
+// have nothing in flight from it.
 func (r *Router) MergeSummary(peer string, data []byte, now time.Time) error {
-	var list []summary
-	if err := payload.Decode(data, &list); err != nil {
+	var s summary
+	if err := payload.Decode(data, &s); err != nil {
 		return err
 	}
-	named := make(map[string]*summary, len(list))
-	for i := range list {
-		named[list[i].ID] = &list[i]
+	reports := make(map[uint32]peerReport, len(s.Loads))
+	for _, l := range s.Loads {
+		reports[l.Key] = peerReport{at: now, inFlight: max(l.InFlight, 0), pending: max(l.Pending, 0)}
+	}
+	for _, key := range s.Isolated {
+		report := reports[key]
+		report.at, report.isolated = now, true
+		reports[key] = report
+	}
+	speeds := make(map[uint32]speedSummary, len(s.Speeds))
+	for _, speed := range s.Speeds {
+		speeds[speed.Key] = speed
 	}
 	for i := range r.shards {
 		shard := &r.shards[i]
 		shard.mu.RLock()
-		for id, st := range shard.states {
-			st.mergePeer(peer, named[id], now)
+		for _, st := range shard.states {
+			st.mergePeer(peer, reports[st.key], now)
+			if v, known := speeds[st.key]; known {
+				st.learner.adopt(Speed{
+					PrefillS: float64(v.Prefill) / 1e9, BaseS: float64(v.Base) / 1e9, SlopeS: float64(v.Slope) / 1e9,
+				})
+			}
 		}
 		shard.mu.RUnlock()
 	}
 	return nil
 }
 
-func (s *state) mergePeer(peer string, report *summary, now time.Time) {
+// mergePeer replaces what a peer reported and drops peers whose lease ended.
+func (s *state) mergePeer(peer string, report peerReport, now time.Time) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.peers, peer)
-	if report != nil && report.InFlight > 0 {
-		s.peers[peer] = peerReport{at: now, inFlight: report.InFlight, pending: report.Pending}
+	if !report.at.IsZero() {
+		s.peers[peer] = report
 	}
 	var inFlight, pending int64
+	isolated := false
 	for name, p := range s.peers {
 		if now.Sub(p.at) > peerLease {
 			delete(s.peers, name)
@@ -88,13 +145,21 @@
 		}
 		inFlight += p.inFlight
 		pending += p.pending
+		isolated = isolated || p.isolated
 	}
-	s.mu.Unlock()
 	s.peerInFlight.Store(inFlight)
 	s.peerPending.Store(pending)
-	if report != nil && report.Base > 0 {
-		s.learner.adopt(Speed{
-			PrefillS: float64(report.Prefill) / 1e9, BaseS: float64(report.Base) / 1e9, SlopeS: float64(report.Slope) / 1e9,
-		})
+	s.peerIsolated.Store(isolated)
+}
+
+// ExpirePeers drops what peers reported whose lease ended. It is called once a second.
+func (r *Router) ExpirePeers(now time.Time) {
+	for i := range r.shards {
+		shard := &r.shards[i]
+		shard.mu.RLock()
+		for _, st := range shard.states {
+			st.mergePeer("", peerReport{}, now)
+		}
+		shard.mu.RUnlock()
 	}
 }
