--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -84,6 +84,22 @@
 	})
 })
 
+// Guards against a limit of 0, which ends all work, and one far beyond the slots.
+func TestLimiterBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots, now := rapid.IntRange(0, 64).Draw(t, "slots"), epoch
+		l := NewLimiter(slots, Target{PerToken: time.Duration(rapid.IntRange(0, 100).Draw(t, "target")) * time.Millisecond})
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			now = now.Add(200 * time.Millisecond)
+			between := time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond
+			l.ObserveTokens(between, rapid.IntRange(0, 50).Draw(t, "count"), rapid.IntRange(0, 100).Draw(t, "inFlight"), now)
+			if n := l.Limit(); n < 1 || float64(n) > slotsBound*float64(max(slots, 1)) {
+				t.Fatalf("limit %d at %d slots", n, slots)
+			}
+		}
+	})
+}
+
 // Guards against parts that exceed the limit or leave some unused, entries
 // without a floor, and entries that compute different divisions.
 func TestDivideProperties(t *testing.T) {
@@ -128,6 +144,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(to.Merge(name, data, epoch)).To(Succeed())
 		}
+		b.SetOwn([]EndpointReport{{Endpoint: "e", Wanted: 12}, {Endpoint: "idle"}})
 		exchange(a, b, "a")
 		exchange(b, a, "b")
 		Expect(a.Share("e", 8) + b.Share("e", 8)).To(Equal(10))
@@ -138,5 +155,18 @@
 		a.Expire(epoch.Add(1001 * time.Millisecond))
 		Expect(a.Share("e", 8)).To(Equal(10))
 		Expect(a.Merge("b", []byte{0xc1}, epoch)).NotTo(Succeed())
+		var active []EndpointReport
+		for i := range 192 {
+			report := EndpointReport{Endpoint: fmt.Sprintf("e%04d", i)}
+			if i < 30 {
+				report.Wanted, report.Limit, report.Samples = 1, 32, 100
+			}
+			active = append(active, report)
+		}
+		a.SetOwn(active)
+		data, err := a.Payload()
+		Expect(err).NotTo(HaveOccurred())
+		GinkgoWriter.Printf("report of 30 active endpoints of 192: %d bytes\n", len(data))
+		Expect(len(data)).To(BeNumerically("<", 30*20))
 	})
 })
