Give the daemon its replicated state and end claims of dead daemons

Cause: the daemon had no ledger: no promotion, no claims of non-idempotent calls. Change: a state replica or a client of one by the settings; generations come from the replica's watch; relays of a failure domain end the claims of daemons that died, and a daemon that was declared dead while cut off goes on as a new incarnation; the rig promotes its document as an operator would. Conclusion: configuration and claims go through the replicated log in each rig.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -45,7 +45,7 @@
 }
 
 func (d *Daemon) peerTLS() (*tls.Config, error) {
-	if d.settings.TLS == nil {
+	if d.settings.TLS == nil || !d.settings.TLS.Peers {
 		return nil, nil
 	}
 	config, err := peerrpc.LoadTLS(d.settings.TLS.CertFile, d.settings.TLS.KeyFile, d.settings.TLS.CAFile)
@@ -61,8 +61,8 @@
 			Domain:      d.settings.FailureDomain,
 			Region:      d.settings.Region,
 			Address:     d.PeerAddress(),
-			EndpointURL: d.scheme() + d.EndpointAddress(),
-			CallerURL:   d.scheme() + d.CallerAddress(),
+			EndpointURL: "http://" + d.EndpointAddress(),
+			CallerURL:   d.callerScheme() + d.CallerAddress(),
 		},
 		Seeds:         d.seeds(),
 		StateReplicas: d.ledger.addresses(),
@@ -71,13 +71,14 @@
 		Install:       func(g port.Generation) error { return d.install(g.Number, g.Document, g.Digest) },
 		Source:        d.ledger.source(),
 		IsLeader:      d.ledger.isLeader,
+		SourceAge:     d.ledger.sourceAge(),
 		Log:           d.log.Named("[member]"),
 	})
 	return eris.Wrap(err, "join the other daemons")
 }
 
-func (d *Daemon) scheme() string {
-	if d.settings.TLS != nil {
+func (d *Daemon) callerScheme() string {
+	if d.settings.TLS != nil && d.settings.TLS.Callers {
 		return "https://"
 	}
 	return "http://"
@@ -104,7 +105,7 @@
 		Peers:         d.rpc,
 		Engine:        d.engines,
 		Services:      d.services,
-		Ledger:        d.ledger.client(),
+		Ledger:        d.ledger.client,
 		Explainer:     d.explainer,
 		Tracing:       d.tracing,
 		Metrics:       d.metrics,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/core/member"
 	"github.com/boragelead/boragelead/internal/entry"
+	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
@@ -39,6 +40,9 @@
 type Options struct {
 	// Baseline replaces decisions by simple ones for comparison.
 	Baseline entry.Baseline
+	// PeerListener replaces the listener of $.listen.peers, so that several
+	// daemons of one process know each other's addresses before they start.
+	PeerListener net.Listener
 }
 
 // Daemon is a running daemon.
@@ -61,6 +65,7 @@
 	listeners listeners
 	servers   []*http.Server
 	group     sync.WaitGroup
+	cancel    context.CancelFunc
 	notReady  atomic.Bool
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -79,7 +84,7 @@
 		metrics:  telemetry.NewRegistry(),
 		drained:  make(chan struct{}),
 	}
-	if err := d.listeners.open(config); err != nil {
+	if err := d.listeners.open(config, options.PeerListener); err != nil {
 		return nil, err
 	}
 	if err := d.build(options); err != nil {
@@ -120,6 +125,9 @@
 // RPC returns the calls between daemons.
 func (d *Daemon) RPC() *peerrpc.Node { return d.rpc }
 
+// Ledger returns the access to the replicated state.
+func (d *Daemon) Ledger() port.Ledger { return d.ledger.client }
+
 // CallerAddress returns the IP:port for callers.
 func (d *Daemon) CallerAddress() string { return d.listeners.callers.Addr().String() }
 
@@ -149,9 +157,11 @@
 
 func (d *Daemon) start() {
 	d.group.Go(func() { _ = d.rpc.Serve(d.listeners.peers) })
-	d.ledger.start()
 	d.cluster.Start()
 	d.entry.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.group.Go(func() { d.sweepOwners(ctx) })
 	d.serve(d.listeners.callers, d.callerHandler())
 	d.serve(d.listeners.endpoints, d.endpointHandler())
 	d.serve(d.listeners.admin, d.adminHandler())
@@ -177,6 +187,9 @@
 			_ = server.Close()
 		}
 		d.listeners.close()
+		if d.cancel != nil {
+			d.cancel()
+		}
 		if d.entry != nil {
 			d.entry.Close()
 		}
@@ -207,7 +220,8 @@
 }
 
 // open opens all sockets, so that an address in use shows before anything starts.
-func (l *listeners) open(config *settings.Settings) error {
+func (l *listeners) open(config *settings.Settings, peers net.Listener) error {
+	l.peers = peers
 	for _, one := range []struct {
 		field, address string
 		listener       *net.Listener
@@ -217,6 +231,9 @@
 		{"$.listen.peers", config.Listen.Peers, &l.peers},
 		{"$.listen.admin", config.Listen.Admin, &l.admin},
 	} {
+		if *one.listener != nil {
+			continue
+		}
 		listener, err := net.Listen("tcp", one.address)
 		if err != nil {
 			l.close()
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -31,11 +31,12 @@
 	// Guards against answers lost in an announced reclaim, also of two endpoints in a row.
 	It("moves away from endpoints that are reclaimed", func() {
 		f := newFleet(1, 3)
-		report := f.runLoad(f.Daemons()[0], 12, 300, 3*time.Second, func() {
+		report := f.runLoad(f.Daemons()[0], 12, 1000, 3*time.Second, func() {
+			// The answers take a second: they cannot end within the notice.
 			time.Sleep(300 * time.Millisecond)
-			f.Engines()[0].ReclaimNotice(time.Second)
-			time.Sleep(700 * time.Millisecond)
-			f.Engines()[1].ReclaimNotice(time.Second)
+			f.Engines()[0].ReclaimNotice(400 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
+			f.Engines()[1].ReclaimNotice(400 * time.Millisecond)
 		})
 		Expect(report.Whole).To(Equal(report.Calls), "%+v", report)
 		Expect(f.Daemons()[0].Metrics().Counter("attempts_resumed").Value()).To(BeNumerically(">", 0))
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -58,7 +58,7 @@
 	sent := e.set(payloadLoad, binary.LittleEndian.AppendUint32(nil, uint32(s.InFlight())), nil)
 	data, err := s.pools.shares.Payload()
 	sent += e.set(payloadLimits, data, err)
-	data, err = s.router.Summary()
+	data, err = s.router.Summary(now)
 	sent += e.set(payloadRoute, data, err)
 	data, err = s.tracker.Payload(false, now)
 	sent += e.set(payloadSuspect, data, err)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -42,6 +42,8 @@
 	group    sync.WaitGroup
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// ownerIncarnation counts how often this daemon was declared dead.
+	ownerIncarnation atomic.Uint64
 	// isolated counts endpoints reserved for suspect requests.
 	isolated atomic.Int64
 	// serviceTurn takes the endpoints of plain services in turn.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +35,28 @@
 	headerContentType = "Content-Type"
 )
 
+// ownerSeparator stands between the parts of the name of a claim's owner.
+const ownerSeparator = "/"
+
+// OwnerID names one life of a daemon as the owner of claims.
+func OwnerID(domain, name string, instance uint64) string {
+	return OwnerPrefix(domain, name) + strconv.FormatUint(instance, 36)
+}
+
+// OwnerPrefix is what the owners of a daemon begin with, or with an empty
+// name those of a failure domain.
+func OwnerPrefix(domain, name string) string {
+	if name == "" {
+		return domain + ownerSeparator
+	}
+	return domain + ownerSeparator + name + ownerSeparator
+}
+
+// Owner names this life of the daemon as the owner of claims.
+func (s *Service) Owner() string {
+	return OwnerID(s.options.FailureDomain, s.options.Name, s.options.Instance)
+}
+
 func newUUID() string { return uuid.NewString() }
 
 // serviceCall is one call of a plain service.
@@ -153,6 +176,9 @@
 	defer span.End()
 	for {
 		result, err := c.service.options.Ledger.Claim(ctx, c.claimRequest())
+		if c.declaredDead(err) {
+			continue
+		}
 		if err != nil {
 			span.Fail(err)
 			c.releaseLater(err)
@@ -176,6 +202,17 @@
 	}
 }
 
+// declaredDead reports whether the other daemons took this one for dead while
+// it was cut off. Its earlier claims have ended; it goes on as a new incarnation.
+func (c *serviceCall) declaredDead(err error) bool {
+	var stale *port.StaleOwnerError
+	if !errors.As(err, &stale) {
+		return false
+	}
+	c.service.ownerIncarnation.CompareAndSwap(stale.Incarnation-1, stale.Incarnation)
+	return true
+}
+
 // releaseLater gives up a claim that may still be granted after its caller was
 // refused, so that a later call with the key does not wait for this one.
 func (c *serviceCall) releaseLater(err error) {
@@ -192,7 +229,7 @@
 func (c *serviceCall) claimRequest() port.ClaimRequest {
 	return port.ClaimRequest{
 		Group: claimsGroup, Workspace: c.req.Workspace, Key: c.req.Key, BodyHash: c.bodyHash(),
-		Owner: c.service.options.Name, Incarnation: c.service.options.Instance, Attempt: c.attempt,
+		Owner: c.service.Owner(), Incarnation: c.service.ownerIncarnation.Load() + 1, Attempt: c.attempt,
 	}
 }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -1,9 +1,11 @@
 package rig
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -15,6 +17,7 @@
 	"github.com/boragelead/boragelead/api/endpoint"
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/daemon"
+	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/standin/engine"
 	"github.com/boragelead/boragelead/standin/service"
@@ -23,6 +26,9 @@
 // AdminKey is the operators' key of all rigs.
 const AdminKey = "dev-admin"
 
+// promoteTimeout bounds the start of the state replicas and the first promotion.
+const promoteTimeout = 20 * time.Second
+
 // loopback lets the system choose a port.
 const loopback = "127.0.0.1:0"
 
@@ -50,14 +56,17 @@
 
 // Rig is a running set of daemons and endpoints.
 type Rig struct {
-	config   Config
-	doc      *conf.Document
-	folder   string
-	owned    bool
-	mu       sync.Mutex
-	daemons  []*daemon.Daemon
-	engines  []*engine.Engine
-	services []*service.Service
+	config Config
+	doc    *conf.Document
+	folder string
+	owned  bool
+	mu     sync.Mutex
+	// listeners and replicas are those of the state replicas.
+	listeners []net.Listener
+	replicas  []settings.Peer
+	daemons   []*daemon.Daemon
+	engines   []*engine.Engine
+	services  []*service.Service
 	// EngineLedger and ServiceLedger record what the endpoints really ran.
 	EngineLedger  *engine.Ledger
 	ServiceLedger *service.Ledger
@@ -110,30 +119,77 @@
 func (r *Rig) Document() *conf.Document { return r.doc }
 
 func (r *Rig) startDaemons() error {
+	if err := r.openReplicaListeners(); err != nil {
+		return err
+	}
 	for i := range r.config.Daemons * r.config.Domains {
 		domain := r.doc.Fleet.Domains[i%r.config.Domains]
 		if _, err := r.AddDaemon(domain.FailureDomain, domain.Region); err != nil {
 			return err
 		}
 	}
-	for _, d := range r.Daemons() {
-		d.Config().Install(1, r.doc, conf.Digest(r.doc), time.Now())
+	return r.promote()
+}
+
+// openReplicaListeners chooses the addresses of the state replicas, which must
+// know each other before they start.
+func (r *Rig) openReplicaListeners() error {
+	total := r.config.Daemons * r.config.Domains
+	if r.config.Replicas <= 0 {
+		r.config.Replicas = min(3, total)
+	}
+	for i := range min(r.config.Replicas, total) {
+		listener, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return eris.Wrap(err, "listen for daemons")
+		}
+		r.listeners = append(r.listeners, listener)
+		r.replicas = append(r.replicas, settings.Peer{Name: daemonName(i + 1), Address: listener.Addr().String()})
 	}
 	return nil
 }
 
+// promote puts the document in force by a promotion like that of an operator.
+// A rig on a folder that holds a promoted document already keeps that.
+func (r *Rig) promote() error {
+	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
+	defer cancel()
+	ledger := r.daemons[0].Ledger()
+	current, err := ledger.Current(ctx)
+	if err != nil {
+		return eris.Wrap(err, "read the configuration")
+	}
+	if current.Number == 0 {
+		_, err = ledger.Promote(ctx, port.PromoteRequest{OperationID: "rig", Document: r.config.Document, Operator: "rig"})
+		if err != nil {
+			return eris.Wrap(err, "promote the document")
+		}
+	}
+	return r.await(promoteTimeout, "the configuration", func() bool {
+		for _, d := range r.Daemons() {
+			if d.Config().Current() == nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func daemonName(number int) string { return fmt.Sprintf("entry-%d", number) }
+
 // AddDaemon starts one more daemon.
 func (r *Rig) AddDaemon(domain, region string) (*daemon.Daemon, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	number := len(r.daemons) + 1
 	config := settings.Default()
-	config.Name = fmt.Sprintf("entry-%d", number)
+	config.Name = daemonName(number)
 	config.FailureDomain = domain
 	config.Region = region
 	config.Listen = settings.Listen{Callers: loopback, Endpoints: loopback, Peers: loopback, Admin: loopback}
 	config.AdminKeySHA256 = hashKey(AdminKey)
-	config.DataFolder = filepath.Join(r.folder, config.Name)
+	options := r.config.Options
+	r.setReplica(config, &options, number)
 	if number == 1 {
 		setAddress(&config.Listen.Callers, r.config.CallerAddress)
 		setAddress(&config.Listen.Admin, r.config.AdminAddress)
@@ -144,7 +200,7 @@
 	if r.config.Settings != nil {
 		r.config.Settings(config)
 	}
-	d, err := daemon.Start(config, r.config.Log, r.config.Options)
+	d, err := daemon.Start(config, r.config.Log, options)
 	if err != nil {
 		return nil, err
 	}
@@ -152,6 +208,17 @@
 	return d, nil
 }
 
+// setReplica makes the first daemons state replicas.
+func (r *Rig) setReplica(config *settings.Settings, options *daemon.Options, number int) {
+	config.StateReplicas = r.replicas
+	if number > len(r.replicas) {
+		return
+	}
+	config.DataFolder = filepath.Join(r.folder, config.Name)
+	config.Replica = &settings.Replica{ID: config.Name, Bootstrap: r.replicas}
+	options.PeerListener = r.listeners[number-1]
+}
+
 func setAddress(field *string, address string) {
 	if address != "" {
 		*field = address
@@ -255,10 +322,14 @@
 
 // Await waits until each daemon knows the endpoints of its failure domain.
 func (r *Rig) Await(timeout time.Duration) error {
+	return r.await(timeout, "the endpoints", r.settled)
+}
+
+func (r *Rig) await(timeout time.Duration, what string, done func() bool) error {
 	deadline := time.Now().Add(timeout)
-	for !r.settled() {
+	for !done() {
 		if time.Now().After(deadline) {
-			return &TimeoutError{What: "endpoints to be known"}
+			return &TimeoutError{What: what}
 		}
 		time.Sleep(awaitPoll)
 	}
@@ -287,6 +358,9 @@
 func (r *Rig) Close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, listener := range r.listeners {
+		_ = listener.Close()
+	}
 	for _, e := range r.engines {
 		e.Close()
 	}
