--- a/cmd/boragelead/app.go
+++ b/cmd/boragelead/app.go
@@ -106,7 +106,7 @@
 
 // progress prints what the command waits for every two seconds until the
 // returned function is called.
-func (a *app) progress(what string) (stop func()) {
+func (a *app) progress(what func() string) (stop func()) {
 	done, ended := make(chan struct{}), make(chan struct{})
 	started := time.Now()
 	go func() {
@@ -116,7 +116,7 @@
 		for {
 			select {
 			case <-ticker.C:
-				a.note("%s (%.0f s)", what, time.Since(started).Seconds())
+				a.note("%s (%.0f s)", what(), time.Since(started).Seconds())
 			case <-done:
 				return
 			}
--- a/cmd/boragelead/command_test.go
+++ b/cmd/boragelead/command_test.go
@@ -159,7 +159,8 @@
 		Expect(out.String()).To(ContainSubstring("in force on all 2 daemons"))
 		view.catchUp = 1000
 		Expect(run("config", "promote", example, "--wait", "--json")).To(Equal(exitTimeout))
-		Expect(errs.String()).To(ContainSubstring("not yet on [d1 d2]; no answer from [d3]"))
+		Expect(errs.String()).To(ContainSubstring("not yet on [d1 d2]; no answer from [d3] (2 s)"))
+		Expect(errs.String()).To(HaveSuffix("not yet on [d1 d2]; no answer from [d3]\n"))
 	})
 
 	// Guards against scripts that cannot tell failures apart.
--- a/cmd/boragelead/promote.go
+++ b/cmd/boragelead/promote.go
@@ -193,6 +193,11 @@
 	missing := &notEverywhereError{generation: generation}
 	for {
 		view, err := client.Status(ctx)
+		var answered *adminclient.Error
+		if errors.As(err, &answered) {
+			// The daemon is there, but cannot tell; waiting would not help.
+			return daemons, err
+		}
 		if err == nil {
 			daemons = view.Daemons
 			missing = behind(daemons, generation)
@@ -202,6 +207,7 @@
 				}
 				return daemons, nil
 			}
+			p.waitFor(missing.Error())
 		}
 		select {
 		case <-ctx.Done():
--- a/cmd/boragelead/remote.go
+++ b/cmd/boragelead/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -30,6 +31,8 @@
 	// operator names the person in histories.
 	operator string
 	tls      tlsconfig.Files
+	// waiting says what the progress line shows.
+	waiting atomic.Pointer[string]
 }
 
 // remoteFlags adds the flags to a command.
@@ -61,6 +64,9 @@
 	return adminclient.New(options), nil
 }
 
+// waitFor sets the text of the progress line.
+func (r *remote) waitFor(what string) { r.waiting.Store(&what) }
+
 func (r *remote) key() (string, error) {
 	if r.keyFile == "" {
 		if key := os.Getenv(keyVariable); key != "" {
@@ -83,7 +89,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	stop := r.app.progress("waiting for " + r.address)
+	r.waitFor("waiting for " + r.address)
+	stop := r.app.progress(func() string { return *r.waiting.Load() })
 	defer stop()
 	return use(ctx, client)
 }
--- a/internal/tlsconfig/config.go
+++ b/internal/tlsconfig/config.go
@@ -6,6 +6,7 @@
 	"errors"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/settings"
 )
@@ -21,11 +22,11 @@
 
 // ForCallers returns the configuration towards callers, nil where TLS is off.
 // It is meant for http.Server.TLSConfig with ServeTLS, which adds HTTP/2.
-func ForCallers(config *settings.TLS) (*tls.Config, error) {
+func ForCallers(config *settings.TLS, log *zap.Logger) (*tls.Config, error) {
 	if config == nil || !config.Callers {
 		return nil, nil
 	}
-	source, err := NewSource(Files{Cert: config.CertFile, Key: config.KeyFile})
+	source, err := NewSource(Files{Cert: config.CertFile, Key: config.KeyFile}, log)
 	if err != nil {
 		return nil, err
 	}
@@ -33,11 +34,11 @@
 }
 
 // ForAdmin returns the configuration towards operators, nil where TLS is off.
-func ForAdmin(config *settings.TLS) (*tls.Config, error) {
+func ForAdmin(config *settings.TLS, log *zap.Logger) (*tls.Config, error) {
 	if config == nil || !config.Admin {
 		return nil, nil
 	}
-	source, err := NewSource(Files{Cert: config.CertFile, Key: config.KeyFile, CA: config.AdminClientCAFile})
+	source, err := NewSource(Files{Cert: config.CertFile, Key: config.KeyFile, CA: config.AdminClientCAFile}, log)
 	if err != nil {
 		return nil, err
 	}
@@ -51,11 +52,11 @@
 // ForPeers returns the configurations of both sides of connections between
 // daemons, nil where TLS is off. Both sides show certificates of the
 // authority that carry DaemonName.
-func ForPeers(config *settings.TLS) (server, client *tls.Config, err error) {
+func ForPeers(config *settings.TLS, log *zap.Logger) (server, client *tls.Config, err error) {
 	if config == nil || !config.Peers {
 		return nil, nil, nil
 	}
-	source, err := NewSource(Files{Cert: config.CertFile, Key: config.KeyFile, CA: config.CAFile})
+	source, err := NewSource(Files{Cert: config.CertFile, Key: config.KeyFile, CA: config.CAFile}, log)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/tlsconfig/source.go
+++ b/internal/tlsconfig/source.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 )
 
 // checkInterval bounds how often files are looked at, so that a flood of
@@ -26,13 +27,15 @@
 // after the other, and a handshake may come in between.
 type Source struct {
 	files Files
+	log   *zap.Logger
 
 	mu      sync.Mutex
 	checked time.Time
 	stamps  [3]stamp
 	cert    *tls.Certificate
 	pool    *x509.CertPool
-	failure error
+	// failure is the last reload failure that was logged.
+	failure string
 }
 
 // stamp tells versions of a file apart.
@@ -44,9 +47,9 @@
 // errNoCertificates is the cause when an authority file holds no PEM certificate.
 var errNoCertificates = errors.New("the file holds no PEM certificate")
 
-// NewSource reads the files.
-func NewSource(files Files) (*Source, error) {
-	s := &Source{files: files}
+// NewSource reads the files. The log tells when changed files come into use, or do not fit.
+func NewSource(files Files, log *zap.Logger) (*Source, error) {
+	s := &Source{files: files, log: log}
 	s.checked = time.Now()
 	s.stamps = s.look()
 	return s, s.load()
@@ -106,15 +109,21 @@
 	if stamps == s.stamps {
 		return
 	}
-	// Keep the old stamps on failure, so that the next look tries again.
-	if s.failure = s.load(); s.failure == nil {
-		s.stamps = stamps
+	if err := s.load(); err != nil {
+		// Keep the old stamps, so that the next look tries again.
+		s.reportFailure(err)
+		return
 	}
+	s.stamps = stamps
+	s.failure = ""
+	s.log.Info("Certificate reloaded.", zap.String("file", s.files.Cert))
 }
 
-// Failure returns why the files on disk are not in use, or nil.
-func (s *Source) Failure() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.failure
+// reportFailure logs a failure once, not at each look.
+func (s *Source) reportFailure(err error) {
+	if err.Error() == s.failure {
+		return
+	}
+	s.failure = err.Error()
+	s.log.Warn("Changed certificate files do not fit; the previous ones stay in use.", zap.String("file", s.files.Cert), zap.Error(err))
 }
--- a/internal/tlsconfig/tlsconfig_test.go
+++ b/internal/tlsconfig/tlsconfig_test.go
@@ -12,6 +12,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/tlsconfig"
@@ -36,7 +38,11 @@
 }
 
 func peers(files tlsconfig.Files) (server, client *tls.Config) {
-	server, client, err := tlsconfig.ForPeers(&settings.TLS{CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA, Peers: true})
+	return loggedPeers(files, zap.NewNop())
+}
+
+func loggedPeers(files tlsconfig.Files, log *zap.Logger) (server, client *tls.Config) {
+	server, client, err := tlsconfig.ForPeers(&settings.TLS{CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA, Peers: true}, log)
 	Expect(err).NotTo(HaveOccurred())
 	return server, client
 }
@@ -101,16 +107,20 @@
 		folder := GinkgoT().TempDir()
 		files, err := old.Issue(folder, "d", tlsconfig.DaemonName)
 		Expect(err).NotTo(HaveOccurred())
-		server, client := peers(files)
+		core, lines := observer.New(zap.InfoLevel)
+		server, client := loggedPeers(files, zap.New(core))
 		Expect(exchange(server, client)).To(Succeed())
 		Expect(os.WriteFile(files.Key, []byte("half"), 0o600)).To(Succeed())
 		time.Sleep(1100 * time.Millisecond)
 		Expect(exchange(server, client)).To(Succeed())
+		Expect(exchange(server, client)).To(Succeed())
+		Expect(lines.FilterLevelExact(zap.WarnLevel).Len()).To(Equal(1))
 		_, err = renewed.Issue(folder, "d", tlsconfig.DaemonName)
 		Expect(err).NotTo(HaveOccurred())
 		_, fresh := peers(files)
 		Eventually(func() error { return exchange(server, fresh) }).WithTimeout(5 * time.Second).Should(Succeed())
 		Expect(exchange(server, client)).To(Succeed())
+		Expect(lines.FilterMessage("Certificate reloaded.").Len()).To(Equal(1))
 	})
 })
 
@@ -135,7 +145,7 @@
 	// Guards against a listener that stays without TLS, or callers that talk to a stranger.
 	It("serves callers over HTTP/2 and is refused under a wrong authority", func() {
 		files := issue(authority(), "127.0.0.1")
-		config, err := tlsconfig.ForCallers(&settings.TLS{CertFile: files.Cert, KeyFile: files.Key, Callers: true})
+		config, err := tlsconfig.ForCallers(&settings.TLS{CertFile: files.Cert, KeyFile: files.Key, Callers: true}, zap.NewNop())
 		Expect(err).NotTo(HaveOccurred())
 		response, err := get(config, tlsconfig.Files{CA: files.CA})
 		Expect(err).NotTo(HaveOccurred())
@@ -148,7 +158,7 @@
 	It("refuses operators without a client certificate of the authority", func() {
 		a := authority()
 		files, operator := issue(a, "127.0.0.1"), issue(a, "operator")
-		config, err := tlsconfig.ForAdmin(&settings.TLS{CertFile: files.Cert, KeyFile: files.Key, Admin: true, AdminClientCAFile: files.CA})
+		config, err := tlsconfig.ForAdmin(&settings.TLS{CertFile: files.Cert, KeyFile: files.Key, Admin: true, AdminClientCAFile: files.CA}, zap.NewNop())
 		Expect(err).NotTo(HaveOccurred())
 		_, err = get(config, operator)
 		Expect(err).NotTo(HaveOccurred())
@@ -157,11 +167,11 @@
 	})
 
 	It("is off where the settings say nothing", func() {
-		config, err := tlsconfig.ForCallers(nil)
+		config, err := tlsconfig.ForCallers(nil, nil)
 		Expect(config, err).To(BeNil())
-		config, err = tlsconfig.ForAdmin(&settings.TLS{})
+		config, err = tlsconfig.ForAdmin(&settings.TLS{}, nil)
 		Expect(config, err).To(BeNil())
-		_, client, err := tlsconfig.ForPeers(&settings.TLS{})
+		_, client, err := tlsconfig.ForPeers(&settings.TLS{}, nil)
 		Expect(client, err).To(BeNil())
 	})
 })
