Keep the outcome of a promotion open until the state decides

Cause: after a lost answer, a resend that found no quorum ended with 'nothing was changed', although the first attempt may have taken effect. Change: promote goes on resending after an attempt with unknown outcome until the replicated state decides or the time is over, and then prints the flags for a resend. The server says that this request changed nothing. Conclusion: only an answer of the replicated state ends a promotion as failed.

--- a/cmd/boragelead/command_test.go
+++ b/cmd/boragelead/command_test.go
@@ -136,6 +136,21 @@
 		Expect(history).To(HaveLen(1))
 	})
 
+	// Guards against "nothing was changed" after an earlier attempt that did change something.
+	It("keeps the outcome open when a resend finds no quorum", func() {
+		inner := handler
+		handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPut && ledger.FailReads == nil {
+				inner.ServeHTTP(httptest.NewRecorder(), r)
+				ledger.FailReads = &port.NoQuorumError{Group: "main"}
+				panic(http.ErrAbortHandler)
+			}
+			inner.ServeHTTP(w, r)
+		})
+		Expect(run("config", "promote", example, "--first")).To(BeElementOf(exitNoQuorum, exitTimeout))
+		Expect(errs.String()).To(MatchRegexp(`the outcome is unknown; resend with --operation-id \S+ --first`))
+	})
+
 	// Guards against an operator who cannot finish an attempt whose outcome stayed unknown.
 	It("prints the flags for a resend and accepts them", func() {
 		Expect(run("config", "promote", example, "--first")).To(Equal(exitOK))
--- a/cmd/boragelead/promote.go
+++ b/cmd/boragelead/promote.go
@@ -150,9 +150,11 @@
 // send promotes, and resends with the same operation ID while the outcome is
 // unknown, which is safe: an operation takes effect at most once.
 func (p *promotion) send(ctx context.Context, client *adminclient.Client, request adminclient.Promotion) (status.Config, error) {
+	undecided := false
 	for {
 		config, err := client.Promote(ctx, request)
-		if err == nil || !outcomeUnknown(err) {
+		undecided = outcomeUnknown(err) || undecided && noDecision(err)
+		if !undecided {
 			return config, err
 		}
 		select {
@@ -185,6 +187,14 @@
 	return errors.As(err, &answered) && answered.Detail.MayTakeEffect != nil && *answered.Detail.MayTakeEffect
 }
 
+// noDecision reports whether an attempt ended without an answer of the
+// replicated state. It says nothing about an earlier attempt of the operation.
+func noDecision(err error) bool {
+	var unreachable *adminclient.UnreachableError
+	var answered *adminclient.Error
+	return errors.As(err, &unreachable) || errors.As(err, &answered) && answered.Detail.Code == status.CodeNoQuorum
+}
+
 // waitEverywhere returns when all daemons have the generation, or with a
 // notEverywhereError when the time is over.
 func (p *promotion) waitEverywhere(ctx context.Context, client *adminclient.Client, generation uint64) ([]status.Daemon, error) {
--- a/internal/adapter/adminhttp/errors.go
+++ b/internal/adapter/adminhttp/errors.go
@@ -65,7 +65,7 @@
 }
 
 func noQuorumDetail(mayTakeEffect bool) status.ErrorDetail {
-	message := "the replicated state does not answer; nothing was changed"
+	message := "the replicated state does not answer; this request changed nothing"
 	if mayTakeEffect {
 		message = "the replicated state does not answer; the request may still take effect, resend it with the same operation ID"
 	}
