--- a/internal/core/raft/schedule_test.go
+++ b/internal/core/raft/schedule_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
+	"sync/atomic"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -17,14 +19,20 @@
 // schedulesVariable names the environment variable that sets the number of schedules.
 const schedulesVariable = "BORAGELEAD_SCHEDULES"
 
+// shards run beside each other. All draw the same numbers and read them differently.
+const shards = 4
+
 // TestMain fixes seed and number of schedules, so that each run gives the same verdict.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	set := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	defaults := map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.nofailfile": "true"}
-	if count := os.Getenv(schedulesVariable); count != "" {
-		defaults["rapid.checks"] = count
+	schedules := 2000
+	if count, err := strconv.Atoi(os.Getenv(schedulesVariable)); err == nil {
+		schedules = count
+	}
+	defaults := map[string]string{
+		"rapid.seed": "20261204", "rapid.checks": strconv.Itoa(schedules / shards), "rapid.nofailfile": "true",
 	}
 	for name, value := range defaults {
 		if !set[name] {
@@ -38,27 +46,37 @@
 // leaders of one term, logs that differ, committed entries that are lost or
 // changed, stale reads, and a ledger that doubles, loses or reverts something.
 func TestSchedules(t *testing.T) {
-	var elections, snapshots, reads, committed, changes int
-	rapid.Check(t, func(rt *rapid.T) {
-		size := rapid.SampledFrom([]int{1, 2, 3, 3, 3, 5}).Draw(rt, "size")
-		c := newCluster(size, rapid.Uint64().Draw(rt, "seed"))
-		steps := rapid.SliceOfN(rapid.Uint32(), 300, 600).Draw(rt, "steps")
-		if problem := c.run(steps); problem != "" {
-			rt.Fatal(problem)
+	var elections, snapshots, reads, committed, changes atomic.Int64
+	t.Run("shards", func(t *testing.T) {
+		for shard := range uint64(shards) {
+			t.Run(strconv.FormatUint(shard, 10), func(t *testing.T) {
+				t.Parallel()
+				rapid.Check(t, func(rt *rapid.T) {
+					size := rapid.SampledFrom([]int{1, 2, 3, 3, 3, 5}).Draw(rt, "size")
+					c := newCluster(size, rapid.Uint64().Draw(rt, "seed")+shard)
+					steps := rapid.SliceOfN(rapid.Uint32(), 300, 600).Draw(rt, "steps")
+					if problem := c.run(steps, shard); problem != "" {
+						rt.Fatal(problem)
+					}
+					elections.Add(int64(c.elections))
+					snapshots.Add(int64(c.snapshots))
+					reads.Add(int64(c.reads))
+					changes.Add(int64(c.changes))
+					committed.Add(int64(len(c.committed)))
+				})
+			})
 		}
-		elections, snapshots, reads = elections+c.elections, snapshots+c.snapshots, reads+c.reads
-		committed, changes = committed+len(c.committed), changes+c.changes
 	})
-	g := gomega.NewWithT(t)
 	t.Logf("elections %d, snapshots installed %d, reads %d, entries committed %d, membership changes %d",
-		elections, snapshots, reads, committed, changes)
+		elections.Load(), snapshots.Load(), reads.Load(), committed.Load(), changes.Load())
+	g := gomega.NewWithT(t)
 	// Schedules that reach nothing would prove nothing.
-	for _, count := range []int{elections, snapshots, reads, changes} {
-		g.Expect(count).To(gomega.BeNumerically(">", 100))
+	for _, count := range []*atomic.Int64{&elections, &snapshots, &reads, &changes} {
+		g.Expect(count.Load()).To(gomega.BeNumerically(">", 100))
 	}
 }
 
-func (c *cluster) run(steps []uint32) (problem string) {
+func (c *cluster) run(steps []uint32, shard uint64) (problem string) {
 	defer func() {
 		switch p := recover().(type) {
 		case nil:
@@ -72,7 +90,7 @@
 	}()
 	for i, step := range steps {
 		// rapid prefers small numbers; mixing makes all actions equally likely to be drawn.
-		mixed := (uint64(step) + uint64(i)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+		mixed := (uint64(step) + shard<<40 + uint64(i)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
 		mixed = (mixed ^ mixed>>29) * 0x94d049bb133111eb
 		c.step(uint32(mixed>>57), uint32(mixed>>20)&0xffffff)
 		if i%64 == 0 {
