Take over at the first token and never report a break as io.EOF

Cause: a test of machine, client and stand-in engines together showed two faults. The successor of a planned handover never caught up with an old attempt of equal speed, so that both generated the same tokens until the deadline.

Change: the old attempt ends when the new one generates its first token, unless that token differs. The client replaces io.EOF in transport errors by io.ErrUnexpectedEOF.

Conclusion: the entry should delay a handover while the old attempt can still end in time; the pause of a handover is the prefill of the new one.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -169,7 +169,7 @@
 // endpoint that did not answer.
 func (c *Client) failure(baseURL string, pool *httpconn.Pool, use *httpconn.Use, err error) *sendError {
 	failed := &sendError{pool: pool}
-	failed.Err = err
+	failed.Err = notEOF(err)
 	failed.Sent = use.Sent()
 	failed.Silent = failed.Sent && (use.Silent() || errors.Is(err, context.DeadlineExceeded))
 	failed.stale = !failed.Sent && use.Reused()
@@ -179,6 +179,15 @@
 	return failed
 }
 
+// notEOF keeps a broken connection from being taken for the end of a stream:
+// port.FrameStream promises io.EOF after the last frame only.
+func notEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return eris.Wrap(io.ErrUnexpectedEOF, err.Error())
+	}
+	return err
+}
+
 // refusal reads the typed body of an error answer. Without one it is not
 // known whether the request ran.
 func refusal(resp *http.Response) error {
--- a/internal/adapter/enginehttp/client_test.go
+++ b/internal/adapter/enginehttp/client_test.go
@@ -188,6 +188,7 @@
 		}()
 		_, err = NewClient().Generate(context.Background(), "http://"+listener.Addr().String(), request("a", 1))
 		Expect(transportError(err).Sent).To(BeTrue())
+		Expect(errors.Is(err, io.EOF)).To(BeFalse(), "io.EOF is the end of a whole stream")
 		Expect(read.Load()).To(Equal(int32(1)))
 	})
 
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -1,7 +1,6 @@
 package enginehttp
 
 import (
-	"errors"
 	"io"
 	"sync/atomic"
 	"time"
@@ -90,14 +89,11 @@
 }
 
 func (s *frameStream) failure(err error) error {
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
-	}
 	silent := s.reply.use.Silent()
 	if silent {
 		s.client.suspect(s.baseURL, s.reply.pool)
 	}
-	return &port.TransportError{Sent: true, Silent: silent, Err: err}
+	return &port.TransportError{Sent: true, Silent: silent, Err: notEOF(err)}
 }
 
 // Close implements port.FrameStream. An unfinished stream closes its
--- a/internal/core/attempt/action.go
+++ b/internal/core/attempt/action.go
@@ -33,7 +33,7 @@
 	Retry
 	// Resume follows a failure after tokens were delivered.
 	Resume
-	// Handover is planned: the old attempt goes on until the new one has taken over.
+	// Handover is planned: the old attempt goes on until the new one generates.
 	Handover
 )
 
@@ -72,6 +72,7 @@
 	RecomputedTokens int
 	// Dropped counts frames of other attempts and repeated frames.
 	Dropped int
-	// Takeovers counts planned handovers that succeeded.
+	// Takeovers counts handovers in which the new attempt generated, or was at
+	// least sent, when the old one ended.
 	Takeovers int
 }
--- a/internal/core/attempt/frame.go
+++ b/internal/core/attempt/frame.go
@@ -76,8 +76,10 @@
 	return m.sampled && m.successor != nil && m.successor.sent
 }
 
-// takeOver lets the successor deliver once it has generated all that was
-// delivered since it was sent.
+// takeOver ends the primary when the successor generates its first token: two
+// engines of equal speed keep their distance, so that waiting longer would
+// only generate the same tokens twice. The successor delivers once it has
+// generated again what was delivered since it was sent.
 func (m *Machine) takeOver() {
 	s := m.successor
 	text := s.text.String()
@@ -88,13 +90,14 @@
 		m.diverged(s)
 		return
 	}
-	if s.next < m.offset {
-		return
-	}
 	if m.primary != nil {
 		m.cancel(m.primary)
+		m.primary = nil
 		m.stats.Takeovers++
 	}
+	if s.next < m.offset {
+		return
+	}
 	m.primary, m.successor = s, nil
 	s.text.Reset()
 	if s.next > m.offset {
--- a/internal/core/attempt/machine.go
+++ b/internal/core/attempt/machine.go
@@ -169,7 +169,8 @@
 }
 
 // Notice says that an endpoint is about to be reclaimed. An attempt there goes
-// on until another one has taken over.
+// on until another one generates. The caller of the machine may wait with
+// Granted while the old attempt can still end in time.
 func (m *Machine) Notice(endpointID string) []Action {
 	m.out = m.out[:0]
 	if m.ended {
@@ -230,6 +231,9 @@
 	} else {
 		m.primary = nil
 		m.promoteIfEven()
+		if (m.primary != nil && m.primary.sent) || m.successor != nil {
+			m.stats.Takeovers++
+		}
 	}
 	switch {
 	case m.primary == nil && m.offset >= m.config.MaxTokens:
--- a/internal/core/attempt/machine_test.go
+++ b/internal/core/attempt/machine_test.go
@@ -44,9 +44,9 @@
 	return list
 }
 
-// Guards against a handover that pauses the answer, repeats tokens, or keeps
-// the old attempt running.
-func TestHandoverTakesOverWithoutPause(t *testing.T) {
+// Guards against a handover that stops the old attempt before the new one
+// generates, repeats tokens, or lets both generate the same tokens for long.
+func TestHandoverEndsTheOldAttemptAtTheFirstToken(t *testing.T) {
 	g := NewWithT(t)
 	m := begin(Config{MaxTokens: 20, PromptTokens: 7})
 	m.Frame("a", tokens("a", 0, 4))
@@ -57,10 +57,10 @@
 	g.Expect(emitted).To(Equal("0.1.2.3."))
 	g.Expect(offset).To(Equal(4))
 	g.Expect(kinds(m.Frame("a", tokens("a", 4, 3)))).To(Equal([]Kind{Deliver}))
-	g.Expect(m.Frame("b", tokens("b", 4, 2))).To(BeEmpty())
+	g.Expect(m.Frame("b", tokens("b", 4, 2))).To(ConsistOf(And(HaveField("Kind", Cancel), HaveField("Attempt", "a"))))
 	actions := m.Frame("b", tokens("b", 6, 3))
-	g.Expect(kinds(actions)).To(Equal([]Kind{Cancel, Deliver}))
-	g.Expect(actions[1]).To(And(HaveField("Offset", 7), HaveField("Count", 2), HaveField("Text", "7.8.")))
+	g.Expect(kinds(actions)).To(Equal([]Kind{Deliver}))
+	g.Expect(actions[0]).To(And(HaveField("Offset", 7), HaveField("Count", 2), HaveField("Text", "7.8.")))
 	g.Expect(m.Frame("a", tokens("a", 7, 1))).To(BeEmpty())
 	g.Expect(m.Stats()).To(Equal(Stats{Attempts: 2, RecomputedTokens: 11, Dropped: 1, Takeovers: 1}))
 }
