--- a/compat/client_test.go
+++ b/compat/client_test.go
@@ -51,6 +51,9 @@
 			return entry.Result{}, err
 		}
 	}
+	if err := sink.Flush(); err != nil {
+		return entry.Result{}, err
+	}
 	return entry.Result{FinishReason: "stop", Usage: endpoint.Usage{PromptTokens: req.PromptTokens, GeneratedTokens: 3, CachedTokens: 2}}, nil
 }
 
@@ -65,7 +68,10 @@
 	store.Install(1, doc, conf.Digest(doc), time.Now())
 	var requests atomic.Int64
 	newID := func() string { return fmt.Sprint("r-", requests.Add(1)) }
-	server := httptest.NewServer(callerhttp.New(store, complete, newID).Handler())
+	server := httptest.NewServer(callerhttp.New(callerhttp.Options{
+		Name: "entry-1", Config: store, Completer: complete, NewID: newID,
+		OverloadPeer: func() string { return "" }, Ready: func() error { return nil },
+	}).Handler())
 	options = append([]option.RequestOption{option.WithBaseURL(server.URL + "/v1"), option.WithAPIKey(secret), option.WithMaxRetries(0)}, options...)
 	return openai.NewClient(options...), server
 }
