--- a/internal/core/admit/pipeline_bench_test.go
+++ b/internal/core/admit/pipeline_bench_test.go
@@ -87,3 +87,18 @@
 // BenchmarkDecision192Apart shares nothing between goroutines. It shows the
 // scaling that the machine gives at the time of the run.
 func BenchmarkDecision192Apart(b *testing.B) { benchmarkDecision(b, 192, 1, true) }
+
+// BenchmarkQueued measures a request that queues behind others and is
+// cancelled: the path under the lock.
+func BenchmarkQueued(b *testing.B) {
+	p := newPipeline(1, 1)
+	p.admitter.SetCapacity(0, 0, p.now)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if ticket, _, err := p.admitter.Offer(admit.Request{Workspace: "w", Caller: "c", Tokens: 300}, p.now); err == nil {
+				p.admitter.Cancel(ticket, p.now)
+			}
+		}
+	})
+}
--- a/internal/core/route/router_test.go
+++ b/internal/core/route/router_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -228,3 +230,44 @@
 		}
 	})
 }
+
+// Guards against data races between decisions, flights, cache events, peers
+// and new snapshots; it is of use with -race. Counts must be back at zero.
+func TestRouterConcurrently(t *testing.T) {
+	r, list := testRouter(), testCandidates(20, 2)
+	var snapshot atomic.Pointer[Snapshot]
+	snapshot.Store(r.Snapshot(list))
+	var group sync.WaitGroup
+	for g := range 4 {
+		group.Go(func() {
+			for i := range 500 {
+				now := epoch.Add(time.Duration(i) * time.Millisecond)
+				req := testRequest()
+				req.PrefixHashes = []uint64{1, 2, 3}
+				d, err := r.Route(req, snapshot.Load(), now, SharedRandom)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				flight := d.Start(now)
+				flight.Tokens(1, now.Add(time.Millisecond))
+				flight.Tokens(decodeSample, now.Add(2*time.Millisecond))
+				flight.Done(now.Add(3 * time.Millisecond))
+				if i%20 == g {
+					r.CacheEvents(addEvents(list[i%20].ID, uint64(i), 1, 2, 3))
+					snapshot.Store(r.Snapshot(list))
+					if data, err := r.Summary(now); err != nil || r.MergeSummary("p", data, now) != nil {
+						t.Error("summary failed")
+					}
+					r.SetBlocked(list[0].ID, i%40 == g)
+				}
+			}
+		})
+	}
+	group.Wait()
+	for _, c := range list {
+		if n := r.InFlight(c.ID); n != 0 {
+			t.Fatalf("%s has %d in flight", c.ID, n)
+		}
+	}
+}
