Widen the band of near-equal scores with the use of the fleet

Cause: the fixed band of 0.5 sent work to slower classes on an idle fleet. Change: the band is 0.15 plus 0.8 times the use of the best endpoint, at most 0.6.

--- a/internal/core/route/picker.go
+++ b/internal/core/route/picker.go
@@ -2,11 +2,16 @@
 
 import "math/rand/v2"
 
-// nearEqual is how far above the best score a candidate may lie to share its
-// load, as a share of the best score. At 0.15, eight entries with reports one
-// second old still rush at the same endpoints near saturation; 0.5 halves the
-// time to the first token there. docs/decisions.md gives the measurement.
-const nearEqual = 0.5
+// The band of near-equal scores reaches above the best score by a share of it:
+// narrowBand on an idle fleet, more by bandPerBusy times the use of the best
+// endpoint, at most widestBand. Near saturation a band of 0.15 lets entries with
+// reports one second old rush at the same endpoints; on an idle fleet one of
+// 0.5 sends work to slower classes. docs/decisions.md gives the measurement.
+const (
+	narrowBand  = 0.15
+	bandPerBusy = 0.8
+	widestBand  = 0.6
+)
 
 // LeastPicker takes the lowest score.
 type LeastPicker struct{}
@@ -25,7 +30,7 @@
 // Pick implements Picker.
 func (NearEqualPicker) Pick(list []Scored, random *rand.Rand) int {
 	best := least(list)
-	bound := list[best].Score * (1 + nearEqual)
+	bound := list[best].Score * (1 + min(narrowBand+bandPerBusy*float64(list[best].Busy), widestBand))
 	total := 0.0
 	for i := range list {
 		total += closeness(&list[i], &list[best], bound)
--- a/internal/core/route/pipeline.go
+++ b/internal/core/route/pipeline.go
@@ -66,7 +66,9 @@
 	Remote bool
 	// Cached is the part of the prompt expected in the prefix cache, in tokens.
 	Cached int32
-	index  int32
+	// Busy is the estimated use of the slots, above 1 where work waits.
+	Busy  float32
+	index int32
 }
 
 // Picker chooses among scored candidates and returns a position in the list,
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -213,7 +213,7 @@
 func (r *Router) scanRange(w *scratch, p *pool, from, to int) {
 	for i := from; i < to; i++ {
 		if r.look(w, p.entries[i]) {
-			w.scored = append(w.scored, Scored{Score: r.score(w), Remote: w.view.Remote, Cached: int32(w.view.CachedTokens), index: int32(i)})
+			w.scored = append(w.scored, Scored{Score: r.score(w), Remote: w.view.Remote, Cached: int32(w.view.CachedTokens), Busy: float32(w.view.Queue) / float32(max(w.view.Slots, 1)), index: int32(i)})
 		}
 	}
 }
