Complete the ledger of the stand-in engine before the last frame

The engine wrote the frame done before it removed the attempt and entered it in the ledger, so that a caller with a whole answer could find old counts, or its attempt still running (409).

Change: the attempt is settled when its last token is generated; only the handler of the connection waits for the write. One spec gave up a stream and used its attempt ID again at once, which the protocol does not allow: it now uses a new ID per attempt, with the same checks.

--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -185,6 +185,7 @@
 	e.generated.Add(int64(count))
 	if s.offset >= s.req.MaxTokens {
 		item.done = s.doneFrame()
+		e.settle(s)
 	}
 	e.applyFault(&item)
 	return append(work, item)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -167,9 +167,17 @@
 	e.drop(s)
 }
 
-// drop takes a sequence out of the batch and enters it in the ledger. The
-// batch loop removes it from its list. The caller holds mu.
+// drop ends a sequence at once. The caller holds mu.
 func (e *Engine) drop(s *sequence) {
+	e.settle(s)
+	e.release(s)
+}
+
+// settle takes a sequence out of the batch and enters it in the ledger. It
+// comes before the last frame, so that a caller that has read the whole answer
+// finds the ledger complete. The batch loop removes the sequence from its list.
+// The caller holds mu.
+func (e *Engine) settle(s *sequence) {
 	if s.ended {
 		return
 	}
@@ -178,7 +186,14 @@
 	if s.running {
 		e.config.Ledger.generated(s.req.RequestID, s.req.EmittedTokens, s.offset)
 	}
-	close(s.done)
+}
+
+// release lets the handler of a sequence return. The caller holds mu.
+func (e *Engine) release(s *sequence) {
+	if !s.released {
+		s.released = true
+		close(s.done)
+	}
 }
 
 func (e *Engine) wakeLoop() {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -183,3 +183,13 @@
 		Expect(time.Since(begin)).To(And(BeNumerically(">", 600*time.Millisecond), BeNumerically("<", 1400*time.Millisecond)))
 	})
 })
+
+var _ = Describe("ledger", func() {
+	It("guards against a whole answer that the ledger does not show yet, or whose attempt still counts as running", func() {
+		e := start(nil)
+		for i := range 200 {
+			generate(e, request("a", "x", 3))
+			Expect(e.Ledger().Request("r-a").GeneratedTokens).To(Equal(3 * (i + 1)))
+		}
+	})
+})
--- a/standin/engine/faults_test.go
+++ b/standin/engine/faults_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -92,7 +93,8 @@
 		e := start(nil)
 		damaged := func(kind engine.FrameFaultKind) answer {
 			e.SetFrameFault(engine.FrameFault{Kind: kind, Every: 3})
-			return generate(e, request("a", "x", 200))
+			// An attempt whose stream was given up may still run when the next one starts.
+			return generate(e, request(strconv.Itoa(int(kind)), "x", 200))
 		}
 		whole := engine.Answer(model, "", "x", 200)
 		for _, kind := range []engine.FrameFaultKind{engine.DuplicateFrames, engine.CrossFrames, engine.SkipFrames, engine.WrongOffsets} {
--- a/standin/engine/sequence.go
+++ b/standin/engine/sequence.go
@@ -31,7 +31,9 @@
 	running    bool
 	// ended is set when the engine has dropped the sequence from queue and batch.
 	ended bool
-	done  chan struct{}
+	// released is set when done is closed.
+	released bool
+	done     chan struct{}
 	// prefix holds the constant start of a token frame, with the attempt ID escaped.
 	prefix []byte
 
