Let a voter whose removal is not committed stand for election

Cause: 8,597 schedules into shard 2 a group stood still after all faults ended: the leader had appended its own removal, nobody else held the entry, and it no longer counted itself as a voter, while the others lacked its log. Change: a node may campaign while the committed configuration has it as a voter. Conclusion: a liveness fault, safety was not affected.

--- a/internal/core/raft/election.go
+++ b/internal/core/raft/election.go
@@ -80,9 +80,9 @@
 	r.reset(r.term)
 	r.role = Leader
 	r.leader = r.id
-	r.progress = map[ID]*progress{}
+	// The leader tracks itself also while its own removal is being committed.
+	r.progress = map[ID]*progress{r.id: {match: r.log.stable, next: r.log.last() + 1}}
 	r.trackMembers()
-	r.progress[r.id].match = r.log.stable
 	// Entries of older terms are committed only through one of this term.
 	if _, _, err := r.propose(EntryCommand, nil); err != nil {
 		invariant("open term: %v", err)
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -136,8 +136,19 @@
 	return config
 }
 
-// promotable reports whether the node may stand for election.
-func (r *Raft) promotable() bool { return r.config().IsVoter(r.id) && r.install == nil }
+// promotable reports whether the node may stand for election. A voter whose
+// removal is in its log but not committed still may: it can be the only one
+// whose log is long enough to win.
+func (r *Raft) promotable() bool {
+	if r.install != nil {
+		return false
+	}
+	if r.config().IsVoter(r.id) {
+		return true
+	}
+	committed := r.ConfigAt(r.log.commit)
+	return committed.IsVoter(r.id)
+}
 
 // Propose appends a command to the log of the leader and returns its index and term.
 func (r *Raft) Propose(data []byte) (index, term uint64, err error) {
