--- a/internal/core/raft/rules_test.go
+++ b/internal/core/raft/rules_test.go
@@ -9,14 +9,20 @@
 	"github.com/boragelead/boragelead/internal/core/raft"
 )
 
+var threeVoters = raft.Configuration{Voters: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+
 // lone starts node 1 of three voters with the given entries.
 func lone(g *gomega.WithT, term uint64, entries ...raft.Entry) *raft.Raft {
-	voters := []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}}
+	return newNode(g, raft.HardState{Term: term}, threeVoters, entries...)
+}
+
+func newNode(
+	g *gomega.WithT, hard raft.HardState, config raft.Configuration, entries ...raft.Entry,
+) *raft.Raft {
 	r, err := raft.New(raft.Config{
 		ID: 1, ElectionTicks: 5, HeartbeatTicks: 1, MaxAppendBytes: 1000, MaxInflight: 4, MaxUncommittedBytes: 1000,
-		Rand:      func(int) int { return 0 },
-		HardState: raft.HardState{Term: term},
-		Snapshot:  raft.Snapshot{Index: 1, Term: 1, Config: raft.Configuration{Voters: voters}}, Entries: entries,
+		Rand: func(int) int { return 0 }, HardState: hard,
+		Snapshot: raft.Snapshot{Index: 1, Term: 1, Config: config}, Entries: entries,
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	return r
@@ -92,3 +98,28 @@
 	g.Expect(rd.Messages).To(gomega.HaveLen(1))
 	g.Expect(rd.Messages[0].Reject).To(gomega.BeTrue())
 }
+
+// TestVoteSurvivesRestart guards against a second vote in one term.
+func TestVoteSurvivesRestart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newNode(g, raft.HardState{Term: 3, Vote: 2}, threeVoters)
+	r.Step(raft.Message{Kind: raft.MsgVote, From: 3, To: 1, Term: 3, Index: 9, LogTerm: 2})
+	rd, _ := r.Ready()
+	g.Expect(rd.Messages).To(gomega.HaveLen(1))
+	g.Expect(rd.Messages[0].Reject).To(gomega.BeTrue())
+}
+
+// TestNothingEarlyBeforeTerm guards against a single voter whose entries leave
+// before its term is synced: after a crash it would lead the term with others.
+func TestNothingEarlyBeforeTerm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	config := raft.Configuration{Voters: []raft.Member{{ID: 1}}, Learners: []raft.Member{{ID: 2}}}
+	r := newNode(g, raft.HardState{Term: 3}, config)
+	for range 5 {
+		r.Tick()
+	}
+	rd, _ := r.Ready()
+	g.Expect(rd.HardState.Term).To(gomega.BeEquivalentTo(4))
+	g.Expect(rd.Early).To(gomega.BeEmpty())
+	g.Expect(rd.Messages).NotTo(gomega.BeEmpty())
+}
