Ask seeds only from relays and poll less before the first generation

Change: the wait for a first generation polls every 2 s and ends when one is heard of; only relays exchange with seeds while they have peers; the measurement covers several domains and names the busiest daemon.

--- a/internal/cluster/measure_test.go
+++ b/internal/cluster/measure_test.go
@@ -18,10 +18,11 @@
 // udpHeader is the size of the IPv4 and UDP headers of a datagram.
 const udpHeader = 28
 
-// TestMeasure prints the control overhead of a domain. It runs only with
-// BORAGELEAD_MEASURE set to "DAEMONS:ENDPOINTS" pairs separated by commas:
+// TestMeasure prints the control overhead of one or more domains. It runs only
+// with BORAGELEAD_MEASURE set to "DAEMONS:ENDPOINTS", or "DOMAINSxDAEMONS:ENDPOINTS"
+// with counts per domain, separated by commas:
 //
-//	BORAGELEAD_MEASURE=8:12,31:192 go test -run TestMeasure -v ./internal/cluster
+//	BORAGELEAD_MEASURE=8:12,31:192,12x5:10 go test -run TestMeasure -v ./internal/cluster
 func TestMeasure(t *testing.T) {
 	cases := os.Getenv("BORAGELEAD_MEASURE")
 	if cases == "" {
@@ -29,43 +30,96 @@
 	}
 	for _, text := range strings.Split(cases, ",") {
 		daemons, endpoints, _ := strings.Cut(text, ":")
+		domains := 1
+		if before, after, found := strings.Cut(daemons, "x"); found {
+			domains, _ = strconv.Atoi(before)
+			daemons = after
+		}
 		n, _ := strconv.Atoi(daemons)
 		m, _ := strconv.Atoi(endpoints)
-		t.Run(text, func(t *testing.T) { measure(t, n, m) })
+		t.Run(text, func(t *testing.T) { measure(t, domains, n, m) })
 	}
 }
 
-func measure(t *testing.T, daemons, endpoints int) {
+func measure(t *testing.T, domains, daemons, endpoints int) {
 	before := heap()
 	src := newSource()
-	list := startDomain(t, daemons, "a", src)
-	joinTook := waitFor(t, time.Minute, "join", func() bool { return joined(list) })
+	var groups [][]*daemon
+	var all []*daemon
+	for i := range domains {
+		var seeds []string
+		use := src
+		if i > 0 {
+			seeds, use = []string{groups[0][0].address}, nil
+		}
+		group := startDomain(t, daemons, fmt.Sprintf("m%02d", i), asSource(use), seeds...)
+		groups = append(groups, group)
+		all = append(all, group...)
+	}
+	joinTook := waitFor(t, 2*time.Minute, "join", func() bool {
+		return !slices.ContainsFunc(groups, func(group []*daemon) bool { return !joined(group) })
+	})
+	waitFor(t, 2*time.Minute, "domains known", func() bool {
+		return !slices.ContainsFunc(all, func(d *daemon) bool { return len(d.Node().Domains(time.Now())) < domains-1 })
+	})
 	stop := make(chan struct{})
-	go announceAll(list, endpoints, stop)
 	defer close(stop)
-	waitFor(t, time.Minute, "endpoints known", func() bool { return allKnow(list, endpoints) })
+	for _, group := range groups {
+		go announceAll(group, endpoints, stop)
+	}
+	for _, group := range groups {
+		waitFor(t, 2*time.Minute, "endpoints known", func() bool { return allKnow(group, endpoints) })
+	}
+	src.promote(1, []byte("first"))
+	waitFor(t, time.Minute, "first generation", allAt(all, 1))
 	// The exchanges of the join must end before the steady state is measured.
 	time.Sleep(8 * time.Second)
 
 	const window = 20 * time.Second
-	sent0, received0, rpc0 := traffic(list)
-	cpu0 := cpu()
+	from, cpu0 := traffic(all), cpu()
 	time.Sleep(window)
-	cpuUsed := cpu() - cpu0
-	sent1, received1, rpc1 := traffic(list)
-	per := func(v uint64) float64 { return float64(v) / window.Seconds() / float64(daemons) / 1000 }
-	memory := float64(heap()-before) / float64(daemons) / (1 << 20)
-	t.Logf("daemons=%d endpoints=%d join=%v", daemons, endpoints, joinTook.Round(time.Millisecond))
-	t.Logf("kB/s per daemon: sent=%.2f received=%.2f sum=%.2f (datagrams with IP headers, RPC without; RPC both ways=%.2f)",
-		per(sent1-sent0), per(received1-received0), per(sent1-sent0+received1-received0), per(rpc1-rpc0))
+	cpuUsed, to := cpu()-cpu0, traffic(all)
+	memory := float64(heap()-before) / float64(len(all)) / (1 << 20)
+	t.Logf("domains=%d daemons=%d endpoints=%d (per domain) join=%v", domains, daemons, endpoints, joinTook.Round(time.Millisecond))
+	logTraffic(t, from, to, window)
 	t.Logf("CPU per daemon: %.2f%% of a core; heap per daemon: %.2f MB",
-		100*cpuUsed.Seconds()/window.Seconds()/float64(daemons), memory)
-	measureSpread(t, list, endpoints)
-	measureConfig(t, list, src)
+		100*cpuUsed.Seconds()/window.Seconds()/float64(len(all)), memory)
+	measureSpread(t, groups[0])
+	measureConfig(t, all, src)
+}
+
+// asSource keeps a nil *source from becoming a Source that is not nil.
+func asSource(src *source) Source {
+	if src == nil {
+		return nil
+	}
+	return src
+}
+
+// volume is what one daemon sent and received in bytes. Datagrams count with
+// IP and UDP headers, RPC without TCP and IP headers.
+type volume struct{ sent, received, rpc uint64 }
+
+func logTraffic(t *testing.T, from, to []volume, window time.Duration) {
+	t.Helper()
+	var sum, most volume
+	for i := range from {
+		v := volume{to[i].sent - from[i].sent, to[i].received - from[i].received, to[i].rpc - from[i].rpc}
+		sum = volume{sum.sent + v.sent, sum.received + v.received, sum.rpc + v.rpc}
+		if v.sent+v.received > most.sent+most.received {
+			most = v
+		}
+	}
+	rate := func(v uint64, count int) float64 { return float64(v) / window.Seconds() / float64(count) / 1000 }
+	n := len(from)
+	t.Logf("kB/s mean per daemon: sent=%.2f received=%.2f sum=%.2f, of which RPC %.2f",
+		rate(sum.sent, n), rate(sum.received, n), rate(sum.sent+sum.received, n), rate(sum.rpc, n))
+	t.Logf("kB/s of the busiest daemon: sent=%.2f received=%.2f sum=%.2f, of which RPC %.2f",
+		rate(most.sent, 1), rate(most.received, 1), rate(most.sent+most.received, 1), rate(most.rpc, 1))
 }
 
 // measureSpread measures how long a new, a leaving and a stopped endpoint take to be known everywhere.
-func measureSpread(t *testing.T, list []*daemon, endpoints int) {
+func measureSpread(t *testing.T, list []*daemon) {
 	const tries = 10
 	var join, leave, gone []time.Duration
 	for i := range tries {
@@ -87,7 +141,7 @@
 
 func measureConfig(t *testing.T, list []*daemon, src *source) {
 	var took []time.Duration
-	for number := uint64(1); number <= 5; number++ {
+	for number := uint64(2); number <= 6; number++ {
 		document := []byte(strings.Repeat(fmt.Sprintf(`{"workspace":"w%d","weight":%d},`, number, rand.IntN(100)), 2000))
 		src.promote(number, document)
 		took = append(took, waitFor(t, 20*time.Second, "generation", func() bool {
@@ -131,14 +185,17 @@
 	})
 }
 
-func traffic(list []*daemon) (sent, received, rpc uint64) {
-	for _, d := range list {
+func traffic(list []*daemon) []volume {
+	volumes := make([]volume, len(list))
+	for i, d := range list {
 		udp, tcp := d.Traffic(), d.rpc.Stats()
-		sent += udp.BytesSent + udp.Sent*udpHeader + tcp.BytesSent
-		received += udp.BytesReceived + udp.Received*udpHeader + tcp.BytesReceived
-		rpc += tcp.BytesSent + tcp.BytesReceived
+		volumes[i] = volume{
+			sent:     udp.BytesSent + udp.Sent*udpHeader + tcp.BytesSent,
+			received: udp.BytesReceived + udp.Received*udpHeader + tcp.BytesReceived,
+			rpc:      tcp.BytesSent + tcp.BytesReceived,
+		}
 	}
-	return sent, received, rpc
+	return volumes
 }
 
 func heap() uint64 {
--- a/internal/core/distribute/state.go
+++ b/internal/core/distribute/state.go
@@ -15,6 +15,9 @@
 	pullDelay = 250 * time.Millisecond
 	// pullRetry is the time between two pulls.
 	pullRetry = 500 * time.Millisecond
+	// firstRetry is that time while no generation is heard of: a new cluster
+	// waits for its first promotion, which is pushed.
+	firstRetry = 2 * time.Second
 	// failureBackoff is how long a generation that could not be installed is not pulled again.
 	failureBackoff = 5 * time.Second
 )
@@ -31,7 +34,9 @@
 	current     port.Generation
 	behindSince time.Time
 	nextPull    time.Time
-	failed      *InstallError
+	// bootstrap is set while nextPull waits for a first generation.
+	bootstrap bool
+	failed    *InstallError
 }
 
 // New returns a state without a generation.
@@ -94,9 +99,15 @@
 	if s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	if now.Sub(s.behindSince) < pullDelay || now.Before(s.nextPull) {
+	// The wait for a first generation ends as soon as one is heard of.
+	waits := now.Before(s.nextPull) && (newest == 0 || !s.bootstrap)
+	if now.Sub(s.behindSince) < pullDelay || waits {
 		return false
 	}
+	s.bootstrap = newest == 0
 	s.nextPull = now.Add(pullRetry)
+	if newest == 0 {
+		s.nextPull = now.Add(firstRetry)
+	}
 	return true
 }
--- a/internal/core/member/sync.go
+++ b/internal/core/member/sync.go
@@ -274,7 +274,9 @@
 	n.syncs++
 	n.nextSync = now.Add(syncInterval)
 	p := n.randomPeer()
-	if p != nil && n.syncs%seedEvery != 0 {
+	// Only relays ask seeds while they have peers, so that a seed's traffic
+	// grows with the domains and not with the daemons.
+	if p != nil && (n.syncs%seedEvery != 0 || n.rank() < 0) {
 		n.out.Syncs = append(n.out.Syncs, p.Address)
 		return
 	}
