Flush in the compatibility test's completer

Cause: the cancellation spec hung: its completer waited for the disconnect without sending what it had delivered, which the sink now collects until Flush.

--- a/compat/client_test.go
+++ b/compat/client_test.go
@@ -218,6 +218,9 @@
 			if err := sink.Tokens(0, 1, "red"); err != nil {
 				return entry.Result{}, err
 			}
+			if err := sink.Flush(); err != nil {
+				return entry.Result{}, err
+			}
 			<-ctx.Done()
 			close(cancelled)
 			return entry.Result{}, ctx.Err()
