Serve operators, drain on a signal and run dev on real daemons

Cause: the operators' interface had no daemon behind it, borageleadd cut requests off at a signal, and dev ran one daemon without replicated state. Change: status, drain and explain of a daemon; TLS towards callers and operators; the first signal drains, the second ends; dev starts a daemon per failure domain, three state replicas, an engine per class and the plain services.

--- a/cmd/boragelead/dev.go
+++ b/cmd/boragelead/dev.go
@@ -1,80 +1,113 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/boragelead/boragelead/api/endpoint"
 	"github.com/boragelead/boragelead/internal/core/conf"
-	"github.com/boragelead/boragelead/internal/daemon"
+	"github.com/boragelead/boragelead/internal/rig"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/telemetry"
 	"github.com/boragelead/boragelead/standin/engine"
+	"github.com/boragelead/boragelead/standin/service"
 )
 
 // devOptions are the flags of the dev command.
 type devOptions struct {
-	document string
-	listen   string
+	document, listen, admin, folder, logLevel string
+	daemons                                   int
+}
+
+// devReady bounds the start of the dev command.
+const devReady = 20 * time.Second
+
+// registerDev adds the command that runs a small system on loopback.
+func registerDev(a *app) {
+	options := devOptions{
+		document: "examples/portfolio.json", listen: "127.0.0.1:8080", admin: "127.0.0.1:8083", logLevel: "warn", daemons: 1,
+	}
+	sub := a.add(nil, "dev", "run daemons, state replicas and stand-in endpoints in one process on loopback", []string{
+		"boragelead dev",
+		"boragelead dev --document examples/calendar.json --listen 127.0.0.1:8090 --admin 127.0.0.1:8093",
+	}, func(ctx context.Context) error { return a.runDev(ctx, options) })
+	sub.String(&options.document, "d", "document", "operators' document")
+	sub.String(&options.listen, "l", "listen", "address for callers, of the first daemon")
+	sub.String(&options.admin, "a", "admin", "address for operators, of the first daemon")
+	sub.String(&options.folder, "f", "folder", "data folder to keep; without one the state ends with the command")
+	sub.String(&options.logLevel, "", "log-level", "debug, info, warn or error")
+	sub.Int(&options.daemons, "n", "daemons", "daemons per failure domain")
 }
 
-func runDev(options devOptions) error {
+func (a *app) runDev(ctx context.Context, options devOptions) error {
 	data, err := os.ReadFile(options.document)
 	if err != nil {
 		return err
 	}
-	doc, err := conf.Parse(data)
+	log, err := telemetry.NewLogger(settings.Log{Level: options.logLevel, Format: "console"})
 	if err != nil {
 		return err
 	}
-	config := settings.Default()
-	config.Name = "dev-1"
-	config.FailureDomain = doc.Fleet.Domains[0].FailureDomain
-	config.Listen.Callers = options.listen
-	config.Listen.Endpoints = "127.0.0.1:8091"
-	config.Listen.Peers = "127.0.0.1:8092"
-	config.Listen.Admin = "127.0.0.1:8093"
-	log, err := telemetry.NewLogger(config.Log)
+	r, err := rig.Start(rig.Config{
+		Document: data, Daemons: options.daemons, Folder: options.folder,
+		CallerAddress: options.listen, AdminAddress: options.admin, Log: log,
+	})
 	if err != nil {
 		return err
 	}
-	d, err := daemon.Start(config, log, daemon.Options{})
-	if err != nil {
+	defer r.Close()
+	if err := addEndpoints(r); err != nil {
+		return err
+	}
+	if err := r.Await(devReady); err != nil {
 		return err
 	}
-	defer d.Close()
-	d.Config().Install(1, doc, conf.Digest(doc), time.Now())
-	class := doc.Fleet.Classes[0]
-	for i, domain := range doc.Fleet.Domains {
-		e, err := engine.Start(engine.Config{
-			ID: fmt.Sprintf("engine-%d", i+1), FailureDomain: domain.FailureDomain, Class: class.Name,
-			Models: loadedModels(doc), Slots: class.Slots,
-			Speed:   engine.ClassSpeed(class.PrefillTokensPerS, class.DecodeTokensPerS, class.Slots),
-			Entries: []string{"http://" + config.Listen.Endpoints}, Listen: "127.0.0.1:0",
-		})
-		if err != nil {
-			return err
+	a.explainDev(r, options)
+	<-ctx.Done()
+	return nil
+}
+
+// addEndpoints starts an engine of each class in each failure domain, and an
+// endpoint of each plain service.
+func addEndpoints(r *rig.Rig) error {
+	doc := r.Document()
+	for _, domain := range r.Domains() {
+		for _, class := range doc.Fleet.Classes {
+			if _, err := r.AddEngine(engineOf(domain, class)); err != nil {
+				return err
+			}
+		}
+		for _, s := range doc.Services {
+			if _, err := r.AddService(service.Config{FailureDomain: domain, Service: s.Name}); err != nil {
+				return err
+			}
 		}
-		defer e.Close()
 	}
-	log.Info("Ready.", zapAddress(options.listen))
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
 	return nil
 }
 
-func loadedModels(doc *conf.Document) []endpoint.LoadedModel {
-	var models []endpoint.LoadedModel
-	for _, m := range doc.Models {
-		models = append(models, endpoint.LoadedModel{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
+func engineOf(domain string, class conf.MachineClass) engine.Config {
+	return engine.Config{
+		FailureDomain: domain, Class: class.Name, Slots: class.Slots, Reclaimable: true,
+		Speed: engine.ClassSpeed(class.PrefillTokensPerS, class.DecodeTokensPerS, class.Slots),
 	}
-	return models
 }
 
-func zapAddress(address string) zap.Field { return zap.String("callers", address) }
+func (a *app) explainDev(r *rig.Rig, options devOptions) {
+	doc := r.Document()
+	a.printf("%d daemons, %d engines in %d failure domains; Ctrl-C ends.\n", len(r.Daemons()), len(r.Engines()), len(r.Domains()))
+	a.printf("operators: boragelead status --address %s with BORAGELEAD_ADMIN_KEY=%s\n", options.admin, rig.AdminKey)
+	a.printf("callers:   curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n", options.listen, devKey(doc))
+	a.printf("             -d '{\"model\":%q,\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n", doc.Models[0].Name)
+}
+
+// devKey returns the key of the first workspace of the example documents.
+func devKey(doc *conf.Document) string {
+	for _, secret := range []string{"dev-north", "dev-district"} {
+		if workspace, _ := doc.Authenticate(secret); workspace != nil {
+			return secret
+		}
+	}
+	return fmt.Sprintf("(a key of workspace %s)", doc.Workspaces[0].Name)
+}
--- a/cmd/boragelead/status.go
+++ b/cmd/boragelead/status.go
@@ -54,9 +54,9 @@
 		row(e.ID, e.FailureDomain, e.State, strings.Join(e.Models, ","), e.Slots, e.Running, e.Queued)
 	}
 	row("")
-	row("WORKSPACE", "RANK", "WAITING", "RUNNING", "OLDEST MS")
+	row("QUEUE OF", "WAITING", "RUNNING")
 	for _, q := range view.Queues {
-		row(q.Workspace, q.Rank, q.Waiting, q.Running, q.OldestWaitMS)
+		row(q.Models, q.Waiting, q.Running)
 	}
 	_ = table.Flush()
 }
--- a/cmd/borageleadd/main.go
+++ b/cmd/borageleadd/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -18,13 +19,22 @@
 const (
 	exitSettings = 2
 	exitStart    = 3
+	// exitCutOff is the code after a second signal, which ends a drain.
+	exitCutOff = 4
 )
 
+// gcPercent lets the heap grow to five times its live size between
+// collections. The memory limit of the settings bounds it; decisions on ten
+// cores scale 3.8 to 5.0 times one core at the default of 100, and 6.3 to 6.7 at 1000.
+const gcPercent = 400
+
 func main() {
 	path := "borageleadd.json"
 	flaggy.SetName("borageleadd")
 	flaggy.SetDescription("boragelead daemon: serves callers, endpoints and operators of one entry VM")
-	flaggy.String(&path, "s", "settings", "settings file (JSON)")
+	flaggy.DefaultParser.AdditionalHelpAppend = "\nExample: borageleadd --settings /etc/boragelead/entry.json\n" +
+		"Exit codes: 0 drained, 2 wrong settings, 3 not started, 4 ended by a second signal"
+	flaggy.String(&path, "s", "settings", "settings file (JSON), see docs/settings.md")
 	flaggy.Parse()
 	os.Exit(run(path))
 }
@@ -40,14 +50,31 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(config.Limits.MaxMemoryBytes)
 	d, err := daemon.Start(config, log, daemon.Options{})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitStart
 	}
-	signals := make(chan os.Signal, 1)
+	defer d.Close()
+	return serve(d)
+}
+
+// serve waits for the end: the first signal or an operator drains the daemon, a
+// second signal ends it at once.
+func serve(d *daemon.Daemon) int {
+	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
-	d.Close()
-	return 0
+	for draining := false; ; draining = true {
+		select {
+		case <-signals:
+			if draining {
+				return exitCutOff
+			}
+			d.Drain(0)
+		case <-d.Drained():
+			return 0
+		}
+	}
 }
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -17,6 +17,7 @@
 	"github.com/boragelead/boragelead/internal/entry"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/telemetry"
+	"github.com/boragelead/boragelead/internal/tlsconfig"
 )
 
 // build makes the parts of the daemon, from the network inwards.
@@ -28,7 +29,7 @@
 	if d.tracing, err = telemetry.NewTracing(d.settings.Trace, d.settings.Name, d.settings.FailureDomain); err != nil {
 		return err
 	}
-	peerTLS, err := d.peerTLS()
+	peerTLS, err := d.buildTLS()
 	if err != nil {
 		return err
 	}
@@ -41,10 +42,19 @@
 	}
 	d.entry = entry.New(d.entryOptions(options))
 	d.entry.Register(d.rpc)
+	d.rpc.Handle(methodExplain, d.explain)
 	return nil
 }
 
-func (d *Daemon) peerTLS() (*tls.Config, error) {
+// buildTLS reads the certificates, and returns the configuration between daemons.
+func (d *Daemon) buildTLS() (*tls.Config, error) {
+	var err error
+	if d.callerTLS, err = tlsconfig.ForCallers(d.settings.TLS, d.log); err != nil {
+		return nil, eris.Wrap(err, "TLS towards callers")
+	}
+	if d.adminTLS, err = tlsconfig.ForAdmin(d.settings.TLS, d.log); err != nil {
+		return nil, eris.Wrap(err, "TLS towards operators")
+	}
 	if d.settings.TLS == nil || !d.settings.TLS.Peers {
 		return nil, nil
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"net"
 	"net/http"
@@ -62,6 +63,8 @@
 	services  *servicehttp.Client
 	entry     *entry.Service
 
+	callerTLS *tls.Config
+	adminTLS  *tls.Config
 	listeners listeners
 	servers   []*http.Server
 	group     sync.WaitGroup
@@ -162,17 +165,24 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.group.Go(func() { d.sweepOwners(ctx) })
-	d.serve(d.listeners.callers, d.callerHandler())
-	d.serve(d.listeners.endpoints, d.endpointHandler())
-	d.serve(d.listeners.admin, d.adminHandler())
+	d.serve(d.listeners.callers, d.callerHandler(), d.callerTLS)
+	d.serve(d.listeners.endpoints, d.endpointHandler(), nil)
+	d.serve(d.listeners.admin, d.adminHandler(), d.adminTLS)
 	telemetry.Publish(d.settings.Name, d.metrics)
 	d.log.Info("Daemon started.", zap.String("callers", d.CallerAddress()), zap.String("peers", d.PeerAddress()))
 }
 
-func (d *Daemon) serve(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+// serve serves a listener, over TLS where a configuration is given.
+func (d *Daemon) serve(listener net.Listener, handler http.Handler, config *tls.Config) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, TLSConfig: config}
 	d.servers = append(d.servers, server)
-	d.group.Go(func() { _ = server.Serve(listener) })
+	d.group.Go(func() {
+		if config != nil {
+			_ = server.ServeTLS(listener, "", "")
+			return
+		}
+		_ = server.Serve(listener)
+	})
 }
 
 // Close stops the daemon at once. Requests under way are cut off.
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/boragelead/boragelead/internal/core/retry"
+)
+
+// QueueView is the admission of the models that share endpoints.
+type QueueView struct {
+	// Group is the first of the models.
+	Group            string
+	Running, Waiting int
+}
+
+// Queues returns the load of each admission.
+func (s *Service) Queues() []QueueView {
+	var list []QueueView
+	for _, one := range s.pools.list() {
+		running, waiting := one.admitter.Load()
+		list = append(list, QueueView{Group: one.key, Running: running, Waiting: waiting})
+	}
+	return list
+}
+
+// EndpointView returns the state of an endpoint's circuit breaker and this
+// daemon's share of its concurrency limit.
+func (s *Service) EndpointView(id string, now time.Time) (breaker string, limit int) {
+	state := s.directory.find(id)
+	if state == nil {
+		return "", 0
+	}
+	return breakerName(state.breaker.State(now)), s.pools.shares.Share(id, state.limiter.Limit())
+}
+
+func breakerName(state retry.BreakerState) string {
+	switch state {
+	case retry.Open:
+		return "open"
+	case retry.HalfOpen:
+		return "half_open"
+	default:
+		return "closed"
+	}
+}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -68,14 +68,12 @@
 	Limit int `json:"limit,omitempty"`
 }
 
-// Queue describes the waiting requests of a workspace and rank on the answering daemon.
+// Queue describes the admission of the answering daemon for the models that share endpoints.
 type Queue struct {
-	Workspace string `json:"workspace"`
-	Rank      string `json:"rank"`
-	Waiting   int    `json:"waiting"`
-	Running   int    `json:"running"`
-	// OldestWaitMS is how long the oldest request waits, in milliseconds.
-	OldestWaitMS int64 `json:"oldest_wait_ms"`
+	// Models names the first of the models.
+	Models  string `json:"models"`
+	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
 }
 
 // Replica describes a voter or learner of the replicated state.
