--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/boragelead/boragelead/internal/core/conf"
@@ -38,6 +39,10 @@
 	AddedP50MS        float64     `json:"added_first_token_p50_ms"`
 	AddedP99MS        float64     `json:"added_first_token_p99_ms"`
 	ThroughputOfEntry float64     `json:"throughput_of_entry"`
+	// AddedUSPerRequest and AddedUSPerToken are processor time of the daemon in
+	// microseconds: that of the entry runs less that of the direct ones.
+	AddedUSPerRequest float64 `json:"added_us_per_request"`
+	AddedUSPerToken   float64 `json:"added_us_per_token"`
 }
 
 const (
@@ -77,20 +82,39 @@
 		return nil, err
 	}
 	entry := &load.OpenAITarget{BaseURL: "http://" + r.Daemons()[0].CallerAddress(), Client: client}
-	o := &Overhead{
-		DirectLatency:    one(ctx, direct, config, latencyStream(config, r.Document())),
-		EntryLatency:     one(ctx, entry, config, latencyStream(config, r.Document())),
-		DirectThroughput: one(ctx, direct, config, throughputStream(config, r.Document())),
-		EntryThroughput:  one(ctx, entry, config, throughputStream(config, r.Document())),
-	}
+	o := &Overhead{}
+	var cpu [4]time.Duration
+	o.DirectLatency, cpu[0] = one(ctx, direct, config, latencyStream(config, r.Document()))
+	o.EntryLatency, cpu[1] = one(ctx, entry, config, latencyStream(config, r.Document()))
+	o.DirectThroughput, cpu[2] = one(ctx, direct, config, throughputStream(config, r.Document()))
+	o.EntryThroughput, cpu[3] = one(ctx, entry, config, throughputStream(config, r.Document()))
+	o.AddedUSPerToken = perUnit(cpu[3], o.EntryThroughput.Tokens) - perUnit(cpu[2], o.DirectThroughput.Tokens)
+	o.AddedUSPerRequest = perUnit(cpu[1], int64(o.EntryLatency.Calls)) - perUnit(cpu[0], int64(o.DirectLatency.Calls))
 	o.AddedP50MS = o.EntryLatency.FirstMS.P50 - o.DirectLatency.FirstMS.P50
 	o.AddedP99MS = o.EntryLatency.FirstMS.P99 - o.DirectLatency.FirstMS.P99
 	o.ThroughputOfEntry = o.EntryThroughput.TokensPS / o.DirectThroughput.TokensPS
 	return o, nil
 }
 
-func one(ctx context.Context, target load.Target, config OverheadConfig, stream load.Stream) load.Report {
-	return load.Run(ctx, target, load.Config{Streams: []load.Stream{stream}, Duration: config.Duration, Grace: grace, Seed: config.Seed})[0]
+// one runs one stream and returns the processor time of the process with the report.
+func one(ctx context.Context, target load.Target, config OverheadConfig, stream load.Stream) (load.Report, time.Duration) {
+	before := processorTime()
+	report := load.Run(ctx, target, load.Config{Streams: []load.Stream{stream}, Duration: config.Duration, Grace: grace, Seed: config.Seed})[0]
+	return report, processorTime() - before
+}
+
+// processorTime is the time that the process spent in user and system mode.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// perUnit returns microseconds per unit.
+func perUnit(cpu time.Duration, units int64) float64 {
+	return float64(cpu.Microseconds()) / float64(max(units, 1))
 }
 
 func latencyStream(config OverheadConfig, doc *conf.Document) load.Stream {
--- a/internal/bench/overhead_test.go
+++ b/internal/bench/overhead_test.go
@@ -23,6 +23,25 @@
 		b.ReportMetric(o.AddedP50MS, "added-p50-ms")
 		b.ReportMetric(o.AddedP99MS, "added-p99-ms")
 		b.ReportMetric(100*o.ThroughputOfEntry, "throughput-%")
+		b.ReportMetric(o.AddedUSPerRequest, "added-us/request")
+		b.ReportMetric(o.AddedUSPerToken, "added-us/token")
 		load.WriteTable(os.Stderr, []load.Report{o.DirectLatency, o.EntryLatency, o.DirectThroughput, o.EntryThroughput})
 	}
 }
+
+// BenchmarkStreamMemory reports the memory that a waiting stream takes: that of
+// the same streams through a daemon less that of direct ones. The client's
+// part is the same in both.
+func BenchmarkStreamMemory(b *testing.B) {
+	data, err := os.ReadFile("../../examples/portfolio.json")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		bytes, err := MeasureStreamMemory(context.Background(), data, "dev-north", 2000)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(bytes/1024, "KB/stream")
+	}
+}
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// shareLease is how long a silent peer keeps its part of the limits.
-	shareLease = 5 * time.Second
+	// shareLease is how long a silent peer keeps its part of the limits. It
+	// exceeds the longest interval of exchange; the demand of a peer that
+	// membership takes for dead returns at once.
+	shareLease = 90 * time.Second
 	// remoteIdle is how long a model is looked up in other failure domains
 	// after it last needed that.
 	remoteIdle = 10 * time.Second
