--- a/cmd/borageleadd/main.go
+++ b/cmd/borageleadd/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -55,12 +56,22 @@
 	d, err := daemon.Start(config, log, daemon.Options{})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitStart
+		return startCode(err)
 	}
 	defer d.Close()
 	return serve(d)
 }
 
+// startCode tells an address in use, which is a matter of the settings, from
+// other failures.
+func startCode(err error) int {
+	var wrong *settings.Error
+	if errors.As(err, &wrong) {
+		return exitSettings
+	}
+	return exitStart
+}
+
 // serve waits for the end: the first signal or an operator drains the daemon, a
 // second signal ends it at once.
 func serve(d *daemon.Daemon) int {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -82,7 +82,7 @@
 		Source:        d.ledger.source(),
 		IsLeader:      d.ledger.isLeader,
 		SourceAge:     d.ledger.sourceAge(),
-		Log:           d.log.Named("[member]"),
+		Log:           d.log,
 	})
 	return eris.Wrap(err, "join the other daemons")
 }
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -52,7 +52,7 @@
 		Bootstrap: len(d.settings.Replica.Bootstrap) > 0,
 		Voters:    len(d.settings.Replica.Bootstrap),
 		Retention: func() time.Duration { return retention(d.config.Current()) },
-		Log:       role.log,
+		Log:       d.log,
 		OnStop:    role.stopped,
 	})
 	if err != nil {
