--- a/internal/controller/execute.go
+++ b/internal/controller/execute.go
@@ -180,6 +180,10 @@
 		FencingNumber: fencing, Kind: kind, Model: step.Model, Version: step.Version,
 	}
 	result, err := c.options.Engine.Order(orderCtx, e.BaseURL, order)
+	var refused *port.RefusedError
+	if errors.As(err, &refused) && refused.Body.Code == endpoint.CodeStaleFencing {
+		return "", c.superseded()
+	}
 	if err != nil {
 		return "", err
 	}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -96,6 +96,15 @@
 	return ctx, cancel, nil
 }
 
+// superseded gives up the lease after an endpoint has seen a larger fencing
+// number: another holder was granted it.
+func (c *Controller) superseded() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease = lease{}
+	return eris.Wrap(&LeaseError{}, "an endpoint obeys a newer controller")
+}
+
 func (c *Controller) current() lease {
 	c.mu.Lock()
 	defer c.mu.Unlock()
