Drain VMs whose model left the document; spare VMs behind a partition

Cause: no offer counted a VM whose model or pool was removed from the document, so it ran for ever; and a planner that shrinks takes VMs without an endpoint first, which are all VMs of a failure domain that a partition hides. Change: a planner step drains the former; the controller leaves running VMs of a failure domain alone while it hears no endpoint of it.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -196,6 +196,29 @@
 		r.settle(c)
 	})
 
+	// Guards against a controller that stops serving VMs because a partition
+	// hides their endpoints, also when less is needed.
+	It("stops no VM of a failure domain that it does not hear", func() {
+		r := newRig()
+		c, _ := r.controller("a")
+		r.settle(c)
+		before := r.cloud.VMs()
+		r.mu.Lock()
+		r.hidden = true
+		r.demand = nil
+		r.mu.Unlock()
+		for range 4 {
+			c.Round(context.Background())
+			r.advance(silentBound)
+		}
+		left := false
+		for _, step := range c.history.list(r.now()) {
+			left = left || step.Outcome == outcomeUnheard
+		}
+		Expect(left).To(BeTrue())
+		Expect(r.cloud.VMs()).To(ContainElements(before))
+	})
+
 	// Guards against a token that another model or pool could also have.
 	It("reads its client tokens back and no others", func() {
 		t := token{model: "a/b c", pool: fleet.Pool{FailureDomain: "d-1", Class: "x/y", Reclaimable: true}, ordinal: 7}
--- a/internal/controller/execute.go
+++ b/internal/controller/execute.go
@@ -40,6 +40,7 @@
 	outcomeDone    = "done"
 	outcomeRunning = "in progress"
 	outcomeTaken   = "started"
+	outcomeUnheard = "left alone: no endpoint of the failure domain is heard"
 	outcomeWaits   = "waits until every order of the former controller has ended"
 )
 
@@ -60,6 +61,10 @@
 			c.record(step, outcomeWaits)
 			continue
 		}
+		if o.unheard[step.VM] {
+			c.record(step, outcomeUnheard)
+			continue
+		}
 		given++
 		outcome, err := c.execute(ctx, o, step, e)
 		var lost *LeaseError
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -43,10 +43,12 @@
 	engines   map[string]*engine.Engine
 	announced map[string]*member.Endpoint
 	demand    []fleet.Demand
-	holder    string
-	expires   time.Time
-	number    uint64
-	started   int
+	// hidden cuts the announcements off.
+	hidden  bool
+	holder  string
+	expires time.Time
+	number  uint64
+	started int
 }
 
 func newRig() *rig {
@@ -138,7 +140,7 @@
 	defer r.mu.Unlock()
 	var list []*member.Endpoint
 	for vm, e := range r.announced {
-		if r.engines[vm] != nil {
+		if r.engines[vm] != nil && !r.hidden {
 			list = append(list, e)
 		}
 	}
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -28,7 +28,10 @@
 	endpoints map[string]*member.Endpoint // by VM
 	// ordinals in use, stopped VMs included, by model and pool.
 	ordinals map[string]bool
-	cost     float64
+	// unheard holds VMs without an endpoint in a failure domain of which no
+	// endpoint is heard: they may serve behind a partition.
+	unheard map[string]bool
+	cost    float64
 }
 
 // observe asks the cloud and joins its VMs with the endpoints.
@@ -43,7 +46,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "list VMs")
 	}
-	o := &observed{endpoints: make(map[string]*member.Endpoint), ordinals: make(map[string]bool)}
+	o := &observed{endpoints: make(map[string]*member.Endpoint), ordinals: make(map[string]bool), unheard: make(map[string]bool)}
 	o.Now = c.options.Now()
 	o.Fleet, o.Models, o.Backoff = doc.Fleet, doc.Models, c.backoff
 	o.Demand = c.options.Demand.Demand()
@@ -96,7 +99,8 @@
 		describe(o, &seen, e)
 		delete(c.runningSince, vm.ID)
 	}
-	if vm.State == cloud.VMReclaiming || e == nil && c.silent(vm, o.Now) && heard[purpose.pool.FailureDomain] {
+	o.unheard[vm.ID] = e == nil && vm.State != cloud.VMStarting && !heard[purpose.pool.FailureDomain]
+	if vm.State == cloud.VMReclaiming || e == nil && c.silent(vm, o.Now) && !o.unheard[vm.ID] {
 		seen.State = fleet.VMLeaving
 	}
 	o.VMs = append(o.VMs, seen)
@@ -129,9 +133,7 @@
 	return ""
 }
 
-// silent reports whether a VM runs too long without an endpoint. The caller
-// demands that other endpoints of its failure domain are heard: during a
-// partition the VMs of a whole domain look silent while they serve.
+// silent reports whether a VM runs too long without an endpoint.
 func (c *Controller) silent(vm *cloud.VM, now time.Time) bool {
 	if vm.State != cloud.VMRunning {
 		return false
--- a/internal/core/fleet/plan_test.go
+++ b/internal/core/fleet/plan_test.go
@@ -173,6 +173,18 @@
 	g.Expect(Make(o).Steps[0].Pool).To(Equal(refused))
 }
 
+// Guards against VMs that run for ever after their model left the document.
+func TestVMsOfRemovedModelsAreDrained(t *testing.T) {
+	g := NewWithT(t)
+	o := observe(exampleDocument(t, "portfolio"), 1500, 300)
+	g.Expect(settle(o)).To(BeTrue())
+	o.Models = o.Models[:1]
+	g.Expect(settle(o)).To(BeTrue())
+	for i := range o.VMs {
+		g.Expect(o.VMs[i].Model).To(Equal(o.Models[0].Name))
+	}
+}
+
 // Guards against weight loads beyond what the weight store delivers.
 func TestLoadsArePacedByTheWeightStore(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/core/fleet/steps.go
+++ b/internal/core/fleet/steps.go
@@ -59,9 +59,32 @@
 	for i := range models {
 		list = append(list, drains(o, &models[i], serving[i])...)
 	}
+	list = append(list, retired(o, models, serving)...)
 	return append(list, stops(o)...)
 }
 
+// retired drains VMs whose model or pool is no longer in the document. No
+// offer counts them, so nothing else would ever stop them.
+func retired(o *Observation, models []ModelPlan, serving []*serving) []Step {
+	var list []Step
+	for i := range o.VMs {
+		vm := &o.VMs[i]
+		at := slices.IndexFunc(models, func(m ModelPlan) bool { return m.Model == vm.Model })
+		offered := at >= 0 && slices.ContainsFunc(models[at].Offers, func(offer Offer) bool { return offer.Pool == vm.Pool })
+		if offered || vm.State == VMLeaving || len(list) >= maxDrains {
+			continue
+		}
+		if at >= 0 && vm.State == VMServing && !serving[at].remove(vm) {
+			continue
+		}
+		list = append(list, Step{
+			Kind: StepDrain, Pool: vm.Pool, VM: vm.ID, Endpoint: vm.Endpoint, Model: vm.Model,
+			Reason: "the document no longer has this model, or this pool for it",
+		})
+	}
+	return list
+}
+
 func starts(o *Observation, m *ModelPlan) []Step {
 	var list []Step
 	for at, count := range m.Counts {
