--- a/cmd/boragelead/command_test.go
+++ b/cmd/boragelead/command_test.go
@@ -51,6 +51,13 @@
 	return view, nil
 }
 
+func (s *source) Fleet(context.Context) (status.Fleet, error) {
+	return status.Fleet{
+		Controller: "d7", Plan: []status.FleetStep{{Action: "drain", Reason: "cheaper pool"}},
+		History: []status.FleetStep{{Action: "start", Outcome: "refused", AgeS: 42}},
+	}, nil
+}
+
 var _ = Describe("Commands", func() {
 	var (
 		ledger  *adminhttptest.Ledger
@@ -67,7 +74,7 @@
 		explainer.Begin(telemetry.Subject{RequestID: "r-1", Daemon: "d1", Arrived: time.Now()}).
 			Add(time.Now(), telemetry.Event{Type: telemetry.EventRouted, Endpoint: "e7", Reasons: []string{"cached prefix"}})
 		sum := sha256.Sum256([]byte("secret"))
-		handler = adminhttp.New(adminhttp.Options{KeySHA256: hex.EncodeToString(sum[:]), Ledger: ledger, Status: view, Explainer: explainer}).Handler()
+		handler = adminhttp.New(adminhttp.Options{KeySHA256: hex.EncodeToString(sum[:]), Ledger: ledger, Status: view, Fleet: view, Explainer: explainer}).Handler()
 		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) }))
 		DeferCleanup(server.Close)
 		GinkgoT().Setenv(keyVariable, "secret")
@@ -200,6 +207,16 @@
 		Expect(local("status", "--address", silent.Addr().String(), "--timeout", "100ms")).To(Equal(exitTimeout))
 	})
 
+	// Guards against fleet commands that show the wrong list of steps.
+	It("shows the plan and the history of the fleet", func() {
+		for name, parts := range map[string][]string{"show": {"d7", "cheaper pool", "refused"}, "plan": {"cheaper pool"}, "history": {"42", "refused"}} {
+			Expect(run("fleet", name)).To(Equal(exitOK))
+			for _, part := range parts {
+				Expect(out.String()).To(ContainSubstring(part), name)
+			}
+		}
+	})
+
 	It("explains a request and shows the status", func() {
 		key := filepath.Join(GinkgoT().TempDir(), "key")
 		Expect(os.WriteFile(key, []byte("secret\n"), 0o600)).To(Succeed())
@@ -231,7 +248,7 @@
 		for _, c := range a.commands {
 			Expect(c.AdditionalHelpAppend).To(ContainSubstring("Examples:\n  boragelead "), c.Name)
 		}
-		for _, name := range []string{"config check", "config diff", "config promote", "config history", "config show", "status", "drain", "explain"} {
+		for _, name := range []string{"config check", "config diff", "config promote", "config history", "config show", "status", "drain", "explain", "fleet show", "fleet plan", "fleet history"} {
 			Expect(strings.Count(string(page), "| `"+name)).To(Equal(1), name)
 		}
 		for code := exitOK; code <= exitNotFound; code++ {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -190,11 +190,13 @@
 func (c *Controller) record(step *fleet.Step, outcome string) {
 	entry := shown(step)
 	entry.Outcome = outcome
-	c.log.Info("Step.", zap.String("action", entry.Action), zap.String("endpoint", entry.Endpoint),
-		zap.String("model", entry.Model), zap.String("reason", entry.Reason), zap.String("outcome", outcome))
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.history.add(entry, c.options.Now())
+	added := c.history.add(entry, c.options.Now())
+	c.mu.Unlock()
+	if added {
+		c.log.Info("Step.", zap.String("action", entry.Action), zap.String("endpoint", entry.Endpoint),
+			zap.String("model", entry.Model), zap.String("reason", entry.Reason), zap.String("outcome", outcome))
+	}
 }
 
 // Fleet implements adminhttp.FleetSource. A daemon that does not hold the lease
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -219,6 +219,28 @@
 		Expect(r.cloud.VMs()).To(ContainElements(before))
 	})
 
+	// Guards against a loop that keeps the lease after its end or sleeps through
+	// a reclaim notice.
+	It("reacts to a notice and releases the lease at its end", func() {
+		r := newRig()
+		first, _ := r.controller("a")
+		r.settle(first)
+		r.advance(5 * testTimeout)
+		c, _ := r.controller("b")
+		c.options.Interval = time.Hour
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); c.Run(ctx) }()
+		Eventually(func() bool { return c.current().held }).Should(BeTrue())
+		r.advance(takeoverWait(testTimeout))
+		begun := r.startedVMs()
+		r.cloud.ReclaimWave(1, 50*time.Millisecond)
+		Eventually(r.startedVMs, 5*time.Second).Should(BeNumerically(">", begun))
+		cancel()
+		Eventually(ended, 5*time.Second).Should(BeClosed())
+		Expect(r.holder).To(BeEmpty())
+	})
+
 	// Guards against a token that another model or pool could also have.
 	It("reads its client tokens back and no others", func() {
 		t := token{model: "a/b c", pool: fleet.Pool{FailureDomain: "d-1", Class: "x/y", Reclaimable: true}, ordinal: 7}
@@ -256,6 +278,12 @@
 	r.config.Install(r.config.Current().Generation+1, &doc, version, time.Now())
 }
 
+func (r *rig) startedVMs() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.started
+}
+
 // slowStore delivers nothing until it is released.
 type slowStore struct{ release chan struct{} }
 
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -200,6 +200,13 @@
 	return port.LeaseGrant{Granted: true, Holder: holder, FencingNumber: l.r.number, TTL: ttl}, nil
 }
 
+func (l *link) ReleaseLease(context.Context, string, string) error {
+	l.r.mu.Lock()
+	defer l.r.mu.Unlock()
+	l.r.holder, l.r.expires = "", time.Time{}
+	return nil
+}
+
 // guarded gives one order, unless the controller is killed before it or loses the answer.
 func (l *link) guarded(ctx context.Context, order func() error) error {
 	l.given++
--- a/internal/controller/history.go
+++ b/internal/controller/history.go
@@ -1,13 +1,14 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/boragelead/boragelead/internal/core/fleet"
 	"github.com/boragelead/boragelead/internal/status"
 )
 
-// historySteps bounds the history: about ten minutes of full rounds, 100 KB.
+// historySteps bounds the history to at least one minute of full rounds, and its memory to about 200 KB.
 const historySteps = 512
 
 // taken is a step that was carried out.
@@ -16,33 +17,30 @@
 	at   time.Time
 }
 
-// history is a ring of steps with their outcome.
-type history struct {
-	steps []taken
-	next  int
-}
+// mergeWindow is the time within which a repeated step with equal outcome only
+// renews its age: what waits is seen in each round and would push the rest out.
+const mergeWindow = time.Minute
+
+// history holds the latest steps with their outcome, the oldest first.
+type history struct{ steps []taken }
 
-// add records a step. A repeated one with equal outcome only renews its age.
-func (h *history) add(step status.FleetStep, at time.Time) {
-	if len(h.steps) > 0 {
-		if last := &h.steps[(h.next+len(h.steps)-1)%len(h.steps)]; last.step == step {
-			last.at = at
-			return
-		}
+// add records a step and reports whether it is a new one.
+func (h *history) add(step status.FleetStep, at time.Time) bool {
+	same := slices.IndexFunc(h.steps, func(t taken) bool { return t.step == step && at.Sub(t.at) < mergeWindow })
+	if same >= 0 {
+		h.steps = slices.Delete(h.steps, same, same+1)
 	}
-	if len(h.steps) < historySteps {
-		h.steps = append(h.steps, taken{step: step, at: at})
-		return
+	h.steps = append(h.steps, taken{step: step, at: at})
+	if excess := len(h.steps) - historySteps; excess > 0 {
+		h.steps = slices.Delete(h.steps, 0, excess)
 	}
-	h.steps[h.next] = taken{step: step, at: at}
-	h.next = (h.next + 1) % historySteps
+	return same < 0
 }
 
 // list returns the steps, the newest first.
 func (h *history) list(now time.Time) []status.FleetStep {
 	steps := make([]status.FleetStep, 0, len(h.steps))
-	for i := len(h.steps) - 1; i >= 0; i-- {
-		entry := h.steps[(h.next+i)%len(h.steps)]
+	for _, entry := range slices.Backward(h.steps) {
 		entry.step.AgeS = now.Sub(entry.at).Seconds()
 		steps = append(steps, entry.step)
 	}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -50,7 +50,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !grant.Granted {
-		c.lease = lease{holder: grant.Holder, fencing: grant.FencingNumber}
+		// Asking costs an entry of the log, so it is not repeated each round.
+		c.lease = lease{holder: grant.Holder, fencing: grant.FencingNumber, renewAt: asked.Add(c.options.TTL / renewalsPerTTL)}
 		return false
 	}
 	next := lease{
