Carry starts out before repeated loads; shorten the controller tests

Cause: repeated loads came first, so endpoints that hang (4 s each) delayed starts after a reclaim wave.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -172,7 +172,8 @@
 		c.log.Warn("The fleet was not observed.", zap.Error(err))
 		return
 	}
-	steps := append(c.extra(o), fleet.Make(&o.Observation).Steps...)
+	// Starts come first in a plan: endpoints that hang must not delay them.
+	steps := append(fleet.Make(&o.Observation).Steps, c.extra(o)...)
 	c.show(steps, o.cost)
 	c.carryOut(ctx, o, steps)
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -203,19 +203,12 @@
 		c, _ := r.controller("a")
 		r.settle(c)
 		before := r.cloud.VMs()
-		r.mu.Lock()
-		r.hidden = true
-		r.demand = nil
-		r.mu.Unlock()
+		locked(r, func() bool { r.hidden, r.demand = true, nil; return true })
 		for range 4 {
 			c.Round(context.Background())
 			r.advance(silentBound)
 		}
-		left := false
-		for _, step := range c.history.list(r.now()) {
-			left = left || step.Outcome == outcomeUnheard
-		}
-		Expect(left).To(BeTrue())
+		Expect(c.history.list(r.now())).To(ContainElement(HaveField("Outcome", outcomeUnheard)))
 		Expect(r.cloud.VMs()).To(ContainElements(before))
 	})
 
@@ -258,8 +251,7 @@
 		var h history
 		begin := time.Now()
 		for i := range 3 * historySteps {
-			step := shown(&fleet.Step{VM: fmt.Sprint(i)})
-			h.add(step, begin.Add(time.Duration(i)*time.Second))
+			h.add(shown(&fleet.Step{VM: fmt.Sprint(i)}), begin.Add(time.Duration(i)*time.Second))
 		}
 		list := h.list(begin.Add(3 * historySteps * time.Second))
 		Expect(list).To(HaveLen(historySteps))
@@ -278,11 +270,7 @@
 	r.config.Install(r.config.Current().Generation+1, &doc, version, time.Now())
 }
 
-func (r *rig) startedVMs() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.started
-}
+func (r *rig) startedVMs() int { return locked(r, func() int { return r.started }) }
 
 // slowStore delivers nothing until it is released.
 type slowStore struct{ release chan struct{} }
@@ -297,11 +285,6 @@
 }
 
 func (l *link) loads() int {
-	count := 0
-	for _, order := range l.orders {
-		if order.Kind == endpoint.OrderLoadModel {
-			count++
-		}
-	}
-	return count
+	other := func(o endpoint.Order) bool { return o.Kind != endpoint.OrderLoadModel }
+	return len(slices.DeleteFunc(slices.Clone(l.orders), other))
 }
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -81,11 +81,7 @@
 
 func (r *rig) close() {
 	r.cloud.Close()
-	r.mu.Lock()
-	engines := r.engines
-	r.engines = nil
-	r.mu.Unlock()
-	for _, e := range engines {
+	for _, e := range locked(r, func() map[string]*engine.Engine { e := r.engines; r.engines = nil; return e }) {
 		e.Close()
 	}
 	r.entry.CloseClientConnections()
@@ -116,9 +112,7 @@
 }
 
 func (r *rig) engine(vm string) *engine.Engine {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.engines[vm]
+	return locked(r, func() *engine.Engine { return r.engines[vm] })
 }
 
 // serve receives announcements.
@@ -148,22 +142,21 @@
 }
 
 // Demand implements Demand.
-func (r *rig) Demand() []fleet.Demand {
+func (r *rig) Demand() []fleet.Demand { return locked(r, func() []fleet.Demand { return r.demand }) }
+
+// locked reads or changes the rig under its lock.
+func locked[T any](r *rig, use func() T) T {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.demand
+	return use()
 }
 
 func (r *rig) now() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Now().Add(r.offset)
+	return locked(r, func() time.Time { return time.Now().Add(r.offset) })
 }
 
 func (r *rig) advance(d time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.offset += d
+	locked(r, func() time.Duration { r.offset += d; return d })
 }
 
 // link is what one controller reaches: it can be isolated, and the controller
@@ -201,10 +194,7 @@
 }
 
 func (l *link) ReleaseLease(context.Context, string, string) error {
-	l.r.mu.Lock()
-	defer l.r.mu.Unlock()
-	l.r.holder, l.r.expires = "", time.Time{}
-	return nil
+	return locked(l.r, func() error { l.r.holder, l.r.expires = "", time.Time{}; return nil })
 }
 
 // guarded gives one order, unless the controller is killed before it or loses the answer.
