--- a/cmd/boragelead/main.go
+++ b/cmd/boragelead/main.go
@@ -16,6 +16,8 @@
 	registerDrain,
 	registerExplain,
 	registerDev,
+	registerLoad,
+	registerMeasure,
 }
 
 func main() {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -29,6 +29,8 @@
 	Concurrency int
 	// PromptBytes is the length of a prompt; SharedBytes of it are the same in all prompts of the stream.
 	PromptBytes, SharedBytes int
+	// Targets of the calls; zero counts every call as within target.
+	FirstTarget, GapTarget time.Duration
 	// Start and Stop bound the stream within the run; Stop 0 means to the end.
 	Start, Stop time.Duration
 }
@@ -60,6 +62,13 @@
 	FirstMS  Quantiles      `json:"first_token_ms"`
 	GapMS    Quantiles      `json:"between_tokens_ms"`
 	TotalMS  Quantiles      `json:"total_ms"`
+	// WithinFirst and WithinGap count whole answers whose first token, and whose
+	// mean time between tokens, met the target of the stream. Within counts those that met both.
+	WithinFirst int `json:"within_first"`
+	WithinGap   int `json:"within_gap"`
+	Within      int `json:"within"`
+	// WithinTokens counts the tokens of the answers in Within.
+	WithinTokens int64 `json:"within_tokens"`
 	// Errors holds the first few errors that were not refusals.
 	Errors []string `json:"errors,omitempty"`
 }
@@ -79,12 +88,14 @@
 type recorder struct {
 	mu                 sync.Mutex
 	report             Report
+	stream             *Stream
 	first, gaps, total *hdrhistogram.Histogram
 }
 
-func newRecorder(name string) *recorder {
+func newRecorder(stream *Stream) *recorder {
 	return &recorder{
-		report: Report{Name: name, Refused: map[string]int{}},
+		stream: stream,
+		report: Report{Name: stream.Name, Refused: map[string]int{}},
 		first:  hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		gaps:   hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		total:  hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
@@ -136,6 +147,7 @@
 	switch {
 	case err == nil && whole:
 		r.report.Whole++
+		r.recordTargets(observer)
 		_ = r.total.RecordValue(time.Since(observer.start).Microseconds())
 	case err == nil:
 		r.report.Wrong++
@@ -149,6 +161,30 @@
 	}
 }
 
+// recordTargets compares a whole answer with the targets of the stream.
+func (r *recorder) recordTargets(observer *callObserver) {
+	first := r.stream.FirstTarget <= 0 || observer.first <= r.stream.FirstTarget
+	gap := r.stream.GapTarget <= 0 || observer.meanGap() <= r.stream.GapTarget
+	if first {
+		r.report.WithinFirst++
+	}
+	if gap {
+		r.report.WithinGap++
+	}
+	if first && gap {
+		r.report.Within++
+		r.report.WithinTokens += int64(observer.tokens)
+	}
+}
+
+// meanGap returns the mean time between the tokens of the call.
+func (o *callObserver) meanGap() time.Duration {
+	if o.tokens < 2 {
+		return 0
+	}
+	return (o.last.Sub(o.start) - o.first) / time.Duration(o.tokens-1)
+}
+
 func (r *recorder) close(elapsed time.Duration) Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -180,7 +216,7 @@
 	recorders := make([]*recorder, len(config.Streams))
 	var group sync.WaitGroup
 	for i := range config.Streams {
-		recorders[i] = newRecorder(config.Streams[i].Name)
+		recorders[i] = newRecorder(&config.Streams[i])
 		s := &runner{
 			target: target, config: &config, stream: &config.Streams[i], recorder: recorders[i],
 			random: rand.New(rand.NewPCG(config.Seed, uint64(i))), answers: answers,
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -80,10 +80,14 @@
 }
 
 // nextCall builds the next call. Prompts share a prefix, as conversations with
-// one system prompt do, and differ after it.
+// one system prompt do, and differ after it. A stream whose call has a prompt
+// repeats that prompt.
 func (s *runner) nextCall() Call {
 	s.serial++
 	call := s.stream.Call
+	if call.Prompt != "" {
+		return call
+	}
 	var prompt strings.Builder
 	prompt.WriteString(strings.Repeat("shared ", s.stream.SharedBytes/len("shared ")))
 	prompt.WriteString(s.stream.Name + " " + strconv.Itoa(s.serial) + " " + strconv.FormatUint(s.random.Uint64(), 36) + " ")
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -283,6 +283,31 @@
 	return e, nil
 }
 
+// ReplaceEngine starts a new process of an engine that ended, with the same name.
+func (r *Rig) ReplaceEngine(old *engine.Engine) (*engine.Engine, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, err := old.Replace()
+	if err != nil {
+		return nil, eris.Wrap(err, "replace engine")
+	}
+	for i, current := range r.engines {
+		if current == old {
+			r.engines[i] = e
+			return e, nil
+		}
+	}
+	r.engines = append(r.engines, e)
+	return e, nil
+}
+
+// Services returns the endpoints of plain services in the order of their start.
+func (r *Rig) Services() []*service.Service {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*service.Service(nil), r.services...)
+}
+
 // AddService starts an endpoint of a plain service.
 func (r *Rig) AddService(config service.Config) (*service.Service, error) {
 	r.mu.Lock()
