--- a/internal/bench/publish.go
+++ b/internal/bench/publish.go
@@ -20,7 +20,7 @@
 	publishRate = 25
 	// publishTries bounds the sends of one call with one key.
 	publishTries = 3
-	publishWait  = 12 * time.Second
+	publishWait  = 3 * time.Second
 	publishPause = 50 * time.Millisecond
 	// faultEvery is the mean number of calls per scripted fault of a service.
 	faultEvery = 5
--- a/internal/bench/setup.go
+++ b/internal/bench/setup.go
@@ -30,6 +30,9 @@
 	// onDemandDomains is the number of failure domains whose fastest VM cannot be reclaimed.
 	onDemandDomains = 2
 	settleTimeout   = 15 * time.Second
+	// serviceTimeoutMS bounds a call of a service. A scripted hang lasts as
+	// long, so the 10 s of the examples would outlast a run.
+	serviceTimeoutMS = 1500
 )
 
 // exampleKeys are the secrets of the example documents, which hold their hashes.
@@ -38,7 +41,8 @@
 	"dev-district", "dev-trusts", "dev-schools", "dev-citizens", "dev-editors",
 }
 
-// scaleDocument multiplies the latency targets and waits of the ranks by TimeScale.
+// scaleDocument multiplies the latency targets and waits of the ranks by
+// TimeScale and shortens the timeout of the services.
 func scaleDocument(data []byte) ([]byte, *conf.Document, error) {
 	doc, err := conf.Parse(data)
 	if err != nil {
@@ -53,6 +57,9 @@
 		r.PerTokenMS = int(float64(r.PerTokenMS) * TimeScale)
 		r.MaxWaitMS = int(float64(r.MaxWaitMS) * TimeScale)
 	}
+	for i := range doc.Services {
+		doc.Services[i].TimeoutMS = serviceTimeoutMS
+	}
 	scaled, err := json.Marshal(doc)
 	return scaled, doc, err
 }
