--- a/cmd/boragelead/main.go
+++ b/cmd/boragelead/main.go
@@ -17,6 +17,8 @@
 	registerExplain,
 	registerFleet,
 	registerDev,
+	registerLoad,
+	registerMeasure,
 }
 
 func main() {
