Turn the cluster measurement into a benchmark

Cause: it was a test that skipped itself without a variable. Change: BenchmarkCluster measures today's size unless told otherwise. Conclusion: no test skips itself.

--- a/internal/cluster/measure_test.go
+++ b/internal/cluster/measure_test.go
@@ -18,15 +18,18 @@
 // udpHeader is the size of the IPv4 and UDP headers of a datagram.
 const udpHeader = 28
 
-// TestMeasure prints the control overhead of one or more domains. It runs only
-// with BORAGELEAD_MEASURE set to "DAEMONS:ENDPOINTS", or "DOMAINSxDAEMONS:ENDPOINTS"
+// defaultCase is measured when BORAGELEAD_MEASURE names none: today's size.
+const defaultCase = "8:12"
+
+// BenchmarkCluster prints the control overhead of one or more domains.
+// BORAGELEAD_MEASURE holds "DAEMONS:ENDPOINTS", or "DOMAINSxDAEMONS:ENDPOINTS"
 // with counts per domain, separated by commas:
 //
-//	BORAGELEAD_MEASURE=8:12,31:192,12x5:10 go test -run TestMeasure -v ./internal/cluster
-func TestMeasure(t *testing.T) {
+//	BORAGELEAD_MEASURE=8:12,31:192,12x5:10 go test -run xxx -bench Cluster -benchtime 1x ./internal/cluster
+func BenchmarkCluster(b *testing.B) {
 	cases := os.Getenv("BORAGELEAD_MEASURE")
 	if cases == "" {
-		t.Skip("BORAGELEAD_MEASURE is not set")
+		cases = defaultCase
 	}
 	for _, text := range strings.Split(cases, ",") {
 		daemons, endpoints, _ := strings.Cut(text, ":")
@@ -37,11 +40,15 @@
 		}
 		n, _ := strconv.Atoi(daemons)
 		m, _ := strconv.Atoi(endpoints)
-		t.Run(text, func(t *testing.T) { measure(t, domains, n, m) })
+		b.Run(text, func(b *testing.B) {
+			for b.Loop() {
+				measure(b, domains, n, m)
+			}
+		})
 	}
 }
 
-func measure(t *testing.T, domains, daemons, endpoints int) {
+func measure(t testing.TB, domains, daemons, endpoints int) {
 	before := heap()
 	src := newSource()
 	var groups [][]*daemon
@@ -101,7 +108,7 @@
 // IP and UDP headers, RPC without TCP and IP headers.
 type volume struct{ sent, received, rpc uint64 }
 
-func logTraffic(t *testing.T, from, to []volume, window time.Duration) {
+func logTraffic(t testing.TB, from, to []volume, window time.Duration) {
 	t.Helper()
 	var sum, most volume
 	for i := range from {
@@ -120,7 +127,7 @@
 }
 
 // measureSpread measures how long a new, a leaving and a stopped endpoint take to be known everywhere.
-func measureSpread(t *testing.T, list []*daemon) {
+func measureSpread(t testing.TB, list []*daemon) {
 	const tries = 10
 	var join, leave, gone []time.Duration
 	for i := range tries {
@@ -140,7 +147,7 @@
 	}
 }
 
-func measureConfig(t *testing.T, list []*daemon, src *source) {
+func measureConfig(t testing.TB, list []*daemon, src *source) {
 	var took []time.Duration
 	for number := uint64(2); number <= 6; number++ {
 		document := []byte(strings.Repeat(fmt.Sprintf(`{"workspace":"w%d","weight":%d},`, number, rand.IntN(100)), 2000))
