--- a/internal/core/route/state.go
+++ b/internal/core/route/state.go
@@ -120,6 +120,11 @@
 func (d *Decision) Start(now time.Time) Flight {
 	f := Flight{state: d.state, tokens: d.tokens, work: d.work, startedAt: now, probe: d.Probe}
 	s := d.state
+	if s == nil {
+		// The decision was made elsewhere, as by the baseline of a measurement.
+		s = &state{peers: make(map[string]peerReport)}
+		f.state = s
+	}
 	s.remember(now)
 	s.started.Add(1)
 	s.startedTokens.Add(int64(d.tokens))
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -65,6 +65,8 @@
 	running := s.running.At(state.id)
 	s.tracker.Crash(state.id, state.incarnation, running, time.Now())
 	s.router.SetBlocked(state.id, true)
+	// The marks must be there before the caller resends: the retry waits for them.
+	s.tellMarks()
 	s.log.Warn("Endpoint crashed.", zap.String("endpoint", state.id), zap.Uint64("incarnation", state.incarnation), zap.Int("running", len(running)))
 }
 
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -17,9 +17,11 @@
 	// remoteIdle is how long a model is looked up in other failure domains
 	// after it last needed that.
 	remoteIdle = 10 * time.Second
-	// remoteUse is the part of the free slots of another failure domain that
-	// one entry counts on: its own entries do not know of this one.
-	remoteUse = 4
+	// remoteUse divides the free slots of another failure domain further than by
+	// the daemons that may want them: its own entries do not know of this one,
+	// and the figures are seconds old. A quarter without regard to the number of
+	// daemons let eight of them queue 2.5 times the slots at the engines.
+	remoteUse = 2
 	// spillLoad is the use of the own capacity from which other failure domains are asked.
 	spillLoad = 0.8
 )
@@ -127,7 +129,7 @@
 	waiting := make(map[string]int)
 	for _, one := range p.list() {
 		_, waits := one.admitter.Load()
-		waiting[one.key] = waits
+		waiting[p.service.directory.group(one.key)] += waits
 	}
 	var reports []limit.EndpointReport
 	for _, offer := range supplies {
@@ -140,13 +142,18 @@
 }
 
 // size computes the capacity of a pool from the shares of its endpoints.
+//
+// A pool that was made before its model's endpoints were known, or before
+// models came to share endpoints, draws on the group that its model is in now.
 func (p *pools) size(one *pool, supplies []supply, now time.Time) {
 	own, domain := 0, 0
+	divisor := p.remoteDivisor(now)
+	group := p.service.directory.group(one.key)
 	for _, offer := range supplies {
 		switch {
-		case offer.group != one.key:
+		case offer.group != group:
 		case offer.remote:
-			own += offer.free / remoteUse
+			own += offer.free / divisor
 		default:
 			domain += offer.limit
 			own += p.shares.Share(offer.id, offer.limit)
@@ -162,6 +169,13 @@
 	one.admitter.SetCapacity(own, max(domain, own), now)
 }
 
+// remoteDivisor is among how many takers the free slots of another failure
+// domain are divided: as many daemons as here in each of the domains.
+func (p *pools) remoteDivisor(now time.Time) int {
+	cluster := p.service.options.Cluster
+	return remoteUse * (len(cluster.Domains(now)) + 1) * (len(cluster.Peers()) + 1)
+}
+
 // remoteModels returns the models for which endpoints of other failure
 // domains are of use now.
 func (p *pools) remoteModels(now time.Time) []string {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -139,9 +139,9 @@
 		r.config.Replicas = min(3, total)
 	}
 	for i := range min(r.config.Replicas, total) {
-		listener, err := net.Listen("tcp", loopback)
+		listener, err := listenPeers()
 		if err != nil {
-			return eris.Wrap(err, "listen for daemons")
+			return err
 		}
 		r.listeners = append(r.listeners, listener)
 		r.replicas = append(r.replicas, settings.Peer{Name: daemonName(i + 1), Address: listener.Addr().String()})
@@ -149,6 +149,28 @@
 	return nil
 }
 
+// listenTries bounds the search for a port that is free for TCP and UDP.
+const listenTries = 20
+
+// listenPeers opens a TCP port whose UDP twin, which a daemon opens as well, is free.
+func listenPeers() (net.Listener, error) {
+	var lastErr error
+	for range listenTries {
+		listener, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return nil, eris.Wrap(err, "listen for daemons")
+		}
+		packets, err := net.ListenPacket("udp", listener.Addr().String())
+		if err == nil {
+			_ = packets.Close()
+			return listener, nil
+		}
+		_ = listener.Close()
+		lastErr = err
+	}
+	return nil, eris.Wrap(lastErr, "find a port for daemons")
+}
+
 // promote puts the document in force by a promotion like that of an operator.
 // A rig on a folder that holds a promoted document already keeps that.
 func (r *Rig) promote() error {
@@ -212,6 +234,9 @@
 func (r *Rig) setReplica(config *settings.Settings, options *daemon.Options, number int) {
 	config.StateReplicas = r.replicas
 	if number > len(r.replicas) {
+		if options.PeerListener, _ = listenPeers(); options.PeerListener != nil {
+			r.listeners = append(r.listeners, options.PeerListener)
+		}
 		return
 	}
 	config.DataFolder = filepath.Join(r.folder, config.Name)
