Tell crash marks to peers at once, before the caller is answered

A caller that got the quarantined error and resent through another daemon found no mark there and crashed endpoints again.

Change: a crash is sent to the live peers by RPC (250 ms bound per crash). A request that is quarantined while it runs is answered after the peers know.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,10 @@
 	busyPause = 100 * time.Millisecond
 	// idleWait bounds how long a suspect request waits for its endpoint to run empty.
 	idleWait = 30 * time.Second
+	// markTimeout bounds how long a crash is told to a peer that does not answer.
+	markTimeout = 250 * time.Millisecond
+	// methodMarks carries the marks of requests that crashed endpoints.
+	methodMarks = "entry.marks"
 )
 
 // noteFailure records what a failed attempt says about its endpoint, and
@@ -65,9 +70,37 @@
 	running := s.running.At(state.id)
 	s.tracker.Crash(state.id, state.incarnation, running, time.Now())
 	s.router.SetBlocked(state.id, true)
+	s.group.Go(s.tellMarks)
 	s.log.Warn("Endpoint crashed.", zap.String("endpoint", state.id), zap.Uint64("incarnation", state.incarnation), zap.Int("running", len(running)))
 }
 
+// tellMarks tells the marked requests to the peers and waits until they know.
+// The periodic exchange takes a second or more: a caller that resends at once
+// through another daemon would crash further endpoints meanwhile.
+func (s *Service) tellMarks() {
+	data, err := s.tracker.Payload(false, time.Now())
+	if err != nil {
+		s.log.Warn("Marks of requests not told to peers.", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, markTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, peer := range s.peersOf() {
+		group.Go(func() {
+			if _, err := s.options.Peers.Call(ctx, peer.Address, methodMarks, data); err != nil {
+				s.log.Debug("Marks of requests not told to a peer.", zap.String("peer", peer.Name), zap.Error(err))
+			}
+		})
+	}
+	group.Wait()
+}
+
+// takeMarks takes the marks of a peer.
+func (s *Service) takeMarks(_ context.Context, data []byte) ([]byte, error) {
+	return nil, s.tracker.Merge(data, time.Now())
+}
+
 // leave takes an endpoint that refuses work because it leaves out of use at once.
 func (d *directory) leave(state *endpointState) {
 	d.mu.Lock()
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -52,6 +52,7 @@
 func (s *Service) Register(server port.PeerServer) {
 	server.Handle(methodTakeOver, s.takeOver)
 	server.Handle(methodLocate, s.locate)
+	server.Handle(methodMarks, s.takeMarks)
 }
 
 // HandOverAll hands all requests that still run to peers. It returns at once;
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -39,6 +39,10 @@
 	}
 	leave, err := g.service.clear(g.ctx, g.req)
 	if err != nil {
+		if ask.Reason != attempt.First {
+			// This request was quarantined while it ran: its caller may resend at once through a peer.
+			g.service.tellMarks()
+		}
 		g.event(func() []attempt.Action { return g.machine.Denied(quarantineRefusal(err)) })
 		return
 	}
