--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -176,9 +176,15 @@
 }
 
 // Close stops the daemon at once. Requests under way are cut off.
-func (d *Daemon) Close() { d.stop(func() { d.cluster.Close() }) }
+func (d *Daemon) Close() {
+	d.stop(func() {
+		d.cluster.Close()
+		d.ledger.resign()
+	})
+}
 
 // Kill stops the daemon without a word to the others, as a sudden death does.
+// A log leader does not hand over its leadership.
 func (d *Daemon) Kill() { d.stop(func() { d.cluster.Kill() }) }
 
 func (d *Daemon) stop(leave func()) {
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -95,11 +95,17 @@
 	l.log.Error("State replica stopped.", zap.Error(err))
 }
 
+// resign hands a leadership of the log to another replica.
+func (l *ledgerRole) resign() {
+	if l.replica != nil {
+		l.replica.Resign()
+	}
+}
+
 func (l *ledgerRole) close() {
 	if l.replica == nil {
 		return
 	}
-	l.replica.Resign()
 	if err := l.replica.Close(); err != nil {
 		l.log.Warn("State replica not closed.", zap.Error(err))
 	}
