--- a/cmd/boragelead/state.go
+++ b/cmd/boragelead/state.go
@@ -91,10 +91,11 @@
 	}, func(context.Context) error {
 		return readFolder(folder, func(fs wal.FS) error {
 			dump, err := inspect.Dump(fs)
-			if err == nil {
-				a.printf("%s\n", dump)
+			if err != nil {
+				return err
 			}
-			return err
+			a.printf("%s\n", dump)
+			return a.noteLeftOut(fs)
 		})
 	})
 	sub.AddPositionalValue(&folder, "folder", 1, true, "data folder of a stopped daemon")
@@ -114,13 +115,24 @@
 				return err
 			}
 			a.printf("%s holds the committed state of %s, %d bytes\n", file, folder, len(data))
-			return nil
+			return a.noteLeftOut(fs)
 		})
 	})
 	sub.AddPositionalValue(&folder, "folder", 1, true, "data folder of a stopped daemon")
 	sub.AddPositionalValue(&file, "file", 2, true, "backup file to write; it must not exist")
 }
 
+// noteLeftOut says which entries of a folder dump and snapshot leave out. The
+// stored commit index is behind the true one, also after a regular stop, so that
+// acknowledged changes can be among them.
+func (a *app) noteLeftOut(fs wal.FS) error {
+	report, err := inspect.Verify(fs)
+	if err == nil && report.Last > report.Commit {
+		a.note("left out: entries %d to %d, which this replica does not know to be committed", report.Commit+1, report.Last)
+	}
+	return err
+}
+
 // writeNew writes and syncs a file that does not exist yet.
 func writeNew(path string, data []byte) error {
 	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, backupMode)
