Do not mark requests at an endpoint that announced it leaves

Cause: an endpoint that closes at the end of its reclaim notice was counted as a crash caused by the requests that ran there.

Change: the crash of a leaving endpoint marks no request.

A directed test is open.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -67,7 +67,12 @@
 		return
 	}
 	s.metrics.crashes.Inc()
-	running := s.running.At(state.id)
+	// The end of an endpoint that announced it leaves is no sign of a poison
+	// request: two reclaims in a row would quarantine requests that ran there.
+	var running []suspect.Fingerprint
+	if !state.isLeaving() {
+		running = s.running.At(state.id)
+	}
 	s.tracker.Crash(state.id, state.incarnation, running, time.Now())
 	s.router.SetBlocked(state.id, true)
 	s.group.Go(s.tellMarks)
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -232,6 +232,16 @@
 	}
 }
 
+// isLeaving reports whether the endpoint announced that it leaves.
+func (e *endpointState) isLeaving() bool {
+	select {
+	case <-e.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
 func candidateOf(e *member.Endpoint) *route.Candidate {
 	return &route.Candidate{
 		ID: e.ID, Incarnation: e.Incarnation, BaseURL: e.BaseURL, FailureDomain: e.FailureDomain,
--- a/internal/entry/pump.go
+++ b/internal/entry/pump.go
@@ -208,14 +208,7 @@
 	}
 }
 
-func (p *pump) isLeaving() bool {
-	select {
-	case <-p.state.leaving:
-		return true
-	default:
-		return false
-	}
-}
+func (p *pump) isLeaving() bool { return p.state.isLeaving() }
 
 const (
 	// stayShare is the part of the notice within which a generation must be
