Register a taken-over request before the hand-over is answered

The test itself asked for a stream that had moved before its first event without Accept: text/event-stream and got the whole answer as JSON; it now names what it wants, all checks stay.

Conclusion: a moved request is found at once by its ID.

--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -99,7 +99,7 @@
 			part.text += deltaOf(value)
 		}
 	}
-	return part, errors.Join(errCutOff, lines.Err())
+	return part, errors.Join(errCutOff, lines.Err(), fmt.Errorf("%s %s after %d bytes, last event ID %q, request %s", req.Method, req.URL.Path, len(part.text), part.lastID, resp.Header.Get("X-Request-Id")))
 }
 
 func deltaOf(data string) string {
@@ -129,7 +129,10 @@
 	if err == nil && first.moved != "" {
 		out.moved = true
 		var rest streamPart
-		rest, err = readPart(client, continueRequest(ctx, to, first.moved, first.lastID))
+		again := continueRequest(ctx, to, first.moved, first.lastID)
+		// A stream that moved before its first event has no event ID to ask with.
+		again.Header.Set("Accept", "text/event-stream")
+		rest, err = readPart(client, again)
 		text += rest.text
 	}
 	out.err, out.whole = err, err == nil && rig.Verify(call, text)
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -104,6 +104,8 @@
 	if message.Tokens > 0 {
 		journal.Append(message.Tokens, message.Text)
 	}
+	// The caller may come as soon as the other daemon has the answer: it must find the journal.
+	s.journals.Add(journal)
 	s.metrics.takenOver.Inc()
 	s.group.Go(func() {
 		if _, err := s.run(s.ctx, journal, nil); err != nil {
