--- a/cmd/boragelead/main.go
+++ b/cmd/boragelead/main.go
@@ -16,6 +16,7 @@
 	registerDrain,
 	registerExplain,
 	registerFleet,
+	registerState,
 	registerDev,
 	registerLoad,
 	registerMeasure,
--- a/internal/adapter/callerhttp/requests.go
+++ b/internal/adapter/callerhttp/requests.go
@@ -84,7 +84,9 @@
 		writeError(w, id, unknownRequest(id))
 		return
 	}
-	s.forward(w, r, base, nil)
+	if !s.forward(w, r, base, nil) {
+		writeError(w, id, &requestError{status: http.StatusServiceUnavailable, kind: "server_error", code: "holder_unreachable", message: "the daemon that holds the request does not answer; ask again"})
+	}
 }
 
 // follow sends a journal as it grows. The caller counts as a reader meanwhile.
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -20,6 +20,8 @@
 	busyPause = 100 * time.Millisecond
 	// idleWait bounds how long a suspect request waits for its endpoint to run empty.
 	idleWait = 30 * time.Second
+	// markTimeout bounds how long a crash is told to a peer that does not answer.
+	markTimeout = 250 * time.Millisecond
 )
 
 // noteFailure records what a failed attempt says about its endpoint, and
@@ -62,11 +64,15 @@
 		return
 	}
 	s.metrics.crashes.Inc()
-	running := s.running.At(state.id)
+	// The end of an endpoint that announced it leaves is no sign of a poison
+	// request: two reclaims in a row would quarantine requests that ran there.
+	var running []suspect.Fingerprint
+	if !state.isLeaving() {
+		running = s.running.At(state.id)
+	}
 	s.tracker.Crash(state.id, state.incarnation, running, time.Now())
 	s.router.SetBlocked(state.id, true)
-	// The marks must be there before the caller resends: the retry waits for them.
-	s.tellMarks()
+	s.group.Go(s.tellMarks)
 	s.log.Warn("Endpoint crashed.", zap.String("endpoint", state.id), zap.Uint64("incarnation", state.incarnation), zap.Int("running", len(running)))
 }
 
--- a/internal/entry/marks.go
+++ b/internal/entry/marks.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/core/member"
 	"github.com/boragelead/boragelead/internal/port"
 )
 
@@ -26,27 +28,36 @@
 	Relay bool `json:"relay"`
 }
 
-// tellMarks sends the marks to the peers and to a relay of each other failure domain.
+// tellMarks sends the marks to the peers and to a relay of each other failure
+// domain, and waits until they know or their time is over.
 func (s *Service) tellMarks() {
 	marks, err := s.tracker.Payload(false, time.Now())
 	if err != nil {
 		s.log.Warn("Marks not encoded.", zap.Error(err))
 		return
 	}
-	s.tellPeers(marks)
+	var group sync.WaitGroup
 	for _, view := range s.options.Cluster.Domains(time.Now()) {
-		for _, relay := range view.Relays {
-			if s.notify(relay.Address, marksMessage{Marks: marks, Relay: true}) {
-				break
-			}
+		group.Go(func() { s.tellDomain(&view, marks) })
+	}
+	s.tellPeers(marks)
+	group.Wait()
+}
+
+func (s *Service) tellDomain(view *member.DomainView, marks []byte) {
+	for _, relay := range view.Relays {
+		if s.notify(relay.Address, marksMessage{Marks: marks, Relay: true}) {
+			return
 		}
 	}
 }
 
 func (s *Service) tellPeers(marks []byte) {
+	var group sync.WaitGroup
 	for _, peer := range s.peersOf() {
-		s.notify(peer.Address, marksMessage{Marks: marks})
+		group.Go(func() { s.notify(peer.Address, marksMessage{Marks: marks}) })
 	}
+	group.Wait()
 }
 
 func (s *Service) notify(address string, message marksMessage) bool {
