--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -20,8 +20,6 @@
 	busyPause = 100 * time.Millisecond
 	// idleWait bounds how long a suspect request waits for its endpoint to run empty.
 	idleWait = 30 * time.Second
-	// markTimeout bounds how long a crash is told to a peer that does not answer.
-	markTimeout = 250 * time.Millisecond
 )
 
 // noteFailure records what a failed attempt says about its endpoint, and
