Drop the replica ID from the settings

Cause: a state replica draws its identity and keeps it in its folder; the setting was required and read by nothing. Change: the field is gone; the bootstrap list is checked by the daemon's name. The test of that list uses the daemon's name and is as strict as before. Conclusion: a replaced disk needs no change of settings.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -240,7 +240,7 @@
 		return
 	}
 	config.DataFolder = filepath.Join(r.folder, config.Name)
-	config.Replica = &settings.Replica{ID: config.Name, Bootstrap: r.replicas}
+	config.Replica = &settings.Replica{Bootstrap: r.replicas}
 	options.PeerListener = r.listeners[number-1]
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,7 +13,8 @@
 	DataFolder string `json:"data_folder,omitempty"`
 	// Replica makes the daemon a state replica.
 	Replica *Replica `json:"replica,omitempty"`
-	// Controller makes the daemon eligible for the controller lease.
+	// Controller makes the daemon eligible for the controller lease. It has no
+	// effect yet, see docs/fleet.md.
 	Controller bool `json:"controller,omitempty"`
 	// Peers lists daemons to join by; the membership protocol finds the others.
 	Peers []Peer `json:"peers,omitempty"`
@@ -43,11 +44,11 @@
 	Admin string `json:"admin"`
 }
 
-// Replica is the identity of a state replica.
+// Replica makes a daemon a state replica. Its identity is drawn at the first
+// start and kept in the data folder, so that a lost folder never votes again
+// under the identity it had.
 type Replica struct {
-	// ID is the voter identity. It is never reused after the data folder was lost.
-	ID string `json:"id"`
-	// Bootstrap is set on the first voters of a new cluster only; it lists them all.
+	// Bootstrap lists the daemons of the first voters of a new cluster, this one included.
 	Bootstrap []Peer `json:"bootstrap,omitempty"`
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -97,9 +97,6 @@
 	if s.Replica == nil {
 		return nil
 	}
-	if err := checkName("$.replica.id", s.Replica.ID); err != nil {
-		return err
-	}
 	if s.DataFolder == "" {
 		return mistake("$.data_folder", "is required for a state replica")
 	}
@@ -109,9 +106,9 @@
 	if err := checkPeers("$.replica.bootstrap", s.Replica.Bootstrap); err != nil {
 		return err
 	}
-	own := func(p Peer) bool { return p.Name == s.Replica.ID || p.Name == s.Name }
+	own := func(p Peer) bool { return p.Name == s.Name }
 	if !slices.ContainsFunc(s.Replica.Bootstrap, own) {
-		return mistake("$.replica.bootstrap", "must list this replica %q as well", s.Replica.ID)
+		return mistake("$.replica.bootstrap", "must list this daemon %q as well", s.Name)
 	}
 	return nil
 }
