Wait for the held place in the test of the limit of calls

Change: the test waits until the handler runs, then expects one refusal that proves not run; the bound is the same, without a retry loop.

--- a/internal/adapter/peerrpc/node_test.go
+++ b/internal/adapter/peerrpc/node_test.go
@@ -170,16 +170,24 @@
 // refused, and the refusal proves that they were not run.
 func TestServerRefusesBeyondLimit(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, address := start(t, Options{MaxInFlight: 1}, map[string]func(context.Context, []byte) ([]byte, error){"never": never, "echo": echo})
+	started := make(chan struct{})
+	hold := func(ctx context.Context, _ []byte) ([]byte, error) {
+		close(started)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	_, address := start(t, Options{MaxInFlight: 1}, map[string]func(context.Context, []byte) ([]byte, error){"hold": hold, "echo": echo})
 	client := New(Options{MaxInFlight: 8})
 	defer client.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	go func() { _, _ = client.Call(ctx, address, "never", nil) }()
-	g.Eventually(func() bool {
-		_, err := client.Call(t.Context(), address, "echo", nil)
-		return err != nil && !MaySent(err)
-	}).Should(gomega.BeTrue())
+	go func() { _, _ = client.Call(ctx, address, "hold", nil) }()
+	// The place must be taken before the second call: otherwise that one takes
+	// it and the call that should hold it is refused.
+	g.Eventually(started).WithTimeout(10 * time.Second).Should(gomega.BeClosed())
+	_, err := client.Call(t.Context(), address, "echo", nil)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(MaySent(err)).To(gomega.BeFalse())
 }
 
 // Guards against a connection that carries only notifications, which expect
