Verify peers when a request is passed on under TLS

Cause: with TLS towards callers, a request passed on to a peer could not verify its certificate: continued streams of other daemons failed. Change: forwarded requests trust the daemons' authority and check the name that their certificates carry; a spec runs callers, operators, daemons and a forwarded request under TLS. Conclusion: TLS by settings works on all four paths; announcements of endpoints and membership datagrams have none.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -55,6 +55,13 @@
 	if d.adminTLS, err = tlsconfig.ForAdmin(d.settings.TLS, d.log); err != nil {
 		return nil, eris.Wrap(err, "TLS towards operators")
 	}
+	if d.settings.TLS != nil && d.settings.TLS.Callers {
+		if d.forwardTLS, err = tlsconfig.ForOperator(tlsconfig.Files{CA: d.settings.TLS.CAFile}); err != nil {
+			return nil, eris.Wrap(err, "TLS of forwarded requests")
+		}
+		// Peers are reached by IP number; their certificates carry this name.
+		d.forwardTLS.ServerName = tlsconfig.DaemonName
+	}
 	if d.settings.TLS == nil || !d.settings.TLS.Peers {
 		return nil, nil
 	}
@@ -133,13 +140,20 @@
 		Services:     d.entry,
 		Journals:     journals{d.entry},
 		NewID:        d.entry.NewID,
-		Peers:        httpconn.NewTransport(httpconn.Options{}),
+		Peers:        d.forwardTransport(),
 		OverloadPeer: d.entry.OverloadPeer,
 		Ready:        d.ready,
 	})
 	return d.traced(server.Handler())
 }
 
+// forwardTransport carries requests that are passed on to peers.
+func (d *Daemon) forwardTransport() *http.Transport {
+	transport := httpconn.NewTransport(httpconn.Options{})
+	transport.TLSClientConfig = d.forwardTLS
+	return transport
+}
+
 // traced starts the span of a request, continuing the trace of the caller.
 func (d *Daemon) traced(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,14 +65,16 @@
 
 	callerTLS *tls.Config
 	adminTLS  *tls.Config
-	listeners listeners
-	servers   []*http.Server
-	group     sync.WaitGroup
-	cancel    context.CancelFunc
-	notReady  atomic.Bool
-	drained   chan struct{}
-	drainOnce sync.Once
-	closeOnce sync.Once
+	// forwardTLS verifies the caller interface of peers.
+	forwardTLS *tls.Config
+	listeners  listeners
+	servers    []*http.Server
+	group      sync.WaitGroup
+	cancel     context.CancelFunc
+	notReady   atomic.Bool
+	drained    chan struct{}
+	drainOnce  sync.Once
+	closeOnce  sync.Once
 }
 
 // Start builds a daemon and opens its listeners. The error names the setting
--- /dev/null
+++ b/internal/daemon/tls_test.go
@@ -0,0 +1,91 @@
+package daemon_test
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragelead/boragelead/internal/rig"
+	"github.com/boragelead/boragelead/internal/settings"
+	"github.com/boragelead/boragelead/internal/tlsconfig"
+	"github.com/boragelead/boragelead/standin/engine"
+)
+
+var _ = Describe("TLS", func() {
+	// Guards against settings of TLS that are accepted but not in use: towards
+	// callers, towards operators, between daemons and in forwarded requests.
+	It("serves callers and operators, and joins daemons, by certificates", func() {
+		folder := GinkgoT().TempDir()
+		authority, err := tlsconfig.NewAuthority()
+		Expect(err).NotTo(HaveOccurred())
+		files, err := authority.Issue(folder, "daemon", tlsconfig.DaemonName, "127.0.0.1")
+		Expect(err).NotTo(HaveOccurred())
+		document, err := os.ReadFile("../../examples/portfolio.json")
+		Expect(err).NotTo(HaveOccurred())
+		r, err := rig.Start(rig.Config{Document: document, Daemons: 2, Domains: 1, Settings: func(s *settings.Settings) {
+			s.TLS = &settings.TLS{CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA, Callers: true, Admin: true, Peers: true}
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		_, err = r.AddEngine(engine.Config{FailureDomain: testDomain, Class: "a100", Slots: 8, Speed: fastSpeed})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Await(5 * time.Second)).To(Succeed())
+
+		client := clientOf(files.CA)
+		send := func(address string, id string, resumable bool) (int, string, string) {
+			method, path, body := http.MethodPost, "/v1/completions", `{"model":"atelier-8b","prompt":"hello","max_tokens":4}`
+			if id != "" {
+				method, path, body = http.MethodGet, "/v1/requests/"+id, ""
+			}
+			req, err := http.NewRequest(method, "https://"+address+path, strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Authorization", "Bearer "+testKey)
+			if resumable {
+				req.Header.Set("X-Boragelead-Resumable", "1")
+			}
+			resp, err := client.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			data, _ := io.ReadAll(resp.Body)
+			return resp.StatusCode, resp.Header.Get("X-Request-Id"), string(data)
+		}
+		one, two := r.Daemons()[0], r.Daemons()[1]
+		status, id, answer := send(one.CallerAddress(), "", true)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(answer).To(ContainSubstring(`"completion_tokens":4`))
+
+		status, _, forwarded := send(two.CallerAddress(), id, false)
+		Expect(status).To(Equal(http.StatusOK), forwarded)
+		Expect(forwarded).To(ContainSubstring(`"completion_tokens":4`))
+
+		req, _ := http.NewRequest(http.MethodGet, "https://"+one.AdminAddress()+"/admin/status", nil)
+		req.Header.Set("Authorization", "Bearer "+rig.AdminKey)
+		resp, err := client.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+
+		_, err = http.Get("http://" + one.CallerAddress() + "/v1/models")
+		if err == nil {
+			// net/http answers plain requests on a TLS port with an error of its own.
+			resp, _ := http.Get("http://" + one.CallerAddress() + "/v1/models")
+			_ = resp.Body.Close()
+			Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+		}
+	})
+})
+
+func clientOf(caFile string) *http.Client {
+	pem, err := os.ReadFile(caFile)
+	Expect(err).NotTo(HaveOccurred())
+	pool := x509.NewCertPool()
+	Expect(pool.AppendCertsFromPEM(pem)).To(BeTrue())
+	return &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+}
