Move the KV cache with a request whenever the notice allows

Change: the cache is transferred if that is expected to end within 40% of the notice; otherwise the cheaper way as before.

--- a/internal/entry/kv.go
+++ b/internal/entry/kv.go
@@ -13,6 +13,9 @@
 const (
 	// kvTimeout bounds the export and import together: a prefill takes about a second.
 	kvTimeout = 2 * time.Second
+	// transferShare is the part of the notice within which a transfer must be
+	// expected to end; the rest is for the import and what was generated since.
+	transferShare = 0.4
 	// kvBytesPerS is the assumed speed of a transfer between two VMs of a
 	// region: 10 Gbit/s, half of it in use.
 	kvBytesPerS = 600_000_000
@@ -24,7 +27,7 @@
 }
 
 // transferKV moves the KV cache of a running attempt to the endpoint of the
-// next one where that is cheaper than a prefill and in time. It returns the
+// next one where that is in time. It returns the
 // handle to continue from, or "": then the next attempt prefills.
 func (g *generation) transferKV(ctx context.Context, source *kvSource, target *endpointState) string {
 	if source == nil {
@@ -59,5 +62,8 @@
 	if known && speed.PrefillS > 0 {
 		cost.PrefillTokensPerSecond = 1 / speed.PrefillS
 	}
-	return attempt.ChooseKV(cost).Transfer
+	choice := attempt.ChooseKV(cost)
+	// The old attempt goes on during the transfer, so that the caller does not
+	// wait for it, and a prefill would take capacity from other requests.
+	return choice.Transfer || choice.TransferTime <= time.Duration(transferShare*float64(cost.Remaining))
 }
