--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -86,8 +86,10 @@
 		options: options, log: telemetry.Log(options.Log, telemetry.PartEntry), metrics: newMetrics(options.Metrics),
 		incarnation: rand.Uint64() | 1,
 		board:       pick.NewBoard(rand.Float64),
-		quotas:      quota.New(),
-		counter:     meter.NewCounter(settings.Seconds(bounds.UsageWindowS)),
+		quotas: quota.New(quota.Tolerance{
+			Window: settings.Seconds(bounds.QuotaWindowS), Overshoot: bounds.QuotaOvershoot, Tokens: bounds.QuotaSlack,
+		}),
+		counter: meter.NewCounter(settings.Seconds(bounds.UsageWindowS)),
 		repeats: retry.NewWindowBudget(retry.WindowLimits{
 			Window: settings.Seconds(bounds.RetryWindowS), Share: bounds.RetryRatio * repeatShare,
 		}, now),
--- a/internal/gateway/entry/links.go
+++ b/internal/gateway/entry/links.go
@@ -102,7 +102,8 @@
 	run, change := uint64(0), uint64(0)
 	connected := false
 	for e.ctx.Err() == nil {
-		reply, err := l.ask(address, run, change)
+		demand := e.quotas.Demand(time.Now())
+		reply, err := l.ask(address, run, change, demand)
 		if err != nil {
 			if connected {
 				e.log.Warn("State replica lost.", zap.String("replica", address), zap.Error(err))
@@ -118,7 +119,7 @@
 			e.log.Info("State replica reached.", zap.String("replica", address))
 		}
 		connected = true
-		l.take(address, reply)
+		l.take(address, reply, demand)
 		run, change = reply.Run, reply.Change
 	}
 }
@@ -130,12 +131,12 @@
 	}
 }
 
-func (l *links) ask(address string, run, change uint64) (*link.PollReply, error) {
+func (l *links) ask(address string, run, change uint64, demand map[string]float64) (*link.PollReply, error) {
 	e := l.entry
 	now := time.Now()
 	request := &link.PollRequest{
 		Entry: e.options.Settings.Name, Incarnation: e.incarnation, Run: run, Change: change,
-		WaitMS: pollWait.Milliseconds(), Usage: e.counter.Report(now), Demand: e.quotas.Demand(now),
+		WaitMS: pollWait.Milliseconds(), Usage: e.counter.Report(now), Demand: demand,
 		Load: e.board.Load(), Work: e.work.rates(now),
 	}
 	if active := e.active.Load(); active != nil {
@@ -156,12 +157,12 @@
 }
 
 // take applies the news of a replica.
-func (l *links) take(address string, reply *link.PollReply) {
+func (l *links) take(address string, reply *link.PollReply, demand map[string]float64) {
 	e := l.entry
 	if reply.Generation > 0 {
 		e.apply(reply.Generation, reply.Document)
 	}
-	e.quotas.SetTotal(quota.Demand{Entries: reply.Entries, PerS: reply.Demand}, time.Now())
+	e.quotas.SetTotal(quota.Demand{Entries: reply.Entries, PerS: reply.Demand}, demand, time.Now())
 	e.setEntries(reply.Entries)
 	l.count.Store(int64(reply.Entries))
 	l.follow(reply.Replicas)
--- a/internal/gateway/state/documents.go
+++ b/internal/gateway/state/documents.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/port"
 )
 
@@ -21,6 +22,9 @@
 	mu         sync.Mutex
 	generation uint64
 	version    uint64
+	// table is the document of tableGeneration.
+	table           *rules.Table
+	tableGeneration uint64
 }
 
 // PutDocument stores a document if its version is higher than the stored one.
@@ -100,3 +104,24 @@
 	}
 	return current.Document, nil
 }
+
+// rules returns the newest document that this replica applied, or nil.
+func (s *State) rules() *rules.Table {
+	generation, _ := s.replica.Newest()
+	if generation.Number == 0 {
+		return nil
+	}
+	s.versions.mu.Lock()
+	defer s.versions.mu.Unlock()
+	if s.versions.table != nil && s.versions.tableGeneration == generation.Number {
+		return s.versions.table
+	}
+	document, err := s.options.Decode(generation.Document)
+	if err != nil {
+		s.log.Error("Document not usable.", zap.Uint64("generation", generation.Number), zap.Error(err))
+		return nil
+	}
+	s.versions.table = rules.NewTable(document)
+	s.versions.tableGeneration = generation.Number
+	return s.versions.table
+}
--- a/internal/gateway/state/duties.go
+++ b/internal/gateway/state/duties.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/scale"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/settings"
 )
@@ -45,6 +46,9 @@
 	// reported holds the windows that were accepted.
 	reported map[uint64]bool
 	retryAt  time.Time
+	// planners holds the planner of each service; scaleAt is the next look.
+	planners map[string]*scale.Planner
+	scaleAt  time.Time
 }
 
 func (s *State) dutyLoop() {
@@ -58,6 +62,7 @@
 		return
 	}
 	h.reportUsage(now)
+	h.orderEndpoints(now)
 }
 
 // keepLease renews the lease, or asks for it where this replica leads the
@@ -86,6 +91,7 @@
 	if h.fence.Number != grant.FencingNumber {
 		s.log.Info("Duties taken.", zap.Uint64("fencing", grant.FencingNumber))
 		h.reported = make(map[uint64]bool)
+		h.planners = make(map[string]*scale.Planner)
 	}
 	h.fence = port.Fence{Holder: s.options.Settings.Name, Number: grant.FencingNumber}
 	h.until = now.Add(ttl)
--- /dev/null
+++ b/internal/gateway/state/scaling.go
@@ -0,0 +1,90 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/rules"
+	"github.com/boragelead/boragelead/internal/gateway/scale"
+	"github.com/boragelead/boragelead/internal/port"
+)
+
+// scaleInterval is how often the plan of endpoints is made.
+const scaleInterval = 500 * time.Millisecond
+
+// orderEndpoints gives the orders that the planners find due.
+func (h *holder) orderEndpoints(now time.Time) {
+	if now.Before(h.scaleAt) {
+		return
+	}
+	h.scaleAt = now.Add(scaleInterval)
+	table := h.state.rules()
+	if table == nil {
+		return
+	}
+	live := h.state.registry.Live()
+	sum := h.state.entries.totals(now)
+	if sum.entries == 0 {
+		// Without an entry nothing is known of the load.
+		return
+	}
+	for i := range table.Document.Services {
+		service := &table.Document.Services[i]
+		if service.Scaling == nil {
+			continue
+		}
+		h.orderService(service, live, sum.load[service.Name], now)
+	}
+}
+
+func (h *holder) orderService(service *rules.Service, live []registry.Endpoint, inFlight int, now time.Time) {
+	planner := h.planners[service.Name]
+	if planner == nil {
+		planner = scale.New()
+		h.planners[service.Name] = planner
+	}
+	var members []registry.Endpoint
+	for i := range live {
+		if live[i].Service == service.Name {
+			members = append(members, live[i])
+		}
+	}
+	if len(members) == 0 {
+		return
+	}
+	orders := planner.Plan(&scale.Input{
+		Now: now, Service: service, Domains: h.state.options.Settings.Domains, Endpoints: members, InFlight: inFlight,
+	})
+	for _, order := range orders {
+		h.order(planner, order, inFlight, now)
+	}
+}
+
+// order gives one order. One without an answer may be carried out late; the
+// planner repeats its wish until it is seen.
+func (h *holder) order(planner *scale.Planner, order port.CountOrder, inFlight int, now time.Time) {
+	s := h.state
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	err := s.options.Duties.OrderCount(ctx, h.fence, order)
+	fields := []zap.Field{
+		zap.String("service", order.Service), zap.String("failure_domain", order.FailureDomain), zap.Int("count", order.Count),
+		zap.Bool("reclaimable", order.Reclaimable), zap.Int("in_flight", inFlight), zap.Uint64("fencing", h.fence.Number),
+	}
+	var refused *port.FencedError
+	if errors.As(err, &refused) {
+		planner.Refused(order, now)
+		s.log.Warn("Endpoints not to be had.", append(fields, zap.Error(err))...)
+		return
+	}
+	planner.Ordered(order, now)
+	if err != nil {
+		s.log.Warn("Order without an answer.", append(fields, zap.Error(err))...)
+		return
+	}
+	s.log.Info("Endpoints ordered.", fields...)
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -69,6 +69,13 @@
 	RetryRatio     float64 `json:"retry_ratio"`
 	RetryWindowS   float64 `json:"retry_window_s"`
 	RetryAllowance float64 `json:"retry_allowance"`
+	// QuotaSlack is how many tokens beyond its limit a workspace may spend in a
+	// window, over all entries.
+	QuotaSlack float64 `json:"quota_slack"`
+	// QuotaOvershoot is the part of a limit that may be spent beyond it within
+	// QuotaWindowS seconds.
+	QuotaOvershoot float64 `json:"quota_overshoot"`
+	QuotaWindowS   float64 `json:"quota_window_s"`
 	// UsageWindowS is the length of a usage window, in seconds.
 	UsageWindowS float64 `json:"usage_window_s"`
 	// UsageDelayS is how long after its end the report of a window is due, in seconds.
