Keep a part of each quota at the leader and avoid silent endpoints

Change: 60% of each quota stays at the leader, which entries ask when their own part cannot cover a request; silence since a request was sent is a cost of the choice; daemons dial for 400 ms at most. A send to an address that another endpoint has now is no attempt.

--- a/internal/adapter/peerrpc/conn.go
+++ b/internal/adapter/peerrpc/conn.go
@@ -14,6 +14,9 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
+// dialBound is above the round trip between regions with a margin.
+const dialBound = 400 * time.Millisecond
+
 // methodPing is the probe; every node answers it.
 const methodPing = "peer.ping"
 
@@ -41,8 +44,9 @@
 
 func dial(ctx context.Context, n *Node, address string) (*clientConn, error) {
 	n.meter.dials.Add(1)
-	// A path that drops packets must not hold callers longer than a silent connection does.
-	ctx, cancel := context.WithTimeout(ctx, SilenceBound)
+	// A VM without power answers nothing, and the kernel repeats the opening
+	// packet only after a second: a new attempt finds it sooner.
+	ctx, cancel := context.WithTimeout(ctx, dialBound)
 	defer cancel()
 	dialer := net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -74,6 +74,7 @@
 	switch {
 	case meta.OtherEndpoint:
 		choice.Leaving()
+		x.misdirected++
 		x.drainBody(answer)
 		return outcome{sent: true, notRun: true, err: &AnswerError{choice.Endpoint.ID, "another endpoint has the address"}}
 	case meta.NotRun:
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -31,6 +31,9 @@
 	// bounds it as a part of the time left, since callers ignore longer ones.
 	retrySoon  = 600 * time.Millisecond
 	retryShare = 0.3
+	// maxMisdirected bounds the sends to addresses that changed hands; they do
+	// not count as attempts, since the endpoint that was meant got nothing.
+	maxMisdirected = 2
 	// maxUnsent bounds the endpoints in a row that cannot be connected.
 	maxUnsent = 4
 )
@@ -57,6 +60,8 @@
 	tried []string
 	// ran is set once an endpoint may have run the request.
 	ran bool
+	// misdirected counts sends to an address that another endpoint has now.
+	misdirected int
 	// counted is set once the request was counted as run.
 	counted bool
 	// begun is set once a part of the answer went to the caller.
@@ -175,9 +180,12 @@
 			cost = float64(x.meta.PromptTokens + x.meta.MaxOutputTokens)
 		}
 	}
-	wait, ok := x.entry.quotas.Take(w.Name, cost, time.Now())
-	if !ok {
-		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, RetryAfter: x.advice(wait)}
+	decision := x.entry.quotas.Take(w.Name, cost, time.Now())
+	if decision.AskCommon {
+		decision = x.entry.links.spend(x.r.Context(), w.Name, cost, decision)
+	}
+	if !decision.Granted {
+		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, RetryAfter: x.advice(decision.Wait)}
 	}
 	x.cost = cost
 	return nil
@@ -228,7 +236,7 @@
 	if x.begun && x.lastID == noID {
 		return false
 	}
-	if len(x.tried) >= max(x.route.MaxAttempts, 1) || time.Until(x.deadline) < minAttempt {
+	if len(x.tried)-x.misdirected >= max(x.route.MaxAttempts, 1) || x.misdirected > maxMisdirected || time.Until(x.deadline) < minAttempt {
 		return false
 	}
 	return x.entry.repeats.Repeat(x.service.Name, time.Now())
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -25,7 +25,7 @@
 const (
 	// dialTimeout bounds the setup of a connection to an endpoint: within a
 	// region it takes milliseconds, so a longer wait means a dead path.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// endpointIdle closes connections to endpoints that named no timeout.
 	endpointIdle = 4 * time.Second
 	// repeatShare of the agreed retry ratio is used: entries cannot see each
--- a/internal/gateway/entry/links.go
+++ b/internal/gateway/entry/links.go
@@ -24,7 +24,14 @@
 	// pollTimeout ends a poll whose replica is silent.
 	pollTimeout = 1200 * time.Millisecond
 	// pollPause is the pause after a failed poll.
-	pollPause = 300 * time.Millisecond
+	pollPause = 100 * time.Millisecond
+	// spendTimeout bounds the wait for the common quota. A refusal must not be
+	// held back, and the answer takes two short delays.
+	spendTimeout = 60 * time.Millisecond
+	// spendPause is the time without a further question after one that failed.
+	spendPause = 500 * time.Millisecond
+	// maxDenied bounds the time for which an answer of the common quota counts.
+	maxDenied = 300 * time.Millisecond
 	// replicaMemory is how long a replica that no other names is still asked.
 	replicaMemory = 10 * time.Second
 )
@@ -37,6 +44,8 @@
 	directory *registry.Directory
 	// replicas holds the addresses that are followed and when each was last named.
 	replicas map[string]time.Time
+	// leader is the replica that led when it answered last; "" before any did.
+	leader atomic.Pointer[string]
 	// count is the number of entries that the replicas named last.
 	count atomic.Int64
 }
@@ -156,6 +165,39 @@
 	return reply, link.Decode(data, reply)
 }
 
+// spend asks the leader for what the own part of a quota cannot cover. Without
+// an answer in time the request is not granted.
+func (l *links) spend(ctx context.Context, workspace string, cost float64, own quota.Decision) quota.Decision {
+	e := l.entry
+	leader := l.leader.Load()
+	if leader == nil {
+		return own
+	}
+	params, err := link.Encode(&link.SpendRequest{Workspace: workspace, Cost: cost})
+	if err != nil {
+		return own
+	}
+	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
+	defer cancel()
+	data, err := e.options.Caller.Call(ctx, *leader, link.MethodSpend, params)
+	reply := &link.SpendReply{}
+	if err == nil {
+		err = link.Decode(data, reply)
+	}
+	now := time.Now()
+	if err != nil {
+		e.log.Warn("Common quota not reached.", zap.String("workspace", workspace), zap.String("replica", *leader), zap.Error(err))
+		e.quotas.Denied(workspace, 0, now.Add(spendPause))
+		return own
+	}
+	if reply.Granted {
+		return quota.Decision{Granted: true}
+	}
+	wait := time.Duration(reply.WaitMS) * time.Millisecond
+	e.quotas.Denied(workspace, cost, now.Add(min(wait, maxDenied)))
+	return quota.Decision{Wait: min(wait, own.Wait)}
+}
+
 // take applies the news of a replica.
 func (l *links) take(address string, reply *link.PollReply, demand map[string]float64) {
 	e := l.entry
@@ -165,6 +207,9 @@
 	e.quotas.SetTotal(quota.Demand{Entries: reply.Entries, PerS: reply.Demand}, demand, time.Now())
 	e.setEntries(reply.Entries)
 	l.count.Store(int64(reply.Entries))
+	if reply.Leads {
+		l.leader.Store(&address)
+	}
 	l.follow(reply.Replicas)
 	if !reply.Whole && len(reply.Endpoints) == 0 {
 		return
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -44,6 +44,7 @@
 			}
 			return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "stream broke off: " + err.Error()}}
 		}
+		choice.Heard()
 		if firstEvent {
 			firstEvent = false
 			choice.Observe(time.Now())
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -16,6 +16,8 @@
 const (
 	// MethodPoll is called by entries at replicas.
 	MethodPoll = "gateway.poll"
+	// MethodSpend is called by entries at the replica that leads.
+	MethodSpend = "gateway.spend"
 	// MethodShare is called by replicas at replicas: announcements of endpoints.
 	MethodShare = "gateway.share"
 )
@@ -50,6 +52,8 @@
 	// Generation and Document are set when they are newer than the entry's.
 	Generation uint64 `msgpack:"g,omitempty"`
 	Document   []byte `msgpack:"b,omitempty"`
+	// Leads is set when the replica leads the state.
+	Leads bool `msgpack:"a,omitempty"`
 	// Whole is set when Endpoints replaces all that was sent before.
 	Whole     bool            `msgpack:"w,omitempty"`
 	Endpoints []registry.View `msgpack:"e,omitempty"`
@@ -66,6 +70,18 @@
 	Crashes [][]byte `msgpack:"x,omitempty"`
 }
 
+// SpendRequest asks for a part of the quota that is not divided among entries.
+type SpendRequest struct {
+	Workspace string  `msgpack:"w"`
+	Cost      float64 `msgpack:"c"`
+}
+
+// SpendReply grants the cost, or says how long until it could be granted.
+type SpendReply struct {
+	Granted bool  `msgpack:"g"`
+	WaitMS  int64 `msgpack:"w,omitempty"`
+}
+
 // ShareRequest passes announcements of endpoints on.
 type ShareRequest struct {
 	Sightings []registry.Sighting `msgpack:"s"`
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -35,6 +35,9 @@
 	// failures counts failed attempts in a row; no new work before pausedUntil.
 	failures    int
 	pausedUntil time.Time
+	// sentUnheard is when the first request was sent after the last sign of
+	// life; zero when something was heard since.
+	sentUnheard time.Time
 	// slowness is the learned ratio of its answer times to those of its service.
 	slowness float64
 	resident *residence
@@ -56,7 +59,7 @@
 func NewBoard(random func() float64) *Board {
 	return &Board{
 		filters:   []Filter{ReadyFilter{}, AvoidFilter{}, PauseFilter{}, ConnectionFilter{}},
-		scorers:   []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}},
+		scorers:   []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}},
 		picker:    NearestPicker{Random: random},
 		endpoints: make(map[string]*stats),
 		services:  make(map[string][]*stats),
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -125,6 +125,9 @@
 		Candidates: candidates, board: b, stats: s, uncached: v.uncached, began: r.Now, waiting: true,
 	}
 	s.inFlight++
+	if s.sentUnheard.IsZero() {
+		s.sentUnheard = r.Now
+	}
 	s.pending++
 	s.sentSince++
 	s.prefill += v.uncached
@@ -138,6 +141,7 @@
 	defer c.board.mu.Unlock()
 	s := c.stats
 	c.stopWaiting()
+	s.sentUnheard = time.Time{}
 	s.failures = 0
 	s.pausedUntil = time.Time{}
 	if load != nil {
@@ -147,6 +151,13 @@
 	}
 }
 
+// Heard notes further bytes of an answer.
+func (c *Choice) Heard() {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	c.stats.sentUnheard = time.Time{}
+}
+
 // Observe learns the speed of the endpoint from the time to the first byte of a run.
 func (c *Choice) Observe(now time.Time) {
 	c.board.mu.Lock()
@@ -207,6 +218,9 @@
 	defer c.board.mu.Unlock()
 	c.stopWaiting()
 	c.stats.inFlight--
+	if c.stats.inFlight == 0 {
+		c.stats.sentUnheard = time.Time{}
+	}
 }
 
 // stopWaiting must be called with the lock held.
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -1,6 +1,8 @@
-// Package quota keeps each workspace within its limit over all entries. Every
-// entry takes a share of the limit; the shares add up to one, so that the limit
-// also holds while entries cannot reach each other. The package does no I/O.
+// Package quota keeps each workspace within its limit over all entries. A part
+// of every limit is divided among the entries and holds without any contact;
+// the rest is kept at one replica, from which entries take what their part
+// cannot cover, such as large requests. The parts add up to the limit. The
+// package does no I/O.
 package quota
 
 import (
@@ -11,16 +13,20 @@
 )
 
 const (
-	// evenPart of a limit is divided evenly, the rest by demand: an entry
-	// without recent demand must admit its first requests.
+	// commonPart of a limit is kept at one replica.
+	commonPart = 0.6
+	// commonTokens and dividedTokens are the parts of the tolerated tokens that
+	// each side may spend beyond its part. What is left covers shares that are
+	// a few hundred milliseconds old.
+	commonTokens  = 0.4
+	dividedTokens = 0.35
+	// commonOvershoot is the part of the tolerated overshoot for the common part.
+	commonOvershoot = 0.5
+	// evenPart of the divided limit is divided evenly, the rest by demand: an
+	// entry without recent demand must admit its first requests.
 	evenPart = 0.25
 	// demandWindow is the time over which demand is averaged.
 	demandWindow = 4 * time.Second
-	// slackPart of the agreed slack is handed out: the shares of entries are
-	// divided by demand that is a few hundred milliseconds old.
-	slackPart = 0.75
-	// overshootPart of the agreed overshoot is handed out, for the same reason.
-	overshootPart = 0.6
 	// unknownEntries is the number of entries that is assumed before any replica
 	// named one.
 	unknownEntries = 16
@@ -28,6 +34,15 @@
 	peerMemory = 5 * time.Second
 )
 
+// Tolerance is what may be sent beyond a limit within any window, over all entries.
+type Tolerance struct {
+	Window time.Duration
+	// Overshoot is a part of what the limit allows within the window.
+	Overshoot float64
+	// Tokens is granted to limits that count tokens.
+	Tokens float64
+}
+
 // Demand is the total over all entries, as a replica reports it.
 type Demand struct {
 	// Entries is the number of entries.
@@ -36,64 +51,122 @@
 	PerS map[string]float64
 }
 
-// Tolerance is what may be sent beyond a limit within any window, over all
-// entries. A large request fits into the share of one entry only with it.
-type Tolerance struct {
-	Window time.Duration
-	// Overshoot is a part of what the limit allows within the window.
-	Overshoot float64
-	// Tokens is granted to limits that count tokens.
-	Tokens float64
+// bucket holds what may be spent now.
+type bucket struct {
+	level  float64
+	filled time.Time
 }
 
-// Keeper decides on requests by workspace. It is safe for concurrent use.
-type Keeper struct {
+// take spends the cost if the level covers it, or a full bucket does.
+func (b *bucket) take(cost, rate, capacity float64, now time.Time) (wait time.Duration, ok bool) {
+	b.level = min(b.level+now.Sub(b.filled).Seconds()*rate, capacity)
+	b.filled = now
+	needed := min(cost, capacity)
+	if b.level >= needed {
+		b.level -= cost
+		return 0, true
+	}
+	return time.Duration((needed - b.level) / rate * float64(time.Second)), false
+}
+
+// limits are the limits of one workspace.
+type limits struct {
+	rate, burst float64
+	// tokens is what is tolerated beyond, 0 for limits that count requests.
+	tokens float64
+}
+
+func limitsOf(w *rules.Workspace, t Tolerance) limits {
+	l := limits{rate: w.RatePerS, burst: w.Burst}
+	if w.CountTokens {
+		l.tokens = t.Tokens
+	}
+	return l
+}
+
+// Common keeps the parts of the limits that are not divided. It is safe for concurrent use.
+type Common struct {
 	tolerance Tolerance
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
-	total   Demand
-	heard   time.Time
+}
+
+// NewCommon returns empty buckets: what an earlier holder granted is not known.
+func NewCommon(tolerance Tolerance) *Common {
+	return &Common{tolerance: tolerance, buckets: make(map[string]*bucket)}
+}
+
+// Take spends the cost of a request, or returns how long until it could.
+func (c *Common) Take(w *rules.Workspace, cost float64, now time.Time) (wait time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.buckets[w.Name]
+	if b == nil {
+		b = &bucket{filled: now}
+		c.buckets[w.Name] = b
+	}
+	l := limitsOf(w, c.tolerance)
+	overshoot := c.tolerance.Overshoot * commonOvershoot * (l.rate*c.tolerance.Window.Seconds() + l.burst)
+	return b.take(cost, l.rate*commonPart, l.burst*commonPart+overshoot+l.tokens*commonTokens, now)
+}
+
+// Reset empties the buckets, as when the replica begins to hold them.
+func (c *Common) Reset(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range c.buckets {
+		*b = bucket{filled: now}
+	}
+}
+
+// Keeper decides at an entry. It is safe for concurrent use.
+type Keeper struct {
+	tolerance Tolerance
+
+	mu         sync.Mutex
+	workspaces map[string]*workspace
+	total      Demand
+	heard      time.Time
 	// own is the own demand that is part of the total.
 	own map[string]float64
 }
 
-type bucket struct {
-	rate, burst, slack float64
-	// level is what may be spent now.
-	level  float64
-	filled time.Time
+type workspace struct {
+	limits
+	bucket
 	demand meter
+	// deniedUntil is when the common part may have something for deniedCost again.
+	deniedUntil time.Time
+	deniedCost  float64
 }
 
 // New returns a keeper without limits.
 func New(tolerance Tolerance) *Keeper {
-	return &Keeper{tolerance: tolerance, buckets: make(map[string]*bucket)}
+	return &Keeper{tolerance: tolerance, workspaces: make(map[string]*workspace)}
 }
 
 // Configure takes the limits of a document.
-func (k *Keeper) Configure(workspaces []rules.Workspace, now time.Time) {
+func (k *Keeper) Configure(list []rules.Workspace, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := make(map[string]bool, len(workspaces))
-	for i := range workspaces {
-		w := &workspaces[i]
-		known[w.Name] = true
-		b := k.buckets[w.Name]
-		if b == nil {
+	known := make(map[string]bool, len(list))
+	for i := range list {
+		one := &list[i]
+		known[one.Name] = true
+		w := k.workspaces[one.Name]
+		if w == nil {
 			// It starts empty: what an earlier run of this entry spent is not known.
-			b = &bucket{filled: now}
-			k.buckets[w.Name] = b
+			w = &workspace{bucket: bucket{filled: now}}
+			k.workspaces[one.Name] = w
 		}
-		b.rate, b.burst, b.slack = w.RatePerS, w.Burst, 0
-		if w.CountTokens {
-			b.slack = k.tolerance.Tokens * slackPart
-		}
-		b.level = min(b.level, k.capacity(w.Name, b, now))
+		w.limits = limitsOf(one, k.tolerance)
+		w.level = min(w.level, k.capacity(one.Name, w, now))
+		w.deniedUntil = time.Time{}
 	}
-	for name := range k.buckets {
+	for name := range k.workspaces {
 		if !known[name] {
-			delete(k.buckets, name)
+			delete(k.workspaces, name)
 		}
 	}
 }
@@ -108,32 +181,46 @@
 	k.heard = now
 }
 
-// Take spends the cost of a request, or returns how long until it could.
-func (k *Keeper) Take(workspace string, cost float64, now time.Time) (wait time.Duration, ok bool) {
+// Decision is the answer of Take.
+type Decision struct {
+	Granted bool
+	// AskCommon is set where the common part may cover the request.
+	AskCommon bool
+	// Wait is how long until the own part could cover it.
+	Wait time.Duration
+}
+
+// Take spends the cost of a request from the own part.
+func (k *Keeper) Take(name string, cost float64, now time.Time) Decision {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b := k.buckets[workspace]
-	if b == nil || b.rate <= 0 {
-		return 0, true
+	w := k.workspaces[name]
+	if w == nil || w.rate <= 0 {
+		return Decision{Granted: true}
 	}
-	b.demand.add(cost, now)
-	share := k.share(workspace, now)
-	capacity := k.capacity(workspace, b, now)
-	b.fill(share, capacity, now)
-	if b.level >= min(cost, capacity) {
-		b.level -= cost
-		return 0, true
+	w.demand.add(cost, now)
+	wait, ok := w.take(cost, w.rate*(1-commonPart)*k.share(name, now), k.capacity(name, w, now), now)
+	if ok {
+		return Decision{Granted: true}
+	}
+	return Decision{AskCommon: !now.Before(w.deniedUntil) || cost < w.deniedCost, Wait: wait}
+}
+
+// Denied notes that the common part had nothing for a cost until a time.
+func (k *Keeper) Denied(name string, cost float64, until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if w := k.workspaces[name]; w != nil {
+		w.deniedUntil, w.deniedCost = until, cost
 	}
-	seconds := (min(cost, capacity) - b.level) / (b.rate * share)
-	return time.Duration(seconds * float64(time.Second)), false
 }
 
 // Return gives back the cost of a request that was not sent on.
-func (k *Keeper) Return(workspace string, cost float64) {
+func (k *Keeper) Return(name string, cost float64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if b := k.buckets[workspace]; b != nil {
-		b.level += cost
+	if w := k.workspaces[name]; w != nil {
+		w.level += cost
 	}
 }
 
@@ -141,9 +228,9 @@
 func (k *Keeper) Demand(now time.Time) map[string]float64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	list := make(map[string]float64, len(k.buckets))
-	for name, b := range k.buckets {
-		if rate := b.demand.perS(now); rate > 0 {
+	list := make(map[string]float64, len(k.workspaces))
+	for name, w := range k.workspaces {
+		if rate := w.demand.perS(now); rate > 0 {
 			list[name] = rate
 		}
 	}
@@ -157,34 +244,28 @@
 	return max(k.total.Entries, 1)
 }
 
-// capacity is the most that this entry may spend at once.
-func (k *Keeper) capacity(workspace string, b *bucket, now time.Time) float64 {
-	overshoot := k.tolerance.Overshoot * overshootPart * (b.rate*k.tolerance.Window.Seconds() + b.burst)
-	return (b.burst+overshoot)*k.share(workspace, now) + b.slack/float64(k.entries())
+// capacity is the most that this entry may spend of its own part at once.
+func (k *Keeper) capacity(name string, w *workspace, now time.Time) float64 {
+	return w.burst*(1-commonPart)*k.share(name, now) + w.tokens*dividedTokens/float64(k.entries())
 }
 
-// share returns the part of a limit that belongs to this entry. It compares
-// the total with the own demand that is part of it, not with the present one:
-// while demand grows, the shares would otherwise add up to more than one.
-func (k *Keeper) share(workspace string, now time.Time) float64 {
+// share returns the part of the divided limit that belongs to this entry. It
+// compares the total with the own demand that is part of it, not with the
+// present one: while demand grows, the shares would otherwise add up to more
+// than one.
+func (k *Keeper) share(name string, now time.Time) float64 {
 	even := 1 / float64(k.entries())
 	if now.Sub(k.heard) > peerMemory {
 		return even
 	}
-	own := k.own[workspace]
-	all := max(k.total.PerS[workspace], own)
+	own := k.own[name]
+	all := max(k.total.PerS[name], own)
 	if all <= 0 {
 		return even
 	}
 	return evenPart*even + (1-evenPart)*own/all
 }
 
-func (b *bucket) fill(share, capacity float64, now time.Time) {
-	passed := now.Sub(b.filled).Seconds()
-	b.filled = now
-	b.level = min(b.level+passed*b.rate*share, capacity)
-}
-
 // meter averages a rate over about demandWindow.
 type meter struct {
 	rate float64
--- a/internal/gateway/rules/table.go
+++ b/internal/gateway/rules/table.go
@@ -61,6 +61,9 @@
 // WorkspaceOf returns the workspace that holds a key, or nil.
 func (t *Table) WorkspaceOf(key string) *Workspace { return t.byKey[key] }
 
+// Workspace returns a workspace by name, or nil.
+func (t *Table) Workspace(name string) *Workspace { return t.workspaces[name] }
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -27,6 +27,33 @@
 	return link.Encode(s.await(ctx, request))
 }
 
+// handleSpend grants a part of a quota that is not divided among the entries.
+func (s *State) handleSpend(_ context.Context, params []byte) ([]byte, error) {
+	request := &link.SpendRequest{}
+	if err := link.Decode(params, request); err != nil {
+		return nil, err
+	}
+	if !s.leads() {
+		return nil, &NotLeaderError{}
+	}
+	table := s.rules()
+	if table == nil {
+		return nil, &NotLeaderError{}
+	}
+	workspace := table.Workspace(request.Workspace)
+	if workspace == nil {
+		return link.Encode(&link.SpendReply{})
+	}
+	wait, ok := s.common.Take(workspace, request.Cost, time.Now())
+	return link.Encode(&link.SpendReply{Granted: ok, WaitMS: wait.Milliseconds()})
+}
+
+// NotLeaderError says that the replica does not hold the common quota.
+type NotLeaderError struct{}
+
+// Error implements error.
+func (*NotLeaderError) Error() string { return "replica does not lead" }
+
 func (s *State) await(ctx context.Context, request *link.PollRequest) *link.PollReply {
 	wait := min(time.Duration(request.WaitMS)*time.Millisecond, maxPollWait)
 	timer := time.NewTimer(wait)
@@ -55,7 +82,7 @@
 	sum := s.entries.totals(time.Now())
 	reply = &link.PollReply{
 		Run: s.run, Whole: request.Run != s.run, Endpoints: list, Change: change,
-		Replicas: s.members(), Entries: sum.entries, Demand: sum.demand, Load: sum.load,
+		Leads: s.leads(), Replicas: s.members(), Entries: sum.entries, Demand: sum.demand, Load: sum.load,
 	}
 	if generation.Number > request.Generation {
 		reply.Generation = generation.Number
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -15,6 +15,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/entry"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/replica"
@@ -67,6 +68,7 @@
 	registry *registry.Registry
 	usage    *meter.Ledger
 	entries  *entries
+	common   *quota.Common
 	versions versions
 
 	mu     sync.Mutex
@@ -92,6 +94,9 @@
 		registry: registry.New(missedHeartbeats * settings.Millis(s.Bounds.HeartbeatMS)),
 		usage:    meter.NewLedger(),
 		entries:  newEntries(),
+		common: quota.NewCommon(quota.Tolerance{
+			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
+		}),
 	}
 	st.ctx, st.cancel = context.WithCancel(context.Background())
 	seeds := entry.PeerAddresses(s.Seeds, s.PeerPort)
@@ -106,6 +111,7 @@
 	}
 	options.RPC.Handle(link.MethodPoll, st.handlePoll)
 	options.RPC.Handle(link.MethodShare, st.handleShare)
+	options.RPC.Handle(link.MethodSpend, st.handleSpend)
 	return st, nil
 }
 
@@ -167,11 +173,17 @@
 	old := s.status
 	s.status = status
 	s.mu.Unlock()
+	if status.Role == roleLeader && (old == nil || old.Role != roleLeader) {
+		s.common.Reset(time.Now())
+	}
 	if old == nil || old.Leader != status.Leader || old.Term != status.Term {
 		s.log.Info("Leader of the state.", zap.String("leader", status.Leader), zap.Uint64("term", status.Term), zap.String("role", status.Role))
 	}
 }
 
+// roleLeader is the role of the replica that leads, as it reports itself.
+const roleLeader = "leader"
+
 // members returns the addresses of all replicas, the own one included.
 func (s *State) members() []string {
 	s.mu.Lock()
@@ -189,5 +201,5 @@
 func (s *State) leads() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.status != nil && s.status.Role == "leader"
+	return s.status != nil && s.status.Role == roleLeader
 }
