--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -13,25 +13,28 @@
 
 const (
 	// usedShare of its slots is in use at an endpoint that is loaded as planned:
-	// steps slow down with each further request, and bursts are shorter than the
-	// start of an endpoint.
+	// with more, reading of prompts delays the first tokens of others.
 	usedShare = 0.25
 	// defaultSlots is assumed for services that state none.
 	defaultSlots = 16
 	// burstFactor is the room above the load that reclaimable endpoints give.
-	burstFactor = 1.7
+	burstFactor = 1.5
 	// perDomain reclaimable endpoints stand in each domain at least, so that a
 	// domain that is cut off can serve on its own.
-	perDomain = 3
-	// coreShare of the need is carried by on-demand endpoints.
-	coreShare = 0.25
+	perDomain = 4
+	// perDomainNeed is the least load that is planned for, in endpoints per domain.
+	perDomainNeed = 1
+	// riseTime and fallTime smooth the load. A burst is over before an endpoint
+	// that was ordered for it serves, and load that fell may come back.
+	riseTime = 700 * time.Millisecond
+	fallTime = 10 * time.Second
 	// refusedPause is how long a kind is not ordered in a domain that had none.
-	refusedPause = 4 * time.Second
+	refusedPause = 3 * time.Second
 	// repeatAfter is how long an order may take until it is seen; then it is
-	// given again, since it may be lost.
+	// given again, since it may be lost. Endpoints take seconds to start.
 	repeatAfter = 3 * time.Second
-	// lowerAfter is how long the need must stay lower before endpoints go.
-	lowerAfter = 12 * time.Second
+	// lowerAfter is how long fewer must be wanted before endpoints go.
+	lowerAfter = 5 * time.Second
 )
 
 // Input is what the planner sees of one service.
@@ -55,9 +58,11 @@
 type Planner struct {
 	refused map[key]time.Time
 	ordered map[key]order
-	// need is the planned load in endpoints and lowerSince when it was first lower.
-	need       float64
-	lowerSince time.Time
+	// fewer holds since when fewer endpoints of a kind are wanted.
+	fewer map[key]time.Time
+	// need is the smoothed load in endpoints, as of updated.
+	need    float64
+	updated time.Time
 }
 
 type order struct {
@@ -67,7 +72,7 @@
 
 // New returns a planner that knows of no orders.
 func New() *Planner {
-	return &Planner{refused: make(map[key]time.Time), ordered: make(map[key]order)}
+	return &Planner{refused: make(map[key]time.Time), ordered: make(map[key]order), fewer: make(map[key]time.Time)}
 }
 
 // Refused notes that a kind is not to be had in a domain at the moment.
@@ -115,22 +120,20 @@
 	return running
 }
 
-// updateNeed follows the load up at once and down after lowerAfter.
+// updateNeed follows the load.
 func (p *Planner) updateNeed(in *Input) {
 	slots := defaultSlots
 	if in.Service.Engine != nil && in.Service.Engine.Slots > 0 {
 		slots = in.Service.Engine.Slots
 	}
-	load := float64(in.InFlight) / (usedShare * float64(slots))
-	if load >= p.need {
-		p.need = load
-		p.lowerSince = in.Now
-		return
-	}
-	if in.Now.Sub(p.lowerSince) > lowerAfter {
-		p.need = load
-		p.lowerSince = in.Now
+	load := max(float64(in.InFlight)/(usedShare*float64(slots)), float64(perDomainNeed*len(in.Domains)))
+	smoothing := riseTime
+	if load < p.need {
+		smoothing = fallTime
 	}
+	passed := in.Now.Sub(p.updated).Seconds() / smoothing.Seconds()
+	p.updated = in.Now
+	p.need += (load - p.need) * min(passed, 1)
 }
 
 // wanted returns the number of endpoints of each kind and domain.
@@ -138,47 +141,34 @@
 	s := in.Service.Scaling
 	want := make(map[key]int)
 	each := max(int(math.Ceil(p.need*burstFactor/float64(len(in.Domains)))), perDomain, s.Min)
-	expected := 0
+	present := 0
 	for _, domain := range in.Domains {
 		k := key{domain, true}
 		want[k] = min(each, s.Max)
-		if p.isRefused(k, in.Now) {
-			expected += running[k]
-			continue
-		}
-		expected += want[k]
+		present += running[k]
 	}
-	missing := int(math.Ceil(p.need*burstFactor)) - expected
-	core := max(int(math.Ceil(p.need*coreShare)), missing, 0)
-	p.placeOnDemand(in, want, running, core)
+	missing := int(math.Ceil(p.need)) - present
+	p.placeOnDemand(in, want, running, max(missing, 0))
 	return want
 }
 
 // placeOnDemand spreads on-demand endpoints over the domains, the cheapest
-// first. Those of the start stay until the reclaimable ones are there.
+// first, and keeps each domain at its least number.
 func (p *Planner) placeOnDemand(in *Input, want, running map[key]int, total int) {
 	s := in.Service.Scaling
 	domains := slices.Clone(in.Domains)
 	slices.SortStableFunc(domains, func(a, b string) int { return cmp.Compare(s.Prices[a], s.Prices[b]) })
 	for i := 0; total > 0 && i < len(domains)*s.Max; i++ {
-		domain := domains[i%len(domains)]
-		k, spot := key{domain, false}, key{domain, true}
-		if want[k]+min(want[spot], max(running[spot], 0)) < s.Max {
+		k, spot := key{domains[i%len(domains)], false}, key{domains[i%len(domains)], true}
+		if want[k]+running[spot] < s.Max {
 			want[k]++
 			total--
 		}
 	}
 	for _, domain := range domains {
 		k, spot := key{domain, false}, key{domain, true}
-		if lacking := want[spot] - running[spot]; lacking > 0 && !p.isRefused(spot, in.Now) {
-			want[k] = max(want[k], min(running[k], want[k]+lacking))
-		}
-		if want[k]+want[spot] > s.Max {
-			want[spot] = max(s.Max-want[k], 0)
-		}
-		if want[k]+running[spot] < s.Min {
-			want[k] = s.Min - running[spot]
-		}
+		want[k] = max(want[k], s.Min-running[spot])
+		want[spot] = max(min(want[spot], s.Max-want[k]), 0)
 	}
 }
 
@@ -187,15 +177,24 @@
 	return known && now.Sub(at) < refusedPause
 }
 
-// due reports whether an order must be given: the count differs from what runs
-// and was not ordered a moment ago.
+// due reports whether an order must be given: another count is wanted than
+// what runs, and the same was not ordered a moment ago. Fewer are ordered only
+// when they have been wanted for a while.
 func (p *Planner) due(k key, want, running int, now time.Time) bool {
-	if p.isRefused(k, now) && want > running {
+	if want >= running {
+		delete(p.fewer, k)
+	} else if since, known := p.fewer[k]; !known {
+		p.fewer[k] = now
+		return false
+	} else if now.Sub(since) < lowerAfter {
+		return false
+	}
+	if want > running && p.isRefused(k, now) {
 		return false
 	}
 	last, known := p.ordered[k]
 	if known && last.count == want {
 		return running != want && now.Sub(last.at) > repeatAfter
 	}
-	return running != want || known
+	return running != want
 }
--- a/internal/gateway/state/duties.go
+++ b/internal/gateway/state/duties.go
@@ -19,7 +19,7 @@
 	dutyLease = "duties"
 	// leaseFactor of the agreed lease keeps two holders apart: a former holder
 	// is never again the holder within it.
-	leaseFactor = 2
+	leaseFactor = 1.1
 	// renewShare of its time is left when a lease is renewed.
 	renewShare   = 0.5
 	dutyInterval = 250 * time.Millisecond
@@ -69,7 +69,7 @@
 // state: the lease then moves only when the leader does.
 func (h *holder) keepLease(now time.Time) {
 	s := h.state
-	ttl := leaseFactor * settings.Millis(s.options.Settings.Bounds.LeaseMS)
+	ttl := time.Duration(leaseFactor * float64(settings.Millis(s.options.Settings.Bounds.LeaseMS)))
 	holds := now.Before(h.until)
 	if holds && h.until.Sub(now) > time.Duration(renewShare*float64(ttl)) {
 		return
