--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -30,9 +30,13 @@
 	fallTime = 10 * time.Second
 	// refusedPause is how long a kind is not ordered in a domain that had none.
 	refusedPause = 3 * time.Second
+	// scarceTime is how long a refusal shows that none are to be had.
+	scarceTime = 6 * time.Second
+	// domainsAtRisk may be taken away within the start of an endpoint.
+	domainsAtRisk = 1
 	// repeatAfter is how long an order may take until it is seen; then it is
 	// given again, since it may be lost. Endpoints take seconds to start.
-	repeatAfter = 3 * time.Second
+	repeatAfter = 6 * time.Second
 	// lowerAfter is how long fewer must be wanted before endpoints go.
 	lowerAfter = 5 * time.Second
 )
@@ -141,17 +145,42 @@
 	s := in.Service.Scaling
 	want := make(map[key]int)
 	each := max(int(math.Ceil(p.need*burstFactor/float64(len(in.Domains)))), perDomain, s.Min)
-	present := 0
+	present := make([]int, 0, len(in.Domains))
 	for _, domain := range in.Domains {
 		k := key{domain, true}
 		want[k] = min(each, s.Max)
-		present += running[k]
+		present = append(present, running[k])
 	}
-	missing := int(math.Ceil(p.need)) - present
+	missing := int(math.Ceil(p.need)) - p.dependable(present, in.Now)
 	p.placeOnDemand(in, want, running, max(missing, 0))
 	return want
 }
 
+// dependable counts the reclaimable endpoints that can be relied on, of those
+// in each domain. While none are to be had, further domains may be taken away
+// before an on-demand endpoint has started, so that the largest ones do not count.
+func (p *Planner) dependable(present []int, now time.Time) int {
+	slices.Sort(present)
+	if p.isScarce(now) {
+		present = present[:max(len(present)-domainsAtRisk, 0)]
+	}
+	total := 0
+	for _, n := range present {
+		total += n
+	}
+	return total
+}
+
+// isScarce reports whether reclaimable endpoints were refused lately.
+func (p *Planner) isScarce(now time.Time) bool {
+	for k, at := range p.refused {
+		if k.reclaimable && now.Sub(at) < scarceTime {
+			return true
+		}
+	}
+	return false
+}
+
 // placeOnDemand spreads on-demand endpoints over the domains, the cheapest
 // first, and keeps each domain at its least number.
 func (p *Planner) placeOnDemand(in *Input, want, running map[key]int, total int) {
