--- /dev/null
+++ b/internal/gateway/registry/registry_test.go
@@ -0,0 +1,101 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func at(seconds float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Guards against a late announcement that brings a leaving endpoint back.
+func TestLateAnnouncementDoesNotRevive(t *testing.T) {
+	g := NewWithT(t)
+	r := New(5 * time.Second)
+	e := Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", State: Ready, Born: 100, Seq: 7}
+	r.Announce(e, at(0))
+	draining := e
+	draining.State, draining.Seq = Draining, 8
+	g.Expect(r.Announce(draining, at(1))).To(BeTrue())
+	late := e
+	late.Seq = 9
+	g.Expect(r.Announce(late, at(2))).To(BeFalse())
+	g.Expect(r.Live()[0].State).To(Equal(Draining))
+	r.Withdraw("i", 0, at(3))
+	g.Expect(r.Announce(late, at(4))).To(BeFalse())
+	g.Expect(r.Live()).To(BeEmpty())
+	reborn := e
+	reborn.Born, reborn.Seq = 101, 1
+	g.Expect(r.Announce(reborn, at(5))).To(BeTrue())
+	g.Expect(r.Live()).To(HaveLen(1))
+}
+
+// Guards against an endpoint that was withdrawn before it was known and comes
+// alive by an announcement that was held up.
+func TestWithdrawalOfUnknownEndpointIsRemembered(t *testing.T) {
+	g := NewWithT(t)
+	r := New(5 * time.Second)
+	r.Withdraw("i", 500, at(0))
+	r.Announce(Endpoint{ID: "i", State: Ready, Born: 400, Seq: 3}, at(1))
+	g.Expect(r.Live()).To(BeEmpty())
+	r.Announce(Endpoint{ID: "i", State: Ready, Born: 600, Seq: 1}, at(1))
+	g.Expect(r.Live()).To(HaveLen(1))
+}
+
+// Guards against silent endpoints that stay in use, and against losing the
+// memory of those that left too soon.
+func TestSilentEndpointExpires(t *testing.T) {
+	g := NewWithT(t)
+	r := New(5 * time.Second)
+	r.Announce(Endpoint{ID: "i", State: Ready, Born: 1, Seq: 1}, at(0))
+	_, before, changed := r.Since(0)
+	r.Expire(at(4))
+	g.Expect(r.Live()).To(HaveLen(1))
+	r.Expire(at(6))
+	g.Expect(r.Live()).To(BeEmpty())
+	g.Expect(changed).To(BeClosed())
+	list, _, _ := r.Since(before)
+	g.Expect(list).To(ConsistOf(View{Endpoint: Endpoint{ID: "i", State: Ready, Born: 1, Seq: 1}, Expired: true}))
+	r.Announce(Endpoint{ID: "i", State: Ready, Born: 1, Seq: 2}, at(7))
+	g.Expect(r.Live()).To(HaveLen(1))
+}
+
+// Guards against replicas that disagree for good: the same announcements must
+// give the same state in any order.
+func TestOrderOfAnnouncementsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Endpoint {
+			return Endpoint{
+				ID: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), State: State(rapid.IntRange(1, 3).Draw(t, "state")),
+				Born: rapid.Int64Range(1, 3).Draw(t, "born"), Seq: rapid.Uint64Range(1, 4).Draw(t, "seq"),
+			}
+		}), 1, 8).Draw(t, "list")
+		other := rapid.Permutation(list).Draw(t, "other")
+		one, two := New(time.Hour), New(time.Hour)
+		for i := range list {
+			one.Announce(list[i], at(0))
+			two.Merge(other[i], at(0))
+		}
+		g := NewWithT(t)
+		g.Expect(one.Live()).To(ConsistOf(two.Live()))
+	})
+}
+
+// Guards against an entry that drops an endpoint because one cut-off replica
+// no longer hears it, and against one that keeps an endpoint that drains.
+func TestDirectoryTakesTheNewestView(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	alive := Endpoint{ID: "i", State: Ready, Born: 1, Seq: 5}
+	d.Apply("r1", []View{{Endpoint: alive}}, true)
+	d.Apply("r2", []View{{Endpoint: Endpoint{ID: "i", State: Ready, Born: 1, Seq: 3}, Expired: true}}, true)
+	g.Expect(d.Endpoints()).To(ConsistOf(alive))
+	d.Apply("r2", []View{{Endpoint: Endpoint{ID: "i", State: Draining, Born: 1, Seq: 4}}}, false)
+	g.Expect(d.Endpoints()[0].State).To(Equal(Draining))
+	d.Apply("r1", []View{{Endpoint: Endpoint{ID: "i", State: Gone, Born: 1, Seq: 5}}}, false)
+	g.Expect(d.Endpoints()).To(BeEmpty())
+}
--- /dev/null
+++ b/internal/gateway/state/state_test.go
@@ -0,0 +1,308 @@
+package state_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/internal/adapter/peerrpc"
+	"github.com/boragelead/boragelead/internal/gateway/link"
+	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/rules"
+	"github.com/boragelead/boragelead/internal/gateway/state"
+	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/settings"
+	"github.com/boragelead/boragelead/internal/telemetry"
+)
+
+// wireDocument is the form of documents in these tests.
+type wireDocument struct {
+	Version uint64
+	Text    string
+}
+
+func decode(data []byte) (*rules.Document, error) {
+	var d wireDocument
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, &rules.InvalidError{Path: "$", Reason: err.Error()}
+	}
+	return &rules.Document{Version: d.Version}, nil
+}
+
+func document(version uint64, text string) []byte {
+	data, _ := json.Marshal(wireDocument{version, text})
+	return data
+}
+
+// cloud records the calls of duties.
+type cloud struct {
+	mu      sync.Mutex
+	reports map[uint64][]string
+	fences  map[string]uint64
+	fail    error
+}
+
+func (c *cloud) ReportUsage(_ context.Context, f port.Fence, r port.UsageReport) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	data, _ := json.Marshal(r.Counts)
+	c.reports[r.Window] = append(c.reports[r.Window], string(data))
+	c.fences[f.Holder] = f.Number
+	return c.fail
+}
+
+func (c *cloud) OrderCount(context.Context, port.Fence, port.CountOrder) error { return nil }
+
+// node is one replica with what it needs to start again.
+type node struct {
+	address string
+	folder  string
+	state   *state.State
+	rpc     *peerrpc.Node
+}
+
+// group is some replicas, each on an address of its own.
+type group struct {
+	t     *testing.T
+	g     *WithT
+	port  int
+	cloud *cloud
+	nodes map[string]*node
+	seeds []string
+}
+
+func newGroup(t *testing.T) *group {
+	g := NewWithT(t)
+	probe, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	free := probe.Addr().(*net.TCPAddr).Port
+	_ = probe.Close()
+	gr := &group{t: t, g: g, port: free, nodes: map[string]*node{}, cloud: &cloud{reports: map[uint64][]string{}, fences: map[string]uint64{}}}
+	for i := 1; i <= 3; i++ {
+		gr.seeds = append(gr.seeds, fmt.Sprintf("127.0.0.%d:1", i))
+	}
+	for i := 1; i <= 4; i++ {
+		gr.start(fmt.Sprintf("127.0.0.%d", i), true)
+	}
+	return gr
+}
+
+// start starts a replica on the files that it has.
+func (gr *group) start(ip string, bootstrap bool) *node {
+	n := &node{address: net.JoinHostPort(ip, strconv.Itoa(gr.port)), folder: filepath.Join(gr.t.TempDir(), ip)}
+	if old := gr.nodes[ip]; old != nil {
+		n.folder = old.folder
+	}
+	n.rpc = peerrpc.New(peerrpc.Options{})
+	config := &settings.Gateway{
+		Name: ip, Role: settings.RoleState, IP: ip, PeerPort: gr.port, Seeds: gr.seeds, Bootstrap: bootstrap, DataFolder: n.folder, Domains: []string{"a"},
+		Bounds: settings.GatewayBounds{HeartbeatMS: 300, UsageWindowS: 1, UsageDelayS: 3, LeaseMS: 500},
+	}
+	var err error
+	n.state, err = state.Start(state.Options{
+		Settings: config, Decode: decode, Duties: gr.cloud, RPC: n.rpc, Log: zap.NewNop(), Metrics: telemetry.NewRegistry(), OnStop: func(error) {},
+	})
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	listener, err := net.Listen("tcp4", n.address)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = n.rpc.Serve(listener) }()
+	n.state.Run()
+	gr.nodes[ip] = n
+	gr.t.Cleanup(func() { gr.stop(ip) })
+	return n
+}
+
+func (gr *group) stop(ip string) {
+	n := gr.nodes[ip]
+	if n == nil || n.state == nil {
+		return
+	}
+	n.rpc.Close()
+	n.state.Close()
+	n.state = nil
+}
+
+func (gr *group) put(ip string, data []byte) error {
+	ctx, cancel := context.WithTimeout(gr.t.Context(), 2*time.Second)
+	defer cancel()
+	return gr.nodes[ip].state.PutDocument(ctx, data, "test")
+}
+
+func (gr *group) eventuallyPut(ip string, data []byte) {
+	gr.g.Eventually(func() error { return gr.put(ip, data) }, "15s", "50ms").Should(Succeed())
+}
+
+func (gr *group) read(ip string) string {
+	ctx, cancel := context.WithTimeout(gr.t.Context(), time.Second)
+	defer cancel()
+	data, err := gr.nodes[ip].state.GetDocument(ctx)
+	if err != nil {
+		return "error"
+	}
+	return string(data)
+}
+
+func (gr *group) poll(ip string, request *link.PollRequest) *link.PollReply {
+	params, err := link.Encode(request)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	caller := peerrpc.New(peerrpc.Options{})
+	defer caller.Close()
+	ctx, cancel := context.WithTimeout(gr.t.Context(), 3*time.Second)
+	defer cancel()
+	data, err := caller.Call(ctx, gr.nodes[ip].address, link.MethodPoll, params)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	reply := &link.PollReply{}
+	gr.g.Expect(link.Decode(data, reply)).To(Succeed())
+	return reply
+}
+
+// Guards against documents in the wrong order: an older one that is put in
+// force, a resend that is refused, and other content under a version that is held.
+func TestHighestVersionIsInForce(t *testing.T) {
+	gr := newGroup(t)
+	gr.eventuallyPut("127.0.0.1", document(10, "ten"))
+	gr.g.Expect(gr.put("127.0.0.2", document(10, "ten"))).To(Succeed())
+	gr.g.Expect(gr.put("127.0.0.3", document(10, "other"))).To(Succeed())
+	gr.g.Expect(gr.put("127.0.0.2", document(7, "seven"))).To(Succeed())
+	gr.g.Expect(gr.read("127.0.0.4")).To(Equal(string(document(10, "ten"))))
+	var racing sync.WaitGroup
+	for version := uint64(11); version <= 18; version++ {
+		racing.Go(func() { gr.eventuallyPut(fmt.Sprintf("127.0.0.%d", version%4+1), document(version, "race")) })
+	}
+	racing.Wait()
+	gr.g.Expect(gr.read("127.0.0.2")).To(Equal(string(document(18, "race"))))
+	var invalid *rules.InvalidError
+	gr.g.Expect(errors.As(gr.put("127.0.0.1", []byte("{")), &invalid)).To(BeTrue())
+}
+
+// Guards against an acknowledged document that is lost when one disk is wiped
+// while the others restart, and against a wiped replica that votes as before.
+func TestAcknowledgedDocumentSurvivesAWipedDisk(t *testing.T) {
+	gr := newGroup(t)
+	gr.eventuallyPut("127.0.0.1", document(1, "first"))
+	gr.awaitMembers(4)
+	for round, wiped := range []string{"127.0.0.2", "127.0.0.4"} {
+		gr.eventuallyPut(wiped, document(uint64(round+2), "kept"))
+		for i := 1; i <= 4; i++ {
+			gr.stop(fmt.Sprintf("127.0.0.%d", i))
+		}
+		gr.g.Expect(os.RemoveAll(gr.nodes[wiped].folder)).To(Succeed())
+		for i := 1; i <= 4; i++ {
+			ip := fmt.Sprintf("127.0.0.%d", i)
+			gr.start(ip, ip != wiped)
+		}
+		for i := 1; i <= 4; i++ {
+			ip := fmt.Sprintf("127.0.0.%d", i)
+			gr.g.Eventually(func() string { return gr.read(ip) }, "15s", "50ms").Should(Equal(string(document(uint64(round+2), "kept"))))
+		}
+		gr.awaitMembers(4)
+	}
+}
+
+// awaitMembers waits until the replicas name that many.
+func (gr *group) awaitMembers(count int) {
+	gr.g.Eventually(func() int { return len(gr.poll("127.0.0.1", &link.PollRequest{Entry: "probe"}).Replicas) }, "20s", "100ms").Should(Equal(count))
+}
+
+// Guards against a replica that is replaced at another address and whose
+// successor never takes its place, or whose loss then costs a majority.
+func TestReplacementAtAnotherAddress(t *testing.T) {
+	gr := newGroup(t)
+	gr.eventuallyPut("127.0.0.1", document(1, "first"))
+	gr.awaitMembers(4)
+	gr.stop("127.0.0.3")
+	gr.start("127.0.0.9", false)
+	gr.g.Eventually(func() []string { return gr.poll("127.0.0.1", &link.PollRequest{Entry: "probe"}).Replicas }, "30s", "200ms").Should(
+		And(ContainElement(gr.nodes["127.0.0.9"].address), Not(ContainElement(gr.nodes["127.0.0.3"].address))))
+	gr.stop("127.0.0.2")
+	gr.eventuallyPut("127.0.0.9", document(2, "after"))
+	// The replaced one comes back after all and joins again.
+	gr.start("127.0.0.3", false)
+	gr.g.Eventually(func() string { return gr.read("127.0.0.3") }, "20s", "100ms").Should(Equal(string(document(2, "after"))))
+}
+
+// Guards against an endpoint that drains and still gets work: once its
+// announcement is acknowledged, every replica tells it to the entries.
+func TestDrainingIsHeldByAMajority(t *testing.T) {
+	gr := newGroup(t)
+	gr.eventuallyPut("127.0.0.1", document(1, "first"))
+	gr.awaitMembers(4)
+	e := registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
+	gr.g.Expect(gr.nodes["127.0.0.1"].state.Announce(t.Context(), e)).To(Succeed())
+	gr.g.Eventually(func() int { return len(gr.poll("127.0.0.4", &link.PollRequest{Entry: "probe"}).Endpoints) }, "3s").Should(Equal(1))
+	e.State, e.Seq = registry.Draining, 2
+	gr.g.Eventually(func() error { return gr.nodes["127.0.0.2"].state.Announce(t.Context(), e) }, "3s", "50ms").Should(Succeed())
+	held := 0
+	for i := 1; i <= 4; i++ {
+		for _, view := range gr.poll(fmt.Sprintf("127.0.0.%d", i), &link.PollRequest{Entry: "probe"}).Endpoints {
+			if view.Endpoint.State == registry.Draining {
+				held++
+			}
+		}
+	}
+	gr.g.Expect(held).To(BeNumerically(">=", 3))
+	for _, ip := range []string{"127.0.0.1", "127.0.0.3", "127.0.0.4"} {
+		gr.stop(ip)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	var notHeld *state.NotHeldError
+	e.Seq = 3
+	gr.g.Expect(gr.nodes["127.0.0.2"].state.Announce(ctx, e)).To(BeAssignableToTypeOf(notHeld))
+}
+
+// Guards against usage that is reported twice with different counts when the
+// holder of the duties changes, and against windows that are never reported.
+func TestUsageIsReportedOnceAcrossHolders(t *testing.T) {
+	gr := newGroup(t)
+	gr.eventuallyPut("127.0.0.1", document(1, "first"))
+	gr.awaitMembers(4)
+	counter := meter.NewCounter(time.Second)
+	holder := func() string {
+		gr.cloud.mu.Lock()
+		defer gr.cloud.mu.Unlock()
+		newest, name := uint64(0), ""
+		for one, fence := range gr.cloud.fences {
+			if fence > newest {
+				newest, name = fence, one
+			}
+		}
+		return name
+	}
+	stopped := ""
+	for i := range 80 {
+		counter.Add("w", time.Now())
+		for ip, n := range gr.nodes {
+			if n.state != nil {
+				gr.poll(ip, &link.PollRequest{Entry: "e", Incarnation: 1, Usage: counter.Report(time.Now())})
+			}
+		}
+		if i == 40 {
+			stopped = holder()
+			gr.stop(stopped)
+		}
+		time.Sleep(75 * time.Millisecond)
+	}
+	gr.g.Expect(stopped).NotTo(BeEmpty())
+	gr.g.Eventually(holder, "10s").ShouldNot(Equal(stopped))
+	gr.cloud.mu.Lock()
+	defer gr.cloud.mu.Unlock()
+	gr.g.Expect(len(gr.cloud.reports)).To(BeNumerically(">=", 3))
+	for window, reports := range gr.cloud.reports {
+		for _, one := range reports {
+			gr.g.Expect(one).To(Equal(reports[0]), "window %d", window)
+		}
+	}
+}
