Serve metrics as text and count refusals by reason

Cause: the metrics address served JSON, which usual collectors do not read, and neither repeats, resumptions nor reasons of refusals were counted.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", g.metrics.Handler())
+	mux.Handle("GET /metrics", g.metrics.TextHandler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: controlHeaderTimeout}
 	go func() { _ = server.Serve(listener) }()
 	return nil
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -231,6 +231,7 @@
 		if !result.approved && !x.mayRepeat() {
 			return x.giveUp(ctx, result.err)
 		}
+		x.entry.metrics.repeats.Inc()
 		x.entry.log.Info("Request sent again.", zap.String("request", x.meta.AttemptID), zap.String("endpoint", choice.Endpoint.ID),
 			zap.Int("attempts", len(x.tried)), zap.Bool("not_run", result.notRun), zap.Int64("after_event", x.lastID), zap.Error(result.err))
 	}
--- a/internal/gateway/entry/crash.go
+++ b/internal/gateway/entry/crash.go
@@ -43,6 +43,7 @@
 // lost notes that a connection to an endpoint ended before its answer did. If
 // the endpoint is gone, every request that ran there is marked.
 func (c *crashWatch) lost(endpoint *registry.Endpoint) {
+	c.entry.metrics.lost.Inc()
 	now := time.Now()
 	c.mu.Lock()
 	if now.Sub(c.probed[endpoint.ID]) < probePause {
--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -24,6 +24,7 @@
 		refusal = &Refusal{Status: http.StatusBadGateway, Reason: ReasonLostAnswer, Err: err}
 	}
 	x.giveBack()
+	e.metrics.reason(refusal.Reason)
 	if refusal.Reason == ReasonCallerGone {
 		e.metrics.gone.Inc()
 		x.report("Caller gone.", refusal)
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -8,8 +8,12 @@
 	attempts, repeats, resumed, lost          *telemetry.Counter
 	firstByte, total                          *telemetry.Latency
 	inFlight                                  *telemetry.Gauge
+	registry                                  *telemetry.Registry
 }
 
+// reason counts the gateway's own answers by their reason, a bounded set.
+func (m *metrics) reason(r Reason) { m.registry.Counter("gateway_reason_" + string(r)).Inc() }
+
 func newMetrics(r *telemetry.Registry) *metrics {
 	return &metrics{
 		requests: r.Counter("gateway_requests"), answered: r.Counter("gateway_answered"),
@@ -17,6 +21,6 @@
 		attempts: r.Counter("gateway_attempts"), repeats: r.Counter("gateway_repeats"),
 		resumed: r.Counter("gateway_resumed"), lost: r.Counter("gateway_answers_lost"),
 		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
-		inFlight: r.Gauge("gateway_in_flight"),
+		inFlight: r.Gauge("gateway_in_flight"), registry: r,
 	}
 }
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -24,6 +24,9 @@
 func (x *call) stream(choice *pick.Choice, answer *wire.Answer) outcome {
 	events := newEventReader(answer)
 	resuming := x.begun
+	if resuming {
+		x.entry.metrics.resumed.Inc()
+	}
 	patience := x.patience()
 	firstEvent := true
 	for {
--- a/internal/gateway/state/documents.go
+++ b/internal/gateway/state/documents.go
@@ -57,6 +57,7 @@
 			continue
 		}
 		if err == nil {
+			s.options.Metrics.Counter("state_documents").Inc()
 			s.log.Info("Document stored.", zap.Uint64("version", document.Version), zap.Uint64("generation", generation.Number))
 		}
 		return err
--- a/internal/gateway/state/duties.go
+++ b/internal/gateway/state/duties.go
@@ -160,6 +160,7 @@
 	if err := s.options.Duties.ReportUsage(ctx, h.fence, port.UsageReport{Window: k, Counts: counts}); err != nil {
 		return err
 	}
+	s.options.Metrics.Counter("state_usage_reports").Inc()
 	s.log.Info("Usage reported.", zap.Uint64("window", k), zap.Any("counts", counts), zap.Uint64("fencing", h.fence.Number))
 	return nil
 }
--- a/internal/gateway/state/scaling.go
+++ b/internal/gateway/state/scaling.go
@@ -78,6 +78,7 @@
 	var refused *port.FencedError
 	if errors.As(err, &refused) {
 		planner.Refused(order, now)
+		s.options.Metrics.Counter("state_orders_refused").Inc()
 		s.log.Warn("Endpoints not to be had.", append(fields, zap.Error(err))...)
 		return
 	}
@@ -86,5 +87,6 @@
 		s.log.Warn("Order without an answer.", append(fields, zap.Error(err))...)
 		return
 	}
+	s.options.Metrics.Counter("state_orders").Inc()
 	s.log.Info("Endpoints ordered.", fields...)
 }
