--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -57,11 +57,11 @@
 	if err != nil {
 		return nil, &port.TransportError{Err: err, Silent: isTimeout(err)}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abort)
 	answer, err := conn.exchange(req)
 	if err != nil {
 		stop()
-		_ = conn.Close()
+		conn.abort()
 		return nil, &port.TransportError{Sent: conn.started.Load(), Silent: isTimeout(err), Err: err}
 	}
 	answer.pool = c.pool
--- a/internal/adapter/exchange/conn.go
+++ b/internal/adapter/exchange/conn.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// abort closes the connection and drops what was not delivered yet. A plain
+// close would leave the kernel to deliver a request behind a partition seconds
+// after its caller left.
+func (c *conn) abort() {
+	if socket, ok := c.Conn.(*net.TCPConn); ok {
+		// It fails only on a closed socket.
+		_ = socket.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (c *conn) readHead(method string) (*Answer, error) {
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -145,7 +156,7 @@
 	alive := a.stop()
 	reusable := alive && a.ended && !a.Response.Close && !a.conn.unwritten.Load() && a.conn.reader.Buffered() == 0
 	if !reusable {
-		_ = a.conn.Close()
+		a.conn.abort()
 		return
 	}
 	_ = a.conn.SetDeadline(time.Time{})
--- a/internal/gateway/entry/links.go
+++ b/internal/gateway/entry/links.go
@@ -32,6 +32,8 @@
 	spendPause = 500 * time.Millisecond
 	// maxDenied bounds the time for which an answer of the common quota counts.
 	maxDenied = 300 * time.Millisecond
+	// leaderlessTime is how long the word of a replica that it knows no leader counts.
+	leaderlessTime = time.Second
 	// replicaMemory is how long a replica that no other names is still asked.
 	replicaMemory = 10 * time.Second
 )
@@ -44,6 +46,8 @@
 	directory *registry.Directory
 	// replicas holds the addresses that are followed and when each was last named.
 	replicas map[string]time.Time
+	// leaderless holds when each replica last said that it knows no leader.
+	leaderless map[string]time.Time
 	// leader is the replica that led when it answered last; "" before any did.
 	leader atomic.Pointer[string]
 	// count is the number of entries that the replicas named last.
@@ -54,7 +58,7 @@
 func (l *links) entries() int { return int(l.count.Load()) }
 
 func newLinks(e *Entry) *links {
-	return &links{entry: e, directory: registry.NewDirectory(), replicas: make(map[string]time.Time)}
+	return &links{entry: e, directory: registry.NewDirectory(), replicas: make(map[string]time.Time), leaderless: make(map[string]time.Time)}
 }
 
 // PeerAddresses turns the addresses of seeds into those for calls between daemons.
@@ -165,6 +169,29 @@
 	return reply, link.Decode(data, reply)
 }
 
+// noteLeader notes what a replica says of the leader. The common quota counts
+// as lost while a majority of the replicas knows none.
+func (l *links) noteLeader(address string, reply *link.PollReply) {
+	now := time.Now()
+	if reply.Leads {
+		l.leader.Store(&address)
+	}
+	l.mu.Lock()
+	if reply.Leaderless {
+		l.leaderless[address] = now
+	} else {
+		delete(l.leaderless, address)
+	}
+	count := 0
+	for _, at := range l.leaderless {
+		if now.Sub(at) < leaderlessTime {
+			count++
+		}
+	}
+	l.mu.Unlock()
+	l.entry.quotas.SetLeaderless(len(reply.Replicas) > 0 && count > len(reply.Replicas)/2)
+}
+
 // spend asks the leader for what the own part of a quota cannot cover. Without
 // an answer in time the request is not granted.
 func (l *links) spend(ctx context.Context, workspace string, cost float64, own quota.Decision) quota.Decision {
@@ -208,9 +235,7 @@
 	e.setEntries(reply.Entries)
 	e.crashes.merge(reply.Crashes)
 	l.count.Store(int64(reply.Entries))
-	if reply.Leads {
-		l.leader.Store(&address)
-	}
+	l.noteLeader(address, reply)
 	l.follow(reply.Replicas)
 	if !reply.Whole && len(reply.Endpoints) == 0 {
 		return
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -54,6 +54,8 @@
 	Document   []byte `msgpack:"b,omitempty"`
 	// Leads is set when the replica leads the state.
 	Leads bool `msgpack:"a,omitempty"`
+	// Leaderless is set when the replica knows no leader of the state.
+	Leaderless bool `msgpack:"h,omitempty"`
 	// Whole is set when Endpoints replaces all that was sent before.
 	Whole     bool            `msgpack:"w,omitempty"`
 	Endpoints []registry.View `msgpack:"e,omitempty"`
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -132,6 +132,8 @@
 	heard      time.Time
 	// own is the own demand that is part of the total.
 	own map[string]float64
+	// undivided is set while nobody holds the common part.
+	undivided bool
 }
 
 type workspace struct {
@@ -187,6 +189,16 @@
 	k.heard = now
 }
 
+// SetLeaderless tells whether the common part is lost: a majority of the
+// replicas knows no leader, so that nobody can grant it. Its rate then goes to
+// the entries as well. An entry that is merely cut off must not take it, since
+// the leader grants it to others.
+func (k *Keeper) SetLeaderless(lost bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.undivided = lost
+}
+
 // Decision is the answer of Take.
 type Decision struct {
 	Granted bool
@@ -205,7 +217,11 @@
 		return Decision{Granted: true}
 	}
 	w.demand.add(cost, now)
-	wait, ok := w.take(cost, w.rate*(1-commonPart)*k.share(name, now), k.capacity(name, w, now), now)
+	rate := w.rate * k.share(name, now)
+	if !k.undivided {
+		rate *= 1 - commonPart
+	}
+	wait, ok := w.take(cost, rate, k.capacity(name, w, now), now)
 	if ok {
 		return Decision{Granted: true}
 	}
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -140,6 +140,38 @@
 	g.Expect(len(f.granted)).To(BeNumerically(">=", asked*95/100))
 }
 
+// Guards against a service that shrinks to the divided part while the replicas
+// have no leader, as in an incident in which the core was split for 6 s, and
+// against more than the limit when a leader comes back.
+func TestNoLeader(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 3))
+	f := newFleet(9, rules.Workspace{Name: "w", RatePerS: 163_000, Burst: 163_000, CountTokens: true})
+	lost := func(step int) bool { return step > 8000 && step < 16_000 }
+	duringLoss := 0.0
+	for step := range 30_000 {
+		f.now = f.now.Add(time.Millisecond)
+		if step%400 == 0 {
+			f.exchange()
+			for _, k := range f.keepers {
+				k.SetLeaderless(lost(step))
+			}
+		}
+		if step == 16_000 {
+			f.common.Reset(f.now)
+		}
+		if random.Float64() < 3*163.0/2000 {
+			before := len(f.granted)
+			f.ask(random.IntN(9), 2000, !lost(step))
+			if lost(step) && len(f.granted) > before {
+				duringLoss += 2000
+			}
+		}
+	}
+	g.Expect(f.worst()).To(BeNumerically("<=", f.bound()))
+	g.Expect(duringLoss).To(BeNumerically(">=", 0.85*163_000*8))
+}
+
 // Guards against a limit that the last document does not state any more.
 func TestNoLimit(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -31,7 +31,7 @@
 	// expireInterval is how often leases of endpoints are checked.
 	expireInterval = 500 * time.Millisecond
 	// statusInterval is how often the membership is read from the consensus.
-	statusInterval = 500 * time.Millisecond
+	statusInterval = 200 * time.Millisecond
 	// confirmInterval is how often a leader asks a majority whether it still
 	// leads, and confirmedTime how long the answer counts: less than an election
 	// takes, so that two replicas do not both hold the common quota.
@@ -216,6 +216,13 @@
 	return s.confirmed != 0 && bootclock.Now().Sub(s.confirmed) < confirmedTime
 }
 
+// isLeaderless reports whether this replica belongs to the group and knows no leader.
+func (s *State) isLeaderless() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status != nil && s.status.Leader == ""
+}
+
 // confirm asks a majority whether this replica leads.
 func (s *State) confirm(time.Time) {
 	began := bootclock.Now()
