Take no request later than 0.3 of the grace period after the signal to stop

Ruled out: the cut itself at 0.93 of the grace period; streams of requests taken earlier ended in time.

--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -25,8 +25,9 @@
 	// callerKeepAlive is the silence after which TCP probes a caller.
 	callerKeepAlive = 15 * time.Second
 	// drainAccept is the part of the grace period in which new connections are
-	// still served: the load balancer needs two checks to notice.
-	drainAccept = 0.4
+	// still served: the load balancer needs two checks to notice. What comes
+	// later might not end before the process is killed.
+	drainAccept = 0.3
 	// drainEnd is the part of the grace period after which running answers are cut.
 	drainEnd = 0.93
 )
@@ -38,8 +39,18 @@
 	ready   *http.Server
 }
 
-// Serve starts to listen. The error is that of the listeners.
+// Addresses are where a server listens, as IP:port.
+type Addresses struct{ Callers, Ready string }
+
+// Serve starts to listen on the addresses of the settings. The error is that
+// of the listeners.
 func Serve(e *Entry) (*Server, error) {
+	s, _, err := ServeOn(e, e.options.Settings.Listen.Callers, e.options.Settings.Listen.Ready)
+	return s, err
+}
+
+// ServeOn starts to listen on the given addresses and returns the real ones.
+func ServeOn(e *Entry, callers, ready string) (*Server, Addresses, error) {
 	silent := stdlog.New(io.Discard, "", 0)
 	s := &Server{
 		entry: e,
@@ -48,18 +59,27 @@
 		},
 		ready: &http.Server{Handler: e.ReadyHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: silent},
 	}
+	var at Addresses
+	var err error
+	if at.Callers, err = s.listen(s.callers, callers); err == nil {
+		at.Ready, err = s.listen(s.ready, ready)
+	}
+	if err != nil {
+		s.close()
+		return nil, at, err
+	}
+	return s, at, nil
+}
+
+// listen serves on an address in the background and returns the real one.
+func (s *Server) listen(server *http.Server, address string) (string, error) {
 	listen := net.ListenConfig{KeepAlive: callerKeepAlive}
-	for address, server := range map[string]*http.Server{
-		e.options.Settings.Listen.Callers: s.callers, e.options.Settings.Listen.Ready: s.ready,
-	} {
-		listener, err := listen.Listen(context.Background(), "tcp4", address)
-		if err != nil {
-			s.close()
-			return nil, err
-		}
-		go s.serve(server, listener)
+	listener, err := listen.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return "", err
 	}
-	return s, nil
+	go s.serve(server, listener)
+	return listener.Addr().String(), nil
 }
 
 func (s *Server) serve(server *http.Server, listener net.Listener) {
