Do not pause endpoints for single errors; wait longer before a further attempt

Cause: about 6 in 100 requests of the plain services fail with status 500 at every endpoint.

Change: four errors in a row pause an endpoint; one failure pauses it only while others are left; a request that may have run waits up to a second for an endpoint.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -176,7 +176,7 @@
 	x.whole = true
 	now := time.Now()
 	if answer.StatusCode >= http.StatusInternalServerError {
-		choice.Failed(now)
+		choice.Erred(now)
 		x.ran = true
 		if answer.StatusCode != http.StatusGatewayTimeout && x.mayRepeat() {
 			return outcome{sent: true, approved: true, err: &AnswerError{choice.Endpoint.ID, "status " + strconv.Itoa(answer.StatusCode)}}
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -24,6 +24,8 @@
 	timeoutSlack = 60 * time.Millisecond
 	// waitShare of its target may a request wait for an endpoint with room.
 	waitShare = 0.12
+	// longestWait bounds the wait before a further attempt.
+	longestWait = time.Second
 	// waitStep is the pause between two looks for an endpoint with room.
 	waitStep = 15 * time.Millisecond
 	// minAttempt is the least time left that is worth an attempt.
@@ -257,7 +259,12 @@
 		Service: x.service.Name, Domain: x.entry.options.Settings.FailureDomain, Prefix: x.meta.Prefix,
 		PromptTokens: x.meta.PromptTokens, Avoid: x.tried, MaxConnections: x.entry.connectionShare(x.service),
 	}
-	until := time.Now().Add(time.Duration(waitShare * float64(x.route.Target)))
+	wait := time.Duration(waitShare * float64(x.route.Target))
+	if x.ran {
+		// A request that ran is not refused any more: late is better than failed.
+		wait = min(time.Until(x.deadline)/2, longestWait)
+	}
+	until := time.Now().Add(wait)
 	for {
 		request.Now = time.Now()
 		choice, err := x.entry.board.Choose(request)
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -33,7 +33,9 @@
 	reportedAt time.Time
 	sentSince  int
 	// failures counts failed attempts in a row; no new work before pausedUntil.
-	failures    int
+	failures int
+	// errors counts answers with an error of the endpoint in a row.
+	errors      int
 	pausedUntil time.Time
 	// sentUnheard is when the first request was sent after the last sign of
 	// life; zero when something was heard since.
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -95,6 +95,9 @@
 		v.uncached = max(r.PromptTokens-s.resident.cached(r.Prefix), 0)
 		views = append(views, v)
 	}
+	if len(views) == 0 {
+		views = b.briefly(r, members)
+	}
 	if len(views) == 0 {
 		return nil, &NoEndpointError{Service: r.Service, Known: len(members), DroppedBy: dropped}
 	}
@@ -108,6 +111,22 @@
 	return b.begin(r, &views[at], scores[at], len(views)), nil
 }
 
+// briefly returns the endpoints that are only paused after one failure: where
+// no other is left, a further attempt is better than a refusal.
+func (b *Board) briefly(r *Request, members []*stats) []View {
+	patient := *r
+	patient.Now = r.Now.Add(longestPause)
+	var views []View
+	for _, s := range members {
+		v := View{stats: s}
+		if s.failures == 1 && b.drops(&patient, &v) == "" {
+			v.uncached = r.PromptTokens
+			views = append(views, v)
+		}
+	}
+	return views
+}
+
 func (b *Board) drops(r *Request, v *View) string {
 	for _, filter := range b.filters {
 		if !filter.Keep(r, v) {
@@ -142,8 +161,6 @@
 	s := c.stats
 	c.stopWaiting()
 	s.sentUnheard = time.Time{}
-	s.failures = 0
-	s.pausedUntil = time.Time{}
 	if load != nil {
 		s.reported = *load
 		s.reportedAt = now
@@ -158,10 +175,14 @@
 	c.stats.sentUnheard = time.Time{}
 }
 
-// Observe learns the speed of the endpoint from the time to the first byte of a run.
+// Observe notes a run that went well, and learns the speed of the endpoint from
+// the time to its first byte.
 func (c *Choice) Observe(now time.Time) {
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
+	c.stats.failures = 0
+	c.stats.errors = 0
+	c.stats.pausedUntil = time.Time{}
 	seconds := now.Sub(c.began).Seconds()
 	typical := c.board.typical[c.Endpoint.Service]
 	if typical == nil {
@@ -180,10 +201,29 @@
 	maxSlowness = 8
 )
 
+// Erred notes a run that the endpoint answered with an error of its own. Some
+// requests fail wherever they run, so that only several in a row pause it.
+func (c *Choice) Erred(now time.Time) {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	c.stats.errors++
+	if c.stats.errors >= errorsInARow {
+		c.pause(now)
+	}
+}
+
+// errorsInARow is the number of errors from which an endpoint counts as failing.
+const errorsInARow = 4
+
 // Failed notes an attempt that the endpoint broke, and pauses it.
 func (c *Choice) Failed(now time.Time) {
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
+	c.pause(now)
+}
+
+// pause must be called with the lock held.
+func (c *Choice) pause(now time.Time) {
 	s := c.stats
 	pause := min(firstPause<<min(s.failures, maxDoublings), longestPause)
 	s.failures++
