--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -18,10 +18,10 @@
 	// defaultSlots is assumed for services that state none.
 	defaultSlots = 16
 	// burstFactor is the room above the load that reclaimable endpoints give.
-	burstFactor = 1.5
+	burstFactor = 2.2
 	// perDomain reclaimable endpoints stand in each domain at least, so that a
 	// domain that is cut off can serve on its own.
-	perDomain = 4
+	perDomain = 3
 	// perDomainNeed is the least load that is planned for, in endpoints per domain.
 	perDomainNeed = 1
 	// riseTime and fallTime smooth the load. A burst is over before an endpoint
