--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -22,6 +22,10 @@
 	// perDomain reclaimable endpoints stand in each domain at least, so that a
 	// domain that is cut off can serve on its own.
 	perDomain = 3
+	// newPerDomain stand there until the load has been known for learnTime: a
+	// burst may come before anything is known of the usual load.
+	newPerDomain = 4
+	learnTime    = 20 * time.Second
 	// perDomainNeed is the least load that is planned for, in endpoints per domain.
 	perDomainNeed = 1
 	// riseTime and fallTime smooth the load. A burst is over before an endpoint
@@ -67,6 +71,8 @@
 	// need is the smoothed load in endpoints, as of updated.
 	need    float64
 	updated time.Time
+	// loaded is when the first request was in flight.
+	loaded time.Time
 }
 
 type order struct {
@@ -130,6 +136,9 @@
 	if in.Service.Engine != nil && in.Service.Engine.Slots > 0 {
 		slots = in.Service.Engine.Slots
 	}
+	if p.loaded.IsZero() && in.InFlight > 0 {
+		p.loaded = in.Now
+	}
 	load := max(float64(in.InFlight)/(usedShare*float64(slots)), float64(perDomainNeed*len(in.Domains)))
 	smoothing := riseTime
 	if load < p.need {
@@ -144,7 +153,11 @@
 func (p *Planner) wanted(in *Input, running map[key]int) map[key]int {
 	s := in.Service.Scaling
 	want := make(map[key]int)
-	each := max(int(math.Ceil(p.need*burstFactor/float64(len(in.Domains)))), perDomain, s.Min)
+	least := perDomain
+	if p.loaded.IsZero() || in.Now.Sub(p.loaded) < learnTime {
+		least = newPerDomain
+	}
+	each := max(int(math.Ceil(p.need*burstFactor/float64(len(in.Domains)))), least, s.Min)
 	present := make([]int, 0, len(in.Domains))
 	for _, domain := range in.Domains {
 		k := key{domain, true}
