Remove fields that nothing reads; wait for voters in the tests of replicas

Cause: messages, settings and documents carried fields without a reader. The test of a cut-off leader failed once: it began while the group had one voter, which leads alone by right.

Change: the fields are gone; the tests wait for four voters instead of four members, which is stricter.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -122,7 +122,6 @@
 	}
 	x.print = suspect.NewFingerprint(x.workspace, []byte(x.r.Method), []byte(x.r.RequestURI), x.body)
 	x.service = table.Service(x.route.Pick(rand.Float64()))
-	x.entry.work.add(x.service.Name, float64(x.meta.PromptTokens+x.meta.MaxOutputTokens), x.arrived)
 	return x.charge(workspace)
 }
 
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -61,7 +61,6 @@
 	repeats     *retry.WindowBudget
 	client      *exchange.Client
 	links       *links
-	work        *workMeter
 	crashes     *crashWatch
 
 	active   atomic.Pointer[activeRules]
@@ -97,7 +96,6 @@
 		client: exchange.New(exchange.Options{
 			Conn: httpconn.Options{DialTimeout: dialTimeout}, IdleTimeout: endpointIdle,
 		}),
-		work: newWorkMeter(),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.links = newLinks(e)
--- a/internal/gateway/entry/links.go
+++ b/internal/gateway/entry/links.go
@@ -150,7 +150,7 @@
 	request := &link.PollRequest{
 		Entry: e.options.Settings.Name, Incarnation: e.incarnation, Run: run, Change: change,
 		WaitMS: pollWait.Milliseconds(), Usage: e.counter.Report(now), Demand: demand,
-		Load: e.board.Load(), Work: e.work.rates(now), Crashes: e.crashes.payload(now),
+		Load: e.board.Load(), Crashes: e.crashes.payload(now),
 	}
 	if active := e.active.Load(); active != nil {
 		request.Generation = active.generation
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -37,10 +37,8 @@
 	Usage []meter.Counts `msgpack:"u,omitempty"`
 	// Demand by workspace, in units of the quota per second.
 	Demand map[string]float64 `msgpack:"d,omitempty"`
-	// Load holds the attempts in flight by service, and Arrivals the requests per second.
+	// Load holds the attempts in flight by service.
 	Load map[string]int `msgpack:"l,omitempty"`
-	// Work by service, in seconds of one endpoint slot per second.
-	Work map[string]float64 `msgpack:"k,omitempty"`
 	// Crashes holds the marks of requests that crashed endpoints.
 	Crashes []byte `msgpack:"x,omitempty"`
 }
@@ -66,8 +64,6 @@
 	Entries int `msgpack:"n"`
 	// Demand of all entries by workspace.
 	Demand map[string]float64 `msgpack:"d,omitempty"`
-	// Load of all entries by service.
-	Load map[string]int `msgpack:"l,omitempty"`
 	// Crashes holds the marks of all entries.
 	Crashes [][]byte `msgpack:"x,omitempty"`
 }
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -25,7 +25,6 @@
 	// Address is IP:port.
 	Address string `msgpack:"a"`
 	Domain  string `msgpack:"d"`
-	Version string `msgpack:"v,omitempty"`
 	Slots   int    `msgpack:"n"`
 	State   State  `msgpack:"t"`
 	// Born tells incarnations with the same ID apart: Unix milliseconds of the start.
@@ -34,8 +33,6 @@
 	Seq uint64 `msgpack:"q"`
 	// Reclaimable endpoints may be taken away at short notice.
 	Reclaimable bool `msgpack:"r,omitempty"`
-	// ColdMS is how much longer the endpoint is slow after its start, in milliseconds.
-	ColdMS int64 `msgpack:"c,omitempty"`
 }
 
 // supersedes reports whether e is newer than old. Within an incarnation a
@@ -55,7 +52,6 @@
 func (e *Endpoint) sameView(old *Endpoint) bool {
 	a, b := *e, *old
 	a.Seq, b.Seq = 0, 0
-	a.ColdMS, b.ColdMS = 0, 0
 	return a == b
 }
 
--- a/internal/gateway/rules/document.go
+++ b/internal/gateway/rules/document.go
@@ -77,18 +77,11 @@
 type Engine struct {
 	// Slots is the number of requests that run at a time.
 	Slots int
-	// CacheTokens is the memory for prompts and generated tokens.
-	CacheTokens int
 }
 
 // Scaling bounds the endpoints of a service per failure domain.
 type Scaling struct {
 	Min, Max int
-	// BootTime is how long an ordered endpoint takes until it serves.
-	BootTime time.Duration
-	// ReclaimablePrice is the price of a reclaimable endpoint, as a share of
-	// that of an on-demand one.
-	ReclaimablePrice float64
 	// Prices holds the price per second by failure domain.
 	Prices map[string]float64
 }
@@ -109,8 +102,6 @@
 
 // Limits bounds what callers may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes bounds a body; 0 leaves the default.
+	MaxBodyBytes int64
 }
--- a/internal/gateway/scale/plan_test.go
+++ b/internal/gateway/scale/plan_test.go
@@ -20,7 +20,7 @@
 func service() *rules.Service {
 	return &rules.Service{
 		Name: "pool", Engine: &rules.Engine{Slots: 64},
-		Scaling: &rules.Scaling{Min: 1, Max: 6, ReclaimablePrice: 0.2, Prices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9}},
+		Scaling: &rules.Scaling{Min: 1, Max: 6, Prices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9}},
 	}
 }
 
--- a/internal/gateway/state/entries.go
+++ b/internal/gateway/state/entries.go
@@ -20,7 +20,6 @@
 	polled time.Time
 	demand map[string]float64
 	load   map[string]int
-	work   map[string]float64
 	// crashes are the marks of the entry; nil without any.
 	crashes []byte
 }
@@ -30,7 +29,7 @@
 func (e *entries) note(r *link.PollRequest, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.list[r.Entry] = &entryReport{polled: now, demand: r.Demand, load: r.Load, work: r.Work, crashes: r.Crashes}
+	e.list[r.Entry] = &entryReport{polled: now, demand: r.Demand, load: r.Load, crashes: r.Crashes}
 }
 
 // totals adds up the reports of entries that polled lately.
@@ -38,13 +37,12 @@
 	entries int
 	demand  map[string]float64
 	load    map[string]int
-	work    map[string]float64
 }
 
 func (e *entries) totals(now time.Time) totals {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := totals{demand: make(map[string]float64), load: make(map[string]int), work: make(map[string]float64)}
+	t := totals{demand: make(map[string]float64), load: make(map[string]int)}
 	for name, one := range e.list {
 		if now.Sub(one.polled) > entryMemory {
 			delete(e.list, name)
@@ -53,7 +51,6 @@
 		t.entries++
 		addUp(t.demand, one.demand)
 		addUp(t.load, one.load)
-		addUp(t.work, one.work)
 	}
 	return t
 }
--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -23,6 +23,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/gateway/state"
 	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/replica"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
@@ -192,7 +193,7 @@
 func TestAcknowledgedDocumentSurvivesAWipedDisk(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitMembers(4)
+	gr.awaitVoters(4)
 	for round, wiped := range []string{"127.0.0.2", "127.0.0.4"} {
 		gr.eventuallyPut(wiped, document(uint64(round+2), "kept"))
 		for i := 1; i <= 4; i++ {
@@ -207,13 +208,25 @@
 			ip := fmt.Sprintf("127.0.0.%d", i)
 			gr.g.Eventually(func() string { return gr.read(ip) }, "15s", "50ms").Should(Equal(string(document(uint64(round+2), "kept"))))
 		}
-		gr.awaitMembers(4)
+		gr.awaitVoters(4)
 	}
 }
 
-// awaitMembers waits until the replicas name that many.
-func (gr *group) awaitMembers(count int) {
-	gr.g.Eventually(func() int { return len(gr.poll("127.0.0.1", &link.PollRequest{Entry: "probe"}).Replicas) }, "20s", "100ms").Should(Equal(count))
+// awaitVoters waits until that many replicas vote. A new group starts with one
+// voter, and learners follow one by one.
+func (gr *group) awaitVoters(count int) {
+	caller := peerrpc.New(peerrpc.Options{})
+	defer caller.Close()
+	client := replica.NewClient(replica.DefaultGroup, nil, caller)
+	gr.g.Eventually(func() int {
+		ctx, cancel := context.WithTimeout(gr.t.Context(), time.Second)
+		defer cancel()
+		status, err := client.Status(ctx, gr.nodes["127.0.0.1"].address)
+		if err != nil {
+			return 0
+		}
+		return len(status.Config.Voters)
+	}, "20s", "100ms").Should(Equal(count))
 }
 
 // Guards against a replica that is replaced at another address and whose
@@ -221,7 +234,7 @@
 func TestReplacementAtAnotherAddress(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitMembers(4)
+	gr.awaitVoters(4)
 	gr.stop("127.0.0.3")
 	gr.start("127.0.0.9", false)
 	gr.g.Eventually(func() []string { return gr.poll("127.0.0.1", &link.PollRequest{Entry: "probe"}).Replicas }, "30s", "200ms").Should(
@@ -238,7 +251,7 @@
 func TestDrainingIsHeldByAMajority(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitMembers(4)
+	gr.awaitVoters(4)
 	e := registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
 	gr.g.Expect(gr.nodes["127.0.0.1"].state.Announce(t.Context(), e)).To(Succeed())
 	gr.g.Eventually(func() int { return len(gr.poll("127.0.0.4", &link.PollRequest{Entry: "probe"}).Endpoints) }, "3s").Should(Equal(1))
@@ -269,7 +282,7 @@
 func TestCutOffLeaderGrantsNoQuota(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitMembers(4)
+	gr.awaitVoters(4)
 	leader := ""
 	gr.g.Eventually(func() int {
 		leaders := 0
@@ -321,7 +334,7 @@
 func TestUsageIsReportedOnceAcrossHolders(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitMembers(4)
+	gr.awaitVoters(4)
 	counter := meter.NewCounter(time.Second)
 	holder := func() string {
 		gr.cloud.mu.Lock()
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -19,14 +19,11 @@
 	Key string
 	// Deadline is how long the caller waits; 0 means it did not say.
 	Deadline time.Duration
-	Model    string
 	// PromptTokens and MaxOutputTokens are known where CountsTokens is set.
 	CountsTokens    bool
 	PromptTokens    int
 	MaxOutputTokens int
 	Prefix          []PromptPart
-	// LengthHint is the caller's estimate of the output in tokens; 0 means none.
-	LengthHint int
 	// ResumeAfter is the ID of the last event that the caller has.
 	ResumeAfter string
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,13 +32,12 @@
 	// Seeds are addresses (IP:port) of state replicas. Only the IP counts.
 	Seeds []string `json:"seeds"`
 	// Bootstrap is set at the first start of the whole system, with empty disks.
-	Bootstrap  bool            `json:"bootstrap"`
-	DataFolder string          `json:"data_folder"`
-	Limits     GatewayLimits   `json:"limits"`
-	Bounds     GatewayBounds   `json:"bounds"`
-	Cloud      GatewayCloud    `json:"cloud"`
-	Log        Log             `json:"log"`
-	Tolerance  LossesTolerated `json:"tolerance"`
+	Bootstrap  bool          `json:"bootstrap"`
+	DataFolder string        `json:"data_folder"`
+	Limits     GatewayLimits `json:"limits"`
+	Bounds     GatewayBounds `json:"bounds"`
+	Cloud      GatewayCloud  `json:"cloud"`
+	Log        Log           `json:"log"`
 }
 
 // GatewayListen holds the addresses of a gateway daemon as IP:port.
@@ -51,13 +50,7 @@
 
 // GatewayLimits is what the VM gives to the process.
 type GatewayLimits struct {
-	MemoryMB        int `json:"memory_mb"`
-	FileDescriptors int `json:"file_descriptors"`
-}
-
-// LossesTolerated is what may be lost at a time without a loss of state.
-type LossesTolerated struct {
-	VMs int `json:"vms"`
+	MemoryMB int `json:"memory_mb"`
 }
 
 // GatewayBounds are the limits and times that the deployment agreed on.
@@ -84,14 +77,11 @@
 	LeaseMS int `json:"lease_ms"`
 	// GraceS is the time from the signal to stop until the process is killed, in seconds.
 	GraceS float64 `json:"grace_s"`
-	// AddressReuseS is how soon another endpoint may get the address of one that left, in seconds.
-	AddressReuseS float64 `json:"address_reuse_s"`
 }
 
 // GatewayCloud says where the calls of duties go.
 type GatewayCloud struct {
-	Address string   `json:"address"`
-	Duties  []string `json:"duties"`
+	Address string `json:"address"`
 }
 
 // LoadGateway reads and checks the settings of a gateway daemon. The error is an *Error.
@@ -126,7 +116,6 @@
 	defaultUsageDelayS    = 10
 	defaultLeaseMS        = 3000
 	defaultGraceS         = 8
-	defaultAddressReuseS  = 2
 )
 
 func (b *GatewayBounds) setDefaults() {
@@ -138,7 +127,6 @@
 	orDefault(&b.UsageDelayS, defaultUsageDelayS)
 	orDefault(&b.LeaseMS, defaultLeaseMS)
 	orDefault(&b.GraceS, defaultGraceS)
-	orDefault(&b.AddressReuseS, defaultAddressReuseS)
 }
 
 func orDefault[T comparable](field *T, value T) {
