Wait for the running replicas to be the voters in the tests of lost disks

Cause: TestAcknowledgedDocumentSurvivesAWipedDisk failed in two of three runs. The second disk was wiped while the first replica had not yet taken its old identity's place: two of four voters were lost, one more than is tolerated.

Ruled out: a lost document: the replicas answered no read at all, for want of a majority of voters.

--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/adapter/peerrpc"
+	"github.com/boragelead/boragelead/internal/core/raft"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
@@ -193,7 +195,7 @@
 func TestAcknowledgedDocumentSurvivesAWipedDisk(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitVoters(4)
+	gr.awaitVoters()
 	for round, wiped := range []string{"127.0.0.2", "127.0.0.4"} {
 		gr.eventuallyPut(wiped, document(uint64(round+2), "kept"))
 		for i := 1; i <= 4; i++ {
@@ -208,25 +210,36 @@
 			ip := fmt.Sprintf("127.0.0.%d", i)
 			gr.g.Eventually(func() string { return gr.read(ip) }, "15s", "50ms").Should(Equal(string(document(uint64(round+2), "kept"))))
 		}
-		gr.awaitVoters(4)
+		gr.awaitVoters()
 	}
 }
 
-// awaitVoters waits until that many replicas vote. A new group starts with one
-// voter, and learners follow one by one.
-func (gr *group) awaitVoters(count int) {
+// awaitVoters waits until the running replicas, and no others, vote. A new
+// group starts with one voter, and a wiped replica takes the place of its old
+// identity only once it has caught up: before, a further loss is one too many.
+func (gr *group) awaitVoters() {
 	caller := peerrpc.New(peerrpc.Options{})
 	defer caller.Close()
 	client := replica.NewClient(replica.DefaultGroup, nil, caller)
-	gr.g.Eventually(func() int {
-		ctx, cancel := context.WithTimeout(gr.t.Context(), time.Second)
-		defer cancel()
-		status, err := client.Status(ctx, gr.nodes["127.0.0.1"].address)
-		if err != nil {
-			return 0
+	gr.g.Eventually(func() bool {
+		voters, running := map[raft.ID]bool{}, map[raft.ID]bool{}
+		for _, n := range gr.nodes {
+			if n.state == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(gr.t.Context(), time.Second)
+			status, err := client.Status(ctx, n.address)
+			cancel()
+			if err != nil {
+				return false
+			}
+			running[status.Replica] = true
+			for _, m := range status.Config.Voters {
+				voters[m.ID] = true
+			}
 		}
-		return len(status.Config.Voters)
-	}, "20s", "100ms").Should(Equal(count))
+		return maps.Equal(voters, running)
+	}, "30s", "100ms").Should(BeTrue())
 }
 
 // Guards against a replica that is replaced at another address and whose
@@ -234,7 +247,7 @@
 func TestReplacementAtAnotherAddress(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitVoters(4)
+	gr.awaitVoters()
 	gr.stop("127.0.0.3")
 	gr.start("127.0.0.9", false)
 	gr.g.Eventually(func() []string { return gr.poll("127.0.0.1", &link.PollRequest{Entry: "probe"}).Replicas }, "30s", "200ms").Should(
@@ -251,7 +264,7 @@
 func TestDrainingIsHeldByAMajority(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitVoters(4)
+	gr.awaitVoters()
 	e := registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
 	gr.g.Expect(gr.nodes["127.0.0.1"].state.Announce(t.Context(), e)).To(Succeed())
 	gr.g.Eventually(func() int { return len(gr.poll("127.0.0.4", &link.PollRequest{Entry: "probe"}).Endpoints) }, "3s").Should(Equal(1))
@@ -282,7 +295,7 @@
 func TestCutOffLeaderGrantsNoQuota(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitVoters(4)
+	gr.awaitVoters()
 	leader := ""
 	gr.g.Eventually(func() int {
 		leaders := 0
@@ -334,7 +347,7 @@
 func TestUsageIsReportedOnceAcrossHolders(t *testing.T) {
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
-	gr.awaitVoters(4)
+	gr.awaitVoters()
 	counter := meter.NewCounter(time.Second)
 	holder := func() string {
 		gr.cloud.mu.Lock()
