--- a/internal/adapter/servicehttp/headers.go
+++ b/internal/adapter/servicehttp/headers.go
@@ -2,17 +2,14 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 	"github.com/boragelead/boragelead/internal/port"
 )
 
 // dropped are headers that do not pass from the caller to the service.
 var dropped = []string{
-	// The connection to the service is another one (RFC 9110, section 7.6.1).
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 	// The secret of the workspace is for the entry only.
 	"Authorization",
 	// net/http takes a request with one of these for idempotent and replays it.
@@ -31,18 +28,9 @@
 	return header
 }
 
-// withoutHops returns a copy without the headers that end at the entry, those
-// named by Connection included.
+// withoutHops returns a copy without the headers that end at the entry.
 func withoutHops(original http.Header) http.Header {
-	header := original.Clone()
-	if header == nil {
-		header = make(http.Header)
-	}
-	for _, line := range header.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
+	header := httpconn.WithoutHops(original)
 	for _, name := range dropped {
 		header.Del(name)
 	}
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -6,10 +6,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	wire "github.com/boragelead/boragelead/internal/adapter/exchange"
+	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/port"
@@ -113,7 +113,7 @@
 // so that another endpoint can still answer in time.
 func (x *call) send(ctx context.Context, cancel context.CancelFunc, choice *pick.Choice) (*wire.Answer, error) {
 	left := time.Until(x.deadline)
-	header := forwardable(x.r.Header)
+	header := httpconn.WithoutHops(x.r.Header)
 	d := port.Dispatch{
 		EndpointID: choice.Endpoint.ID, Workspace: x.workspace, Deadline: left, Priority: -1, ResumeAfter: x.meta.ResumeAfter,
 	}
@@ -211,29 +211,9 @@
 	x.entry.counter.Add(x.workspace, time.Now())
 }
 
-// hopHeaders end at the gateway (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// forwardable returns a copy without the headers that end at the gateway.
-func forwardable(original http.Header) http.Header {
-	header := original.Clone()
-	for _, line := range original.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-	return header
-}
-
 // copyHeader passes the headers of an answer on.
 func copyHeader(to, from http.Header) {
-	for name, values := range forwardable(from) {
+	for name, values := range httpconn.WithoutHops(from) {
 		to[name] = values
 	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"time"
@@ -119,21 +120,14 @@
 )
 
 func (b *GatewayBounds) setDefaults() {
-	orDefault(&b.HeartbeatMS, defaultHeartbeatMS)
-	orDefault(&b.RetryRatio, defaultRetryRatio)
-	orDefault(&b.RetryWindowS, defaultRetryWindowS)
-	orDefault(&b.RetryAllowance, defaultRetryAllowance)
-	orDefault(&b.UsageWindowS, defaultUsageWindowS)
-	orDefault(&b.UsageDelayS, defaultUsageDelayS)
-	orDefault(&b.LeaseMS, defaultLeaseMS)
-	orDefault(&b.GraceS, defaultGraceS)
-}
-
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	b.HeartbeatMS = cmp.Or(b.HeartbeatMS, defaultHeartbeatMS)
+	b.RetryRatio = cmp.Or(b.RetryRatio, defaultRetryRatio)
+	b.RetryWindowS = cmp.Or(b.RetryWindowS, defaultRetryWindowS)
+	b.RetryAllowance = cmp.Or(b.RetryAllowance, defaultRetryAllowance)
+	b.UsageWindowS = cmp.Or(b.UsageWindowS, defaultUsageWindowS)
+	b.UsageDelayS = cmp.Or(b.UsageDelayS, defaultUsageDelayS)
+	b.LeaseMS = cmp.Or(b.LeaseMS, defaultLeaseMS)
+	b.GraceS = cmp.Or(b.GraceS, defaultGraceS)
 }
 
 func (g *Gateway) validate() error {
