--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,54 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragelead/boragelead/internal/settings"
+)
+
+const entrySettings = `{"name":"e","role":"entry","ip":"10.0.0.1","peer_port":7600,"seeds":["10.0.0.2:1"],
+"listen":{"callers":"10.0.0.1:1","ready":"10.0.0.1:2"},"bounds":{"lease_ms":500},"later_field":{"x":1}}`
+
+// Guards against settings that are taken although the daemon cannot run with
+// them, and against refusing fields that a newer deployment states.
+func TestGatewaySettings(t *testing.T) {
+	g := NewWithT(t)
+	s, err := settings.ParseGateway([]byte(entrySettings))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Bounds.LeaseMS).To(Equal(500))
+	g.Expect(s.Bounds.UsageWindowS).To(Equal(5.0))
+	for field, change := range map[string][2]string{
+		"name":      {`"name":"e"`, `"name":""`},
+		"role":      {`"role":"entry"`, `"role":"odd"`},
+		"ip":        {`"ip":"10.0.0.1"`, `"ip":""`},
+		"peer_port": {`7600`, `76000`},
+		"seeds":     {`["10.0.0.2:1"]`, `[]`},
+		"listen":    {`"ready"`, `"other"`},
+		"$":         {`{"name"`, `{name`},
+	} {
+		var wrong *settings.Error
+		_, err := settings.ParseGateway([]byte(strings.Replace(entrySettings, change[0], change[1], 1)))
+		g.Expect(errors.As(err, &wrong)).To(BeTrue(), field)
+		g.Expect(wrong.Field).To(Equal(field))
+	}
+	_, err = settings.ParseGateway([]byte(strings.Replace(entrySettings, `"entry"`, `"state"`, 1)))
+	g.Expect(err).To(MatchError(ContainSubstring("data_folder")))
+}
+
+// Guards against a file that is missing without a word about it.
+func TestMissingGatewaySettings(t *testing.T) {
+	g := NewWithT(t)
+	var wrong *settings.Error
+	_, err := settings.LoadGateway(filepath.Join(t.TempDir(), "none.json"))
+	g.Expect(errors.As(err, &wrong)).To(BeTrue())
+	path := filepath.Join(t.TempDir(), "good.json")
+	g.Expect(os.WriteFile(path, []byte(entrySettings), 0o600)).To(Succeed())
+	_, err = settings.LoadGateway(path)
+	g.Expect(err).NotTo(HaveOccurred())
+}
