--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -120,7 +120,7 @@
 }
 
 // Guards against refusals below the limit: large requests do not fit into the
-// share of one entry, which refused 92 of 651 statements of a calm day.
+// share of one entry, which refused 73 of 651 statements of a calm day.
 func TestLargeRequestsBelowTheLimitAreServed(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(1, 2))
