Count usage by a time of day that the replicas agree on

Cause: entries, replicas and the holder of the duties took usage windows from their own time of day, so a clock that jumps moved requests into other windows. Old windows are dropped by every replica: only the holder of the duties forgot them, and the memory of the others grew by one window every few seconds.

Ruled out: the time of the leader alone (its clock may be the one that jumps), and each daemon's time at its start alone (a VM that restarts after the jump).

TestEveryReplicaForgetsOldUsage fails without the change of the replicas.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -208,7 +208,7 @@
 		return
 	}
 	x.counted = true
-	x.entry.counter.Add(x.workspace, time.Now())
+	x.entry.counter.Add(x.workspace, x.entry.clock.Now())
 }
 
 // copyHeader passes the headers of an answer on.
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -12,11 +12,13 @@
 
 	"github.com/boragelead/boragelead/internal/adapter/exchange"
 	"github.com/boragelead/boragelead/internal/adapter/httpconn"
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/core/retry"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
+	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/telemetry"
@@ -58,6 +60,7 @@
 	board       *pick.Board
 	quotas      *quota.Keeper
 	counter     *meter.Counter
+	clock       *walltime.Clock
 	repeats     *retry.WindowBudget
 	client      *exchange.Client
 	links       *links
@@ -89,6 +92,7 @@
 		quotas: quota.New(quota.Tolerance{
 			Window: settings.Seconds(bounds.QuotaWindowS), Overshoot: bounds.QuotaOvershoot, Tokens: bounds.QuotaSlack,
 		}),
+		clock:   walltime.New(now, bootclock.Now()),
 		counter: meter.NewCounter(settings.Seconds(bounds.UsageWindowS)),
 		repeats: retry.NewWindowBudget(retry.WindowLimits{
 			Window: settings.Seconds(bounds.RetryWindowS), Share: bounds.RetryRatio * repeatShare,
--- a/internal/gateway/entry/links.go
+++ b/internal/gateway/entry/links.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
@@ -149,7 +150,7 @@
 	now := time.Now()
 	request := &link.PollRequest{
 		Entry: e.options.Settings.Name, Incarnation: e.incarnation, Run: run, Change: change,
-		WaitMS: pollWait.Milliseconds(), Usage: e.counter.Report(now), Demand: demand,
+		WaitMS: pollWait.Milliseconds(), Usage: e.counter.Report(e.clock.Now()), Demand: demand,
 		Load: e.board.Load(), Crashes: e.crashes.payload(now),
 	}
 	if active := e.active.Load(); active != nil {
@@ -231,6 +232,7 @@
 	if reply.Generation > 0 {
 		e.apply(reply.Generation, reply.Document)
 	}
+	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
 	e.quotas.SetTotal(quota.Demand{Entries: reply.Entries, PerS: reply.Demand}, demand, time.Now())
 	e.setEntries(reply.Entries)
 	e.crashes.merge(reply.Crashes)
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -66,6 +66,8 @@
 	Demand map[string]float64 `msgpack:"d,omitempty"`
 	// Crashes holds the marks of all entries.
 	Crashes [][]byte `msgpack:"x,omitempty"`
+	// TimeNS is the agreed time of day when the reply was sent, in Unix nanoseconds.
+	TimeNS int64 `msgpack:"t"`
 }
 
 // SpendRequest asks for a part of the quota that is not divided among entries.
@@ -85,6 +87,12 @@
 	Sightings []registry.Sighting `msgpack:"s"`
 }
 
+// ShareReply answers a ShareRequest.
+type ShareReply struct {
+	// ClockNS is the time of day by the clock of the replica alone, in Unix nanoseconds.
+	ClockNS int64 `msgpack:"t"`
+}
+
 // Encode returns the bytes of a message. The types of this package always encode.
 func Encode(message any) ([]byte, error) {
 	data, err := msgpack.Marshal(message)
--- a/internal/gateway/meter/meter.go
+++ b/internal/gateway/meter/meter.go
@@ -139,8 +139,8 @@
 	return total
 }
 
-// Drop forgets the windows before one.
-func (l *Ledger) Drop(before uint64) {
+// Drop forgets the windows before one and returns how many are left.
+func (l *Ledger) Drop(before uint64) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for k := range l.windows {
@@ -148,4 +148,5 @@
 			delete(l.windows, k)
 		}
 	}
+	return len(l.windows)
 }
--- a/internal/gateway/state/announce.go
+++ b/internal/gateway/state/announce.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 )
@@ -45,7 +46,7 @@
 // Withdraw takes the word of an endpoint that it leaves. The error is as for Announce.
 func (s *State) Withdraw(ctx context.Context, id string) error {
 	now := time.Now()
-	e := s.registry.Withdraw(id, now.UnixMilli(), now)
+	e := s.registry.Withdraw(id, s.clock.Now().UnixMilli(), now)
 	s.log.Info("Endpoint withdrawn.", zap.String("endpoint", id), zap.String("service", e.Service), zap.Int64("born", e.Born))
 	return s.spread(ctx, e)
 }
@@ -87,17 +88,23 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, shareTimeout)
 	defer cancel()
-	_, err = s.options.RPC.Call(ctx, address, link.MethodShare, params)
-	return err
+	data, err := s.options.RPC.Call(ctx, address, link.MethodShare, params)
+	if err != nil {
+		return err
+	}
+	reply := &link.ShareReply{}
+	if err := link.Decode(data, reply); err != nil {
+		return err
+	}
+	s.clock.Observe(address, time.Unix(0, reply.ClockNS), bootclock.Now())
+	return nil
 }
 
-// shareLoop passes on what arrived since the last time.
+// shareLoop passes on what arrived since the last time, and compares clocks.
 func (s *State) shareLoop() {
 	s.every(shareInterval, func(now time.Time) {
+		s.clock.Observe(s.address, time.Now(), bootclock.Now())
 		fresh := s.registry.Own(now, shareInterval+shareInterval/2)
-		if len(fresh) == 0 {
-			return
-		}
 		others, _ := without(s.members(), s.address)
 		var group sync.WaitGroup
 		for _, address := range others {
@@ -123,5 +130,5 @@
 		one := &request.Sightings[i]
 		s.registry.Merge(one.Endpoint, now.Add(-time.Duration(one.AgeMS)*time.Millisecond))
 	}
-	return nil, nil
+	return link.Encode(&link.ShareReply{ClockNS: time.Now().UnixNano()})
 }
--- a/internal/gateway/state/duties.go
+++ b/internal/gateway/state/duties.go
@@ -59,6 +59,7 @@
 
 func (h *holder) step(now time.Time) {
 	h.keepLease()
+	h.forget()
 	if bootclock.Now() >= h.until {
 		return
 	}
@@ -105,11 +106,9 @@
 		return
 	}
 	s := h.state
-	delay := settings.Seconds(s.options.Settings.Bounds.UsageDelayS)
-	current := meter.WindowAt(now, h.window)
-	oldest := meter.WindowAt(now.Add(-delay-h.window), h.window)
-	for k := oldest; k < current; k++ {
-		if h.reported[k] || !h.isSettled(k, now) {
+	current := meter.WindowAt(s.clock.Now(), h.window)
+	for k := h.oldest(); k < current; k++ {
+		if h.reported[k] || !h.isSettled(k) {
 			continue
 		}
 		if err := h.reportWindow(k); err != nil {
@@ -120,7 +119,19 @@
 		}
 		h.reported[k] = true
 	}
-	s.usage.Drop(oldest)
+}
+
+// oldest returns the oldest window that can still be reported in time.
+func (h *holder) oldest() uint64 {
+	delay := settings.Seconds(h.state.options.Settings.Bounds.UsageDelayS)
+	return meter.WindowAt(h.state.clock.Now().Add(-delay-h.window), h.window)
+}
+
+// forget drops windows that are too old. Replicas without the lease collect
+// counts as well.
+func (h *holder) forget() {
+	oldest := h.oldest()
+	h.state.options.Metrics.Gauge("state_usage_windows").Set(int64(h.state.usage.Drop(oldest)))
 	for k := range h.reported {
 		if k < oldest {
 			delete(h.reported, k)
@@ -129,14 +140,14 @@
 }
 
 // isSettled reports whether the counts of a window are complete as far as can be known.
-func (h *holder) isSettled(k uint64, now time.Time) bool {
+func (h *holder) isSettled(k uint64) bool {
 	end := time.Unix(0, int64(k+1)*int64(h.window))
-	over := now.Sub(end)
+	over := h.state.clock.Now().Sub(end)
 	if over < usageSettle {
 		return false
 	}
 	delay := settings.Seconds(h.state.options.Settings.Bounds.UsageDelayS)
-	return over > time.Duration(usageLatest*float64(delay)) || h.state.entries.allPolledSince(end.Add(usageSettle/2), now)
+	return over > time.Duration(usageLatest*float64(delay)) || h.state.entries.allPolledWithin(over-usageSettle/2, time.Now())
 }
 
 // reportWindow stores the counts before it sends them, so that another holder
--- a/internal/gateway/state/entries.go
+++ b/internal/gateway/state/entries.go
@@ -74,12 +74,12 @@
 	return list
 }
 
-// allPolledSince reports whether every entry that polled lately did so after a time.
-func (e *entries) allPolledSince(at, now time.Time) bool {
+// allPolledWithin reports whether every entry that polled lately did so within a time.
+func (e *entries) allPolledWithin(within time.Duration, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, one := range e.list {
-		if now.Sub(one.polled) <= entryMemory && one.polled.Before(at) {
+		if silent := now.Sub(one.polled); silent <= entryMemory && silent > within {
 			return false
 		}
 	}
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -82,7 +82,7 @@
 	sum := s.entries.totals(time.Now())
 	reply = &link.PollReply{
 		Run: s.run, Whole: request.Run != s.run, Endpoints: list, Change: change,
-		Leads: s.leads(), Leaderless: s.isLeaderless(), Replicas: s.members(), Entries: sum.entries, Demand: sum.demand, Crashes: s.entries.crashes(request.Entry),
+		Leads: s.leads(), Leaderless: s.isLeaderless(), Replicas: s.members(), Entries: sum.entries, Demand: sum.demand, Crashes: s.entries.crashes(request.Entry), TimeNS: s.clock.Now().UnixNano(),
 	}
 	if generation.Number > request.Generation {
 		reply.Generation = generation.Number
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -18,6 +18,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/replica"
 	"github.com/boragelead/boragelead/internal/settings"
@@ -78,6 +79,7 @@
 	usage    *meter.Ledger
 	entries  *entries
 	common   *quota.Common
+	clock    *walltime.Clock
 	versions versions
 	// remembered is the registry change that was written last.
 	remembered uint64
@@ -107,6 +109,7 @@
 		registry: registry.New(missedHeartbeats * settings.Millis(s.Bounds.HeartbeatMS)),
 		usage:    meter.NewLedger(),
 		entries:  newEntries(),
+		clock:    walltime.New(time.Now(), bootclock.Now()),
 		common: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -74,6 +74,7 @@
 	folder  string
 	state   *state.State
 	rpc     *peerrpc.Node
+	metrics *telemetry.Registry
 }
 
 // group is some replicas, each on an address of its own.
@@ -109,13 +110,14 @@
 		n.folder = old.folder
 	}
 	n.rpc = peerrpc.New(peerrpc.Options{})
+	n.metrics = telemetry.NewRegistry()
 	config := &settings.Gateway{
 		Name: ip, Role: settings.RoleState, IP: ip, PeerPort: gr.port, Seeds: gr.seeds, Bootstrap: bootstrap, DataFolder: n.folder, Domains: []string{"a"},
 		Bounds: settings.GatewayBounds{HeartbeatMS: 300, UsageWindowS: 1, UsageDelayS: 3, LeaseMS: 500},
 	}
 	var err error
 	n.state, err = state.Start(state.Options{
-		Settings: config, Decode: decode, Duties: gr.cloud, RPC: n.rpc, Log: zap.NewNop(), Metrics: telemetry.NewRegistry(), OnStop: func(error) {},
+		Settings: config, Decode: decode, Duties: gr.cloud, RPC: n.rpc, Log: zap.NewNop(), Metrics: n.metrics, OnStop: func(error) {},
 	})
 	gr.g.Expect(err).NotTo(HaveOccurred())
 	listener, err := net.Listen("tcp4", n.address)
@@ -342,6 +344,24 @@
 	gr.g.Expect(endpoints()).To(BeZero())
 }
 
+// Guards against memory that grows at replicas without the lease of the
+// duties: they collect counts as well, and only the holder forgot old ones.
+func TestEveryReplicaForgetsOldUsage(t *testing.T) {
+	gr := newGroup(t)
+	gr.eventuallyPut("127.0.0.1", document(1, "first"))
+	now := meter.WindowAt(time.Now(), time.Second)
+	for back := range uint64(60) {
+		usage := []meter.Counts{{Window: now - back, Counts: map[string]int{"w": 1}}}
+		for ip := range gr.nodes {
+			gr.poll(ip, &link.PollRequest{Entry: "e", Incarnation: 1, Usage: usage})
+		}
+	}
+	for ip, n := range gr.nodes {
+		gr.g.Eventually(func() int64 { return n.metrics.Gauge("state_usage_windows").Value() }, "3s", "50ms").Should(
+			And(BeNumerically(">", 0), BeNumerically("<=", 6)), ip)
+	}
+}
+
 // Guards against usage that is reported twice with different counts when the
 // holder of the duties changes, and against windows that are never reported.
 func TestUsageIsReportedOnceAcrossHolders(t *testing.T) {
