Keep the fleet that is there until the load is known

Change: until the load has been known for 20 s the planner keeps as many endpoints per domain as it found.

TestFoundFleetStaysUntilLoadIsKnown.

--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -22,8 +22,9 @@
 	// perDomain reclaimable endpoints stand in each domain at least, so that a
 	// domain that is cut off can serve on its own.
 	perDomain = 3
-	// newPerDomain stand there until the load has been known for learnTime: a
-	// burst may come before anything is known of the usual load.
+	// newPerDomain stand there, or as many as there were at first, until the
+	// load has been known for learnTime: a burst may come before anything is
+	// known of the usual load.
 	newPerDomain = 4
 	learnTime    = 20 * time.Second
 	// perDomainNeed is the least load that is planned for, in endpoints per domain.
@@ -73,6 +74,9 @@
 	updated time.Time
 	// loaded is when the first request was in flight.
 	loaded time.Time
+	// found is the number of endpoints before the first request, of the kind
+	// that had most: one kind may be replaced by the other meanwhile.
+	found int
 }
 
 type order struct {
@@ -103,6 +107,9 @@
 		return nil
 	}
 	running := count(in.Endpoints)
+	if p.loaded.IsZero() {
+		p.found = max(p.found, largestKind(running))
+	}
 	p.updateNeed(in)
 	want := p.wanted(in, running)
 	var orders []port.CountOrder
@@ -130,6 +137,15 @@
 	return running
 }
 
+// largestKind returns the number of endpoints in all domains of the kind that has most.
+func largestKind(running map[key]int) int {
+	sums := make(map[bool]int)
+	for k, n := range running {
+		sums[k.reclaimable] += n
+	}
+	return max(sums[true], sums[false])
+}
+
 // updateNeed follows the load.
 func (p *Planner) updateNeed(in *Input) {
 	slots := defaultSlots
@@ -155,7 +171,7 @@
 	want := make(map[key]int)
 	least := perDomain
 	if p.loaded.IsZero() || in.Now.Sub(p.loaded) < learnTime {
-		least = newPerDomain
+		least = max(newPerDomain, p.found/len(in.Domains))
 	}
 	each := max(int(math.Ceil(p.need*burstFactor/float64(len(in.Domains)))), least, s.Min)
 	present := make([]int, 0, len(in.Domains))
--- a/internal/gateway/scale/plan_test.go
+++ b/internal/gateway/scale/plan_test.go
@@ -188,3 +188,27 @@
 	}
 	g.Expect(New().Plan(&Input{Now: start, Service: &rules.Service{}, Domains: domains})).To(BeEmpty())
 }
+
+// Guards against a large fleet that is taken down to the least number before
+// the first requests come: on the grown calendar site 60 endpoints became 20,
+// and the first seconds of a calm day served 0.7 of the worth.
+func TestFoundFleetStaysUntilLoadIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	c := &cloud{t: start, running: map[key]int{}}
+	for _, domain := range domains {
+		c.running[key{domain, false}] = 6
+	}
+	p := New()
+	for range 40 {
+		c.step(p, 0)
+	}
+	g.Expect(largestKind(c.running)).To(Equal(24))
+	for range 39 {
+		c.step(p, 2)
+	}
+	g.Expect(largestKind(c.running)).To(Equal(24))
+	for range 60 {
+		c.step(p, 2)
+	}
+	g.Expect(largestKind(c.running)).To(Equal(perDomain*len(domains)), "the load is known now")
+}
