Read the settings again at a hangup and when the file changes

Cause: a hangup was only noted in the log, and an entry knew new seeds only after a restart; with all former replicas replaced behind a partition it found none. A state replica also closed the connections of operators at a stop before their requests had ended.

Change: the settings file is read every three seconds and at a hangup; seeds that changed take effect at once, broken settings leave the former ones in force, with one line in the log. A replica that stops lets requests of operators end for 1.5 s.

Ruled out: a watcher of the file system, which the platform's files may not trigger, and applying other fields: listeners and bounds need a restart.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -1,16 +1,15 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,6 +33,8 @@
 	controlHeaderTimeout = 5 * time.Second
 	// stopPause keeps a replica whose disk fails from restarting in a tight loop.
 	stopPause = 500 * time.Millisecond
+	// controlGrace is how long requests of operators may still take at a stop.
+	controlGrace = 1500 * time.Millisecond
 	// exitReplica is the exit code after the replica stopped.
 	exitReplica = 5
 )
@@ -54,7 +55,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(config.Limits.MemoryMB) * megabyte))
 	}
 	log.Info("Daemon starts.", zap.String("role", string(role)), zap.String("failure_domain", config.FailureDomain), zap.Strings("seeds", config.Seeds))
-	g := &gatewayDaemon{config: config, log: log, metrics: telemetry.NewRegistry(), rpc: peerrpc.New(peerrpc.Options{Name: config.Name})}
+	g := &gatewayDaemon{config: config, log: log, metrics: telemetry.NewRegistry(), rpc: peerrpc.New(peerrpc.Options{Name: config.Name}), seeds: config.Seeds}
 	if err := g.serveMetrics(); err != nil {
 		log.Warn("Metrics not served.", zap.Error(err))
 	}
@@ -77,6 +78,10 @@
 	log     *zap.Logger
 	metrics *telemetry.Registry
 	rpc     *peerrpc.Node
+	// seeds are those in effect.
+	seeds []string
+	// settingsBroken is set while the settings file cannot be used.
+	settingsBroken bool
 }
 
 func (g *gatewayDaemon) serveMetrics() error {
@@ -105,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	g.awaitStop()
+	g.awaitStop(e.SetSeeds)
 	server.Drain()
 	return nil
 }
@@ -134,8 +139,14 @@
 			g.log.Error("Listener ended.", zap.String("address", g.config.Listen.Control), zap.Error(err))
 		}
 	}()
-	g.awaitStop()
-	_ = server.Close()
+	// A replica learns the addresses of the others from the replicated state.
+	g.awaitStop(func([]string) {})
+	ctx, cancel := context.WithTimeout(context.Background(), controlGrace)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		g.log.Warn("Requests of operators cut off.", zap.Error(err))
+		_ = server.Close()
+	}
 	s.Close()
 	return nil
 }
@@ -147,17 +158,3 @@
 	time.Sleep(stopPause)
 	os.Exit(exitReplica)
 }
-
-// awaitStop returns at the first signal to stop. A hangup is only noted: the
-// settings in effect are read at the next start.
-func (g *gatewayDaemon) awaitStop() {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for one := range signals {
-		if one != syscall.SIGHUP {
-			g.log.Info("Signal to stop.", zap.String("signal", one.String()))
-			return
-		}
-		g.log.Info("Settings reloaded.")
-	}
-}
--- a/internal/gateway/entry/follow.go
+++ b/internal/gateway/entry/follow.go
@@ -42,11 +42,19 @@
 }
 
 func newFollowPlan(name string, limit int, seeds []string) *followPlan {
-	p := &followPlan{name: name, limit: limit, seeds: seeds, known: make(map[string]*candidate)}
+	p := &followPlan{name: name, limit: limit, known: make(map[string]*candidate)}
+	p.setSeeds(seeds)
+	return p
+}
+
+// setSeeds takes the seeds of new settings.
+func (p *followPlan) setSeeds(seeds []string) {
+	p.seeds = seeds
 	for _, address := range seeds {
-		p.known[address] = &candidate{}
+		if p.known[address] == nil {
+			p.known[address] = &candidate{}
+		}
 	}
-	return p
 }
 
 // named notes which replicas there are.
--- a/internal/gateway/entry/links.go
+++ b/internal/gateway/entry/links.go
@@ -79,6 +79,15 @@
 	l.adjust()
 }
 
+// SetSeeds takes the addresses of new settings.
+func (e *Entry) SetSeeds(seeds []string) {
+	l := e.links
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.plan.setSeeds(PeerAddresses(seeds, e.options.Settings.PeerPort))
+	l.adjust()
+}
+
 // adjust begins and ends polls as planned. It must be called with the lock held.
 func (l *links) adjust() {
 	e := l.entry
