Send prompts with the same shared parts to the same endpoint

Cause: each entry knows only which prompt parts it sent itself.

Change: all entries rank the endpoints by rendezvous hashing on the last shared part, and the first one counts as nearer by the time that reading the shared parts takes. No message is needed, and an endpoint that leaves moves its own parts alone.

--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -43,6 +43,8 @@
 	// slowness is the learned ratio of its answer times to those of its service.
 	slowness float64
 	resident *residence
+	// seed is the part of the endpoint in the choice of homes.
+	seed uint64
 }
 
 // Board keeps the endpoints by service. It is safe for concurrent use.
@@ -80,7 +82,7 @@
 	for _, e := range list {
 		s := old[e.ID]
 		if s == nil || s.endpoint.Born != e.Born || s.endpoint.Address != e.Address {
-			s = &stats{slowness: 1, resident: newResidence()}
+			s = &stats{slowness: 1, resident: newResidence(), seed: seedOf(e.ID)}
 		}
 		s.endpoint = e
 		b.endpoints[e.ID] = s
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -102,6 +102,10 @@
 		return nil, &NoEndpointError{Service: r.Service, Known: len(members), DroppedBy: dropped}
 	}
 	scores := make([]float64, len(views))
+	parts := shared(r.Prefix)
+	if home := homeOf(parts, views); home >= 0 {
+		scores[home] = -float64(homeBonus(parts)) / prefillTokensPerS
+	}
 	for i := range views {
 		for _, scorer := range b.scorers {
 			scores[i] += scorer.Seconds(r, &views[i])
--- a/internal/gateway/pick/pick_test.go
+++ b/internal/gateway/pick/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -194,3 +195,34 @@
 	choose(g, b, request(start))
 	g.Expect(b.Update(nil)).To(ConsistOf("one:1"))
 }
+
+// Guards against long shared prompts that every entry reads at an endpoint of
+// its own, and against all of them at one endpoint.
+func TestEntriesAgreeOnTheHomeOfAPrompt(t *testing.T) {
+	g := NewWithT(t)
+	var endpoints []registry.Endpoint
+	for i := range 40 {
+		endpoints = append(endpoints, registry.Endpoint{
+			ID: fmt.Sprint("i-", i), Service: "llm", Address: fmt.Sprint("10.0.0.", i, ":1"), Domain: fmt.Sprint(i % 4), Slots: 64, State: registry.Ready, Born: 1,
+		})
+	}
+	homes := map[string]int{}
+	for subject := range 400 {
+		prefix := []port.PromptPart{{ID: 1, Tokens: 512}, {ID: uint64(1000 + subject), Tokens: 4870}, {ID: uint64(1e6 + subject), Tokens: 6610}}
+		chosen := map[string]bool{}
+		for entry := range 8 {
+			b := NewBoard(rand.New(rand.NewPCG(uint64(entry), uint64(subject))).Float64)
+			b.Update(endpoints)
+			choice, err := b.Choose(&Request{Service: "llm", Domain: fmt.Sprint(entry % 4), Prefix: prefix, PromptTokens: 12_000, Now: time.Unix(1000, 0)})
+			g.Expect(err).NotTo(HaveOccurred())
+			chosen[choice.Endpoint.ID] = true
+		}
+		g.Expect(chosen).To(HaveLen(1))
+		for id := range chosen {
+			homes[id]++
+		}
+	}
+	for id, n := range homes {
+		g.Expect(n).To(BeNumerically("<=", 30), id)
+	}
+}
