Move running streams away from reclaimed endpoints with their memory

Cause: a reclaimed endpoint is gone 1.5 to 2.5 s after its notice, and streams last longer.

Change: an entry moves what still runs at a reclaimable endpoint 0.7 s after it began to drain: the endpoint stops the run and copies its memory, and the stream goes on at the other one after the last event that the caller has. Endpoints that drain without being reclaimed keep theirs.

Ruled out: asking each endpoint for the time it has left.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -40,6 +40,8 @@
 	err      error
 	// held is set where the request must not run anywhere now.
 	held *Refusal
+	// moved is set where the run goes on at another endpoint.
+	moved *move
 }
 
 // connectionShare is the number of connections that this entry may hold to one
@@ -104,7 +106,7 @@
 	}
 	x.endpoint = choice.Endpoint.ID
 	if x.route.Kind == rules.Streaming && answer.StatusCode == http.StatusOK {
-		return x.stream(choice, answer)
+		return x.stream(ctx, choice, answer)
 	}
 	return x.plain(choice, answer)
 }
@@ -123,9 +125,10 @@
 	if x.lastID != noID {
 		d.ResumeAfter = strconv.FormatInt(x.lastID, 10)
 	}
+	d.Memory, x.memory = x.memory, ""
 	x.entry.options.Dialect.Dispatch(header, d)
 	request := &wire.Request{Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body}
-	if x.route.Repeatable() && len(x.tried)+1 < x.route.MaxAttempts {
+	if x.route.Repeatable() && x.attempts()+1 < x.route.MaxAttempts {
 		silence := max(silentTargets*x.route.Target, minSilent)
 		timer := time.AfterFunc(silence, cancel)
 		defer timer.Stop()
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -65,6 +65,10 @@
 	ran bool
 	// misdirected counts sends to an address that another endpoint has now.
 	misdirected int
+	// moves counts the attempts that went on with the run of the one before.
+	moves int
+	// memory names the copy that the next attempt goes on with.
+	memory string
 	// counted is set once the request was counted as run.
 	counted bool
 	// whole is set once the whole answer was read.
@@ -209,17 +213,28 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline.Add(timeoutSlack))
 	defer cancel()
 	unsent := 0
+	var choice *pick.Choice
 	for {
-		choice, err := x.choose(ctx)
+		var err error
+		if choice == nil {
+			choice, err = x.choose(ctx)
+		}
 		if err != nil {
 			return x.giveUp(ctx, err)
 		}
+		tried := choice.Endpoint.ID
 		result := x.attempt(ctx, choice)
+		choice = nil
 		switch {
 		case result.held != nil:
 			return x.giveUp(ctx, result.held)
 		case result.done:
 			return nil
+		case result.moved != nil:
+			x.moves++
+			x.ran = true
+			choice, x.memory = result.moved.choice, result.moved.memory
+			continue
 		case x.r.Context().Err() != nil:
 			return &Refusal{Reason: ReasonCallerGone, Err: context.Cause(x.r.Context())}
 		case !result.sent:
@@ -233,7 +248,7 @@
 			return x.giveUp(ctx, result.err)
 		}
 		x.entry.metrics.repeats.Inc()
-		x.entry.log.Info("Request sent again.", zap.String("request", x.meta.AttemptID), zap.String("endpoint", choice.Endpoint.ID),
+		x.entry.log.Info("Request sent again.", zap.String("request", x.meta.AttemptID), zap.String("endpoint", tried),
 			zap.Int("attempts", len(x.tried)), zap.Bool("not_run", result.notRun), zap.Int64("after_event", x.lastID), zap.Error(result.err))
 	}
 }
@@ -246,18 +261,25 @@
 	if x.begun && x.lastID == noID {
 		return false
 	}
-	if len(x.tried)-x.misdirected >= max(x.route.MaxAttempts, 1) || x.misdirected > maxMisdirected || time.Until(x.deadline) < minAttempt {
+	if x.attempts() >= max(x.route.MaxAttempts, 1) || x.misdirected > maxMisdirected || time.Until(x.deadline) < minAttempt {
 		return false
 	}
 	return x.entry.repeats.Repeat(x.service.Name, time.Now())
 }
 
-// choose picks an endpoint, waiting a little where none has room.
-func (x *call) choose(ctx context.Context) (*pick.Choice, error) {
-	request := &pick.Request{
+// attempts counts the runs that the request may have had.
+func (x *call) attempts() int { return len(x.tried) - x.misdirected - x.moves }
+
+func (x *call) pickRequest() *pick.Request {
+	return &pick.Request{
 		Service: x.service.Name, Domain: x.entry.options.Settings.FailureDomain, Prefix: x.meta.Prefix,
 		PromptTokens: x.meta.PromptTokens, Avoid: x.tried, MaxConnections: x.entry.connectionShare(x.service),
 	}
+}
+
+// choose picks an endpoint, waiting a little where none has room.
+func (x *call) choose(ctx context.Context) (*pick.Choice, error) {
+	request := x.pickRequest()
 	wait := time.Duration(waitShare * float64(x.route.Target))
 	if x.ran {
 		// A request that ran is not refused any more: late is better than failed.
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -65,6 +65,7 @@
 	client      *exchange.Client
 	links       *links
 	crashes     *crashWatch
+	migrations  *migrations
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -104,6 +105,7 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.links = newLinks(e)
 	e.crashes = newCrashWatch(e)
+	e.migrations = newMigrations(e)
 	return e
 }
 
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -56,6 +56,14 @@
 // Error implements error.
 func (e *AnswerError) Error() string { return "answer of endpoint " + e.Endpoint + ": " + e.Problem }
 
+// BudgetError says that a service got as many further requests as it may.
+type BudgetError struct{ Service string }
+
+// Error implements error.
+func (e *BudgetError) Error() string {
+	return "budget of further requests to service " + e.Service + " is spent"
+}
+
 // statusNotRun promises that a request has not run.
 const statusNotRun = http.StatusServiceUnavailable
 
--- a/internal/gateway/entry/links.go
+++ b/internal/gateway/entry/links.go
@@ -265,6 +265,8 @@
 	list := l.directory.Endpoints()
 	unused := e.board.Update(list)
 	l.mu.Unlock()
+	e.migrations.leaving(list)
+	e.migrations.forget(list)
 	for _, one := range unused {
 		e.client.Forget(one)
 	}
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -6,6 +6,7 @@
 type metrics struct {
 	requests, answered, refused, failed, gone *telemetry.Counter
 	attempts, repeats, resumed, lost          *telemetry.Counter
+	moves, movesFailed                        *telemetry.Counter
 	firstByte, total                          *telemetry.Latency
 	inFlight                                  *telemetry.Gauge
 	registry                                  *telemetry.Registry
@@ -20,6 +21,7 @@
 		refused: r.Counter("gateway_refused"), failed: r.Counter("gateway_failed"), gone: r.Counter("gateway_callers_gone"),
 		attempts: r.Counter("gateway_attempts"), repeats: r.Counter("gateway_repeats"),
 		resumed: r.Counter("gateway_resumed"), lost: r.Counter("gateway_answers_lost"),
+		moves: r.Counter("gateway_moves"), movesFailed: r.Counter("gateway_moves_failed"),
 		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
 		inFlight: r.Gauge("gateway_in_flight"), registry: r,
 	}
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -21,7 +22,7 @@
 
 // stream passes events on as they arrive. A stream that breaks can go on at
 // another endpoint after the last event that the caller has.
-func (x *call) stream(choice *pick.Choice, answer *wire.Answer) outcome {
+func (x *call) stream(ctx context.Context, choice *pick.Choice, answer *wire.Answer) outcome {
 	events := newEventReader(answer)
 	resuming := x.begun
 	if resuming {
@@ -29,6 +30,8 @@
 	}
 	patience := x.patience()
 	firstEvent := true
+	var run *streamRun
+	defer func() { x.leaveRun(run, choice) }()
 	for {
 		if patience > 0 {
 			answer.SetDeadline(time.Now().Add(patience))
@@ -43,6 +46,10 @@
 		}
 		if err != nil {
 			answer.Discard()
+			if moved := x.awaitMove(ctx, run, choice); moved != nil {
+				run = nil
+				return outcome{sent: true, moved: moved}
+			}
 			if x.r.Context().Err() == nil {
 				choice.Failed(time.Now())
 				x.entry.crashes.lost(&choice.Endpoint)
@@ -62,13 +69,47 @@
 			answer.Discard()
 			return outcome{done: true, sent: true, err: err}
 		}
+		if run == nil && x.lastID != noID && x.service.Engine != nil && x.service.Engine.Migrates {
+			run = x.entry.migrations.begin(x, choice.Endpoint.ID)
+		}
+	}
+}
+
+// awaitMove returns the move of a run whose stream ended, or nil if there is
+// none that can be gone on with. The run is then no longer noted.
+func (x *call) awaitMove(ctx context.Context, run *streamRun, choice *pick.Choice) *move {
+	if run == nil {
+		return nil
+	}
+	mv := x.entry.migrations.end(run, choice.Endpoint.ID)
+	if mv == nil {
+		return nil
+	}
+	select {
+	case <-mv.done:
+	case <-ctx.Done():
+		return nil
+	}
+	if mv.err != nil || mv.choice == nil {
+		return nil
+	}
+	return mv
+}
+
+// leaveRun ends the note of a run, and frees a move that is not gone on with.
+func (x *call) leaveRun(run *streamRun, choice *pick.Choice) {
+	if run == nil {
+		return
+	}
+	if mv := x.entry.migrations.end(run, choice.Endpoint.ID); mv != nil {
+		x.entry.group.Go(func() { x.entry.migrations.unused(mv) })
 	}
 }
 
 // patience is how long a stream may be silent; 0 means until the deadline. A
 // stream that cannot be resumed gains nothing from an early end.
 func (x *call) patience() time.Duration {
-	if !x.route.Resumable || len(x.tried) >= x.route.MaxAttempts {
+	if !x.route.Resumable || x.attempts() >= x.route.MaxAttempts {
 		return 0
 	}
 	return max(silentGaps*x.route.MaxGap, minGap)
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -33,6 +33,9 @@
 	Seq uint64 `msgpack:"q"`
 	// Reclaimable endpoints may be taken away at short notice.
 	Reclaimable bool `msgpack:"r,omitempty"`
+	// LeavesMS is the time that a draining endpoint had left when it said so,
+	// in milliseconds; 0 where it is not known.
+	LeavesMS int64 `msgpack:"l,omitempty"`
 }
 
 // supersedes reports whether e is newer than old. Within an incarnation a
@@ -48,10 +51,14 @@
 	return e.Seq > old.Seq
 }
 
-// sameView reports whether two announcements differ only in their sequence number.
+// sameView reports whether two announcements differ only in their sequence
+// number, or in a time that passed.
 func (e *Endpoint) sameView(old *Endpoint) bool {
 	a, b := *e, *old
 	a.Seq, b.Seq = 0, 0
+	if a.LeavesMS > 0 && b.LeavesMS > 0 {
+		a.LeavesMS = b.LeavesMS
+	}
 	return a == b
 }
 
--- a/internal/gateway/rules/document.go
+++ b/internal/gateway/rules/document.go
@@ -77,6 +77,8 @@
 type Engine struct {
 	// Slots is the number of requests that run at a time.
 	Slots int
+	// Migrates is set where a run can be moved with its memory.
+	Migrates bool
 }
 
 // Scaling bounds the endpoints of a service per failure domain.
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -39,6 +40,36 @@
 	Priority int
 	// ResumeAfter makes the endpoint go on after an event.
 	ResumeAfter string
+	// Memory names the copy of the memory of a moved run; empty without one.
+	Memory string
+}
+
+// Move asks an endpoint to stop a run and to copy its memory to another one.
+type Move struct {
+	EndpointID string
+	AttemptID  string
+	// To is the address of the other endpoint, IP:port.
+	To string
+	// From is the address of the endpoint that runs the request.
+	From string
+}
+
+// EndpointCall is a call of the gateway's own to an endpoint.
+type EndpointCall struct {
+	Method, Target string
+	Header         http.Header
+	Body           []byte
+}
+
+// MoveError says that an endpoint did not move a run.
+type MoveError struct {
+	EndpointID string
+	Status     int
+}
+
+// Error implements error.
+func (e *MoveError) Error() string {
+	return "endpoint " + e.EndpointID + " did not move a run, status " + strconv.Itoa(e.Status)
 }
 
 // EndpointLoad is what an endpoint says of its load in an answer.
@@ -70,4 +101,11 @@
 	// gateway, into those for an endpoint.
 	Dispatch(header http.Header, d Dispatch)
 	Answer(status int, header http.Header) AnswerMeta
+	// Move returns the call that moves a run, and Moved reads its answer: the
+	// name of the copy for Dispatch. The error is a *MoveError.
+	Move(m Move) (EndpointCall, error)
+	Moved(m Move, status int, body []byte) (memory string, err error)
+	// Release returns the call, to the endpoint that ran the request, that
+	// frees a copy which is not needed any more.
+	Release(m Move, memory string) EndpointCall
 }
