Size the first fleet by the limits of the workspaces

The planner saw the load at 0.4 s and ordered six per domain; the leader was killed at 1.0 s, and the next holder of the duties ordered at 5.2 s.

Change: until the load has been known for 20 s there are also at least as many endpoints as half of the workspaces' token limits need, at 35,000 tokens a second and endpoint.

Ruled out: a shorter lease of the duties, which the agreed time forbids.

TestLimitsOfWorkspacesSuggestTheFirstFleet.

--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -22,11 +22,16 @@
 	// perDomain reclaimable endpoints stand in each domain at least, so that a
 	// domain that is cut off can serve on its own.
 	perDomain = 3
-	// newPerDomain stand there, or as many as there were at first, until the
-	// load has been known for learnTime: a burst may come before anything is
-	// known of the usual load.
+	// newPerDomain stand there, or as many as there were at first, or as many as
+	// the limits of the workspaces suggest, until the load has been known for
+	// learnTime: a burst may come before anything is known of the usual load.
 	newPerDomain = 4
 	learnTime    = 20 * time.Second
+	// limitUsed is the part of their limits that workspaces use together.
+	limitUsed = 0.5
+	// endpointTokensPerS is what an engine carries with answers on time, in
+	// tokens of the limits per second.
+	endpointTokensPerS = 35_000
 	// perDomainNeed is the least load that is planned for, in endpoints per domain.
 	perDomainNeed = 1
 	// riseTime and fallTime smooth the load. A burst is over before an endpoint
@@ -55,6 +60,8 @@
 	Endpoints []registry.Endpoint
 	// InFlight counts the requests in flight at all entries.
 	InFlight int
+	// LimitTokensPerS is the sum of the limits of all workspaces that count tokens.
+	LimitTokensPerS float64
 }
 
 // key names a kind of endpoint in a domain.
@@ -171,7 +178,7 @@
 	want := make(map[key]int)
 	least := perDomain
 	if p.loaded.IsZero() || in.Now.Sub(p.loaded) < learnTime {
-		least = max(newPerDomain, p.found/len(in.Domains))
+		least = max(newPerDomain, p.found/len(in.Domains), in.suggested())
 	}
 	each := max(int(math.Ceil(p.need*burstFactor/float64(len(in.Domains)))), least, s.Min)
 	present := make([]int, 0, len(in.Domains))
@@ -230,6 +237,15 @@
 	}
 }
 
+// suggested returns the endpoints per domain that the limits of the workspaces suggest.
+func (in *Input) suggested() int {
+	if in.Service.Engine == nil {
+		return 0
+	}
+	endpoints := in.LimitTokensPerS * limitUsed / endpointTokensPerS
+	return int(math.Ceil(endpoints / float64(len(in.Domains))))
+}
+
 func (p *Planner) isRefused(k key, now time.Time) bool {
 	at, known := p.refused[k]
 	return known && now.Sub(at) < refusedPause
--- a/internal/gateway/scale/plan_test.go
+++ b/internal/gateway/scale/plan_test.go
@@ -212,3 +212,22 @@
 	}
 	g.Expect(largestKind(c.running)).To(Equal(perDomain*len(domains)), "the load is known now")
 }
+
+// Guards against a fleet that is far too small when the first requests come: on
+// a scale day of the grown portfolio site 16 endpoints met 1,000 requests a second.
+func TestLimitsOfWorkspacesSuggestTheFirstFleet(t *testing.T) {
+	g := NewWithT(t)
+	in := &Input{Now: start, Service: service(), Domains: domains, LimitTokensPerS: 1_100_000, Endpoints: (&cloud{running: map[key]int{{"a", true}: 1}}).endpoints()}
+	p := New()
+	for _, order := range p.Plan(in) {
+		if order.Reclaimable {
+			g.Expect(order.Count).To(Equal(4), order.FailureDomain)
+		}
+	}
+	in.LimitTokensPerS, in.Now = 1_200_000, start.Add(time.Second)
+	for _, order := range p.Plan(in) {
+		if order.Reclaimable {
+			g.Expect(order.Count).To(Equal(5), order.FailureDomain)
+		}
+	}
+}
--- a/internal/gateway/state/scaling.go
+++ b/internal/gateway/state/scaling.go
@@ -37,30 +37,40 @@
 		if service.Scaling == nil {
 			continue
 		}
-		h.orderService(service, live, sum.load[service.Name], now)
+		h.orderService(service, live, &scale.Input{
+			Now: now, Service: service, Domains: h.state.options.Settings.Domains,
+			InFlight: sum.load[service.Name], LimitTokensPerS: tokenLimits(table.Document.Workspaces),
+		})
 	}
 }
 
-func (h *holder) orderService(service *rules.Service, live []registry.Endpoint, inFlight int, now time.Time) {
+// tokenLimits adds up the limits that count tokens, per second.
+func tokenLimits(workspaces []rules.Workspace) float64 {
+	sum := 0.0
+	for i := range workspaces {
+		if workspaces[i].CountTokens {
+			sum += workspaces[i].RatePerS
+		}
+	}
+	return sum
+}
+
+func (h *holder) orderService(service *rules.Service, live []registry.Endpoint, in *scale.Input) {
 	planner := h.planners[service.Name]
 	if planner == nil {
 		planner = scale.New()
 		h.planners[service.Name] = planner
 	}
-	var members []registry.Endpoint
 	for i := range live {
 		if live[i].Service == service.Name {
-			members = append(members, live[i])
+			in.Endpoints = append(in.Endpoints, live[i])
 		}
 	}
-	if len(members) == 0 {
+	if len(in.Endpoints) == 0 {
 		return
 	}
-	orders := planner.Plan(&scale.Input{
-		Now: now, Service: service, Domains: h.state.options.Settings.Domains, Endpoints: members, InFlight: inFlight,
-	})
-	for _, order := range orders {
-		h.order(planner, order, inFlight, now)
+	for _, order := range planner.Plan(in) {
+		h.order(planner, order, in.InFlight, in.Now)
 	}
 }
 
