Run a moved stream nowhere else when its endpoint cannot be connected

Cause: after a move the name of the copy is used up by the first attempt. Where that attempt could not connect, nothing was sent, and the next endpoint got the request without the memory: a second run of a stream that may not be resumed, and pieces of two runs in one answer.

Change: an attempt that was not sent leads to another one only if the request may still run elsewhere; the same condition stands before all further attempts.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -238,7 +238,7 @@
 		case x.r.Context().Err() != nil:
 			return &Refusal{Reason: ReasonCallerGone, Err: context.Cause(x.r.Context())}
 		case !result.sent:
-			if unsent++; unsent < maxUnsent {
+			if unsent++; unsent < maxUnsent && x.mayRunElsewhere() {
 				continue
 			}
 			return x.giveUp(ctx, result.err)
@@ -253,12 +253,19 @@
 	}
 }
 
-// mayRepeat asks whether a further attempt is allowed after one that was sent.
-func (x *call) mayRepeat() bool {
+// mayRunElsewhere reports whether a run from the start, or after the last event,
+// can follow what has run so far. A moved run whose new endpoint cannot be
+// connected has run as well.
+func (x *call) mayRunElsewhere() bool {
 	if x.ran && !x.route.Repeatable() {
 		return false
 	}
-	if x.begun && x.lastID == noID {
+	return !x.begun || x.lastID != noID
+}
+
+// mayRepeat asks whether a further attempt is allowed after one that was sent.
+func (x *call) mayRepeat() bool {
+	if !x.mayRunElsewhere() {
 		return false
 	}
 	if x.attempts() >= max(x.route.MaxAttempts, 1) || x.misdirected > maxMisdirected || time.Until(x.deadline) < minAttempt {
