--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -123,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := net.Listen("tcp4", net.JoinHostPort(g.config.IP, strconv.Itoa(g.config.PeerPort)))
+	peers, err := net.Listen("tcp4", cmp.Or(g.config.Listen.Peers, net.JoinHostPort(g.config.IP, strconv.Itoa(g.config.PeerPort))))
 	if err != nil {
 		return err
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -47,6 +47,9 @@
 	Ready   string `json:"ready"`
 	Control string `json:"control"`
 	Metrics string `json:"metrics"`
+	// Peers is where calls between daemons are taken, if not at the own IP and
+	// the peer port, as behind a forwarder.
+	Peers string `json:"peers"`
 }
 
 // GatewayLimits is what the VM gives to the process.
