Let a new group grow to three voters at once

Cause: a new group starts with one voter and promoted one learner a second. Documents that were acknowledged in the first seconds were held by one or two disks.

Change: while there are fewer than three voters and a learner waits, the leader promotes at each tick. For four seconds after its start a replica holds a document back until there are as many voters as seeds; then a seed that is down must not keep documents out.

Ruled out: founding with all seeds as voters at once. It needs a second exchange before the first term, in which each identity is learned and stored, for a window that is now some ticks long; a disk that is lost within it still ends the group.

--- a/internal/gateway/state/documents.go
+++ b/internal/gateway/state/documents.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -36,6 +37,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.awaitVoters(ctx); err != nil {
+		return err
+	}
 	for range maxConflicts {
 		current, err := s.replica.Current(ctx)
 		if err != nil {
@@ -65,6 +69,36 @@
 	return &port.NoQuorumError{Group: "main", Err: errTooManyChanges}
 }
 
+const (
+	// formTime bounds how long after its start a new group may have fewer voters
+	// than seeds; a seed that is down must not keep documents out for longer.
+	formTime = 4 * time.Second
+	formStep = 25 * time.Millisecond
+)
+
+// awaitVoters waits until a new group has grown to as many voters as there are
+// seeds: a document that is acknowledged by a single disk would be lost with it.
+func (s *State) awaitVoters(ctx context.Context) error {
+	for time.Since(s.started) < formTime && s.voters() < len(s.options.Settings.Seeds) {
+		select {
+		case <-time.After(formStep):
+		case <-ctx.Done():
+			return &port.NoQuorumError{Group: "main", Err: ctx.Err()}
+		}
+	}
+	return nil
+}
+
+// voters returns the number of voters as far as is known here.
+func (s *State) voters() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.status == nil {
+		return 0
+	}
+	return len(s.status.Config.Voters)
+}
+
 // errTooManyChanges says that other changes won every round.
 var errTooManyChanges = errors.New("concurrent changes won every round")
 
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -77,6 +77,7 @@
 	log      *zap.Logger
 	address  string
 	run      uint64
+	started  time.Time
 	replica  *replica.Replica
 	registry *registry.Registry
 	usage    *meter.Ledger
@@ -113,6 +114,7 @@
 		options: options, log: telemetry.Log(options.Log, telemetry.PartState),
 		address:  net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 		run:      rand.Uint64() | 1,
+		started:  time.Now(),
 		registry: registry.New(missedHeartbeats * settings.Millis(s.Bounds.HeartbeatMS)),
 		usage:    meter.NewLedger(),
 		entries:  newEntries(),
--- a/internal/replica/member.go
+++ b/internal/replica/member.go
@@ -27,6 +27,17 @@
 	}
 }
 
+// isGrowing reports whether a learner waits for its promotion. A new group has
+// one voter, and until it has three the loss of one disk can end it, so that its
+// growth must not wait for the usual interval.
+func (r *Replica) isGrowing() bool {
+	s := r.raft.Status()
+	return len(s.Config.Voters) < min(r.opts.Voters, safeVoters) && len(s.Config.Learners) > 0
+}
+
+// safeVoters is the number of voters that bear the loss of one disk.
+const safeVoters = 3
+
 // nextChange returns the next step, if one is due. The newer of two members
 // with one address is behind the other in its list.
 func nextChange(s *raft.Status, voters int) (raft.Change, bool) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -245,7 +245,7 @@
 			r.accounted = now
 		}
 	}
-	if now.Sub(r.maintained) >= maintainInterval {
+	if now.Sub(r.maintained) >= maintainInterval || r.isGrowing() {
 		r.maintained = now
 		r.maintain()
 	}
