Trace requests of the gateway and their attempts

Cause: only the OpenAI-compatible path made spans; a request of the gateway showed nothing in a trace. The settings of gateway daemons had no trace section.

Change: one span for the request and one for each attempt, with the request ID, the endpoint and the failure, through the same settings and outputs as the other path. Without an output no span is made. The trace is not passed on to endpoints, whose requests keep the headers of their callers.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -36,6 +36,8 @@
 	stopPause = 500 * time.Millisecond
 	// controlGrace is how long requests of operators may still take at a stop.
 	controlGrace = 1500 * time.Millisecond
+	// traceGrace bounds the last export of spans.
+	traceGrace = 300 * time.Millisecond
 	// exitReplica is the exit code after the replica stopped.
 	exitReplica = 5
 )
@@ -101,9 +103,14 @@
 }
 
 func (g *gatewayDaemon) runEntry() error {
+	tracing, err := telemetry.NewTracing(g.config.Trace, g.config.Name, g.config.FailureDomain)
+	if err != nil {
+		return err
+	}
+	defer g.closeTracing(tracing)
 	e := entry.New(entry.Options{
 		Settings: g.config, Dialect: platform.Dialect{}, Decode: platform.DecodeDocument,
-		Caller: g.rpc, Log: g.log, Metrics: g.metrics,
+		Caller: g.rpc, Log: g.log, Metrics: g.metrics, Tracing: tracing,
 	})
 	e.Start()
 	defer e.Close()
@@ -116,6 +123,15 @@
 	return nil
 }
 
+// closeTracing writes out the spans that are left.
+func (g *gatewayDaemon) closeTracing(tracing *telemetry.Tracing) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceGrace)
+	defer cancel()
+	if err := tracing.Close(ctx); err != nil {
+		g.log.Warn("Spans lost.", zap.Error(err))
+	}
+}
+
 func (g *gatewayDaemon) runState() error {
 	s, err := state.Start(state.Options{
 		Settings: g.config, Decode: platform.DecodeDocument, Duties: platform.NewDuties(g.config.Cloud.Address),
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/telemetry"
 )
 
 const (
@@ -70,7 +71,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	ctx, span := e.options.Tracing.Start(ctx, telemetry.HopAttempt)
+	defer span.End()
+	span.Text("endpoint", choice.Endpoint.ID)
 	result := x.exchange(ctx, cancel, choice)
+	span.Fail(result.err)
 	end(result.done && x.whole)
 	return result
 }
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -15,6 +15,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/telemetry"
 )
 
 const (
@@ -89,14 +90,19 @@
 	e.metrics.requests.Inc()
 	e.metrics.inFlight.Add(1)
 	defer e.metrics.inFlight.Add(-1)
+	ctx, span := e.options.Tracing.Start(telemetry.Extract(r.Context(), r.Header), telemetry.HopCaller)
+	defer span.End()
+	r = r.WithContext(ctx)
 	x := &call{entry: e, w: w, r: r, arrived: time.Now(), lastID: noID, meta: e.options.Dialect.Meta(r.Header)}
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	span.Text("request", x.meta.AttemptID)
 	err := x.prepare()
 	if err == nil {
 		err = x.run()
 	}
+	span.Fail(err)
 	x.finish(err)
 }
 
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -49,6 +49,8 @@
 	Caller   port.PeerCaller
 	Log      *zap.Logger
 	Metrics  *telemetry.Registry
+	// Tracing may be nil, which makes no spans.
+	Tracing *telemetry.Tracing
 }
 
 // Entry serves callers. It is safe for concurrent use.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -39,6 +39,7 @@
 	Bounds     GatewayBounds `json:"bounds"`
 	Cloud      GatewayCloud  `json:"cloud"`
 	Log        Log           `json:"log"`
+	Trace      Trace         `json:"trace"`
 }
 
 // GatewayListen holds the addresses of a gateway daemon as IP:port.
@@ -99,7 +100,7 @@
 
 // ParseGateway decodes and checks the settings of a gateway daemon. The error is an *Error.
 func ParseGateway(data []byte) (*Gateway, error) {
-	g := &Gateway{Log: Log{Level: "info", Format: "json"}}
+	g := &Gateway{Log: Log{Level: "info", Format: "json"}, Trace: Trace{SampleRatio: 1}}
 	if err := json.Unmarshal(data, g); err != nil {
 		return nil, &Error{Field: "$", Message: err.Error()}
 	}
@@ -150,7 +151,7 @@
 	case g.Role == RoleState && (g.Listen.Control == "" || g.DataFolder == ""):
 		return &Error{Field: "listen", Message: "a state replica needs control and data_folder"}
 	}
-	return nil
+	return g.Trace.check()
 }
 
 const maxPort = 65535
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -23,7 +23,7 @@
 func (s *Settings) Validate() error {
 	checks := []func() error{
 		s.checkNames, s.checkListen, s.checkReplica, s.checkDataFolder, s.checkPeerLists,
-		s.checkLimits, s.checkLog, s.checkTrace, s.checkTLS, s.checkAdminKey, s.checkDrain,
+		s.checkLimits, s.checkLog, s.Trace.check, s.checkTLS, s.checkAdminKey, s.checkDrain,
 	}
 	for _, check := range checks {
 		if err := check(); err != nil {
@@ -189,21 +189,21 @@
 	return nil
 }
 
-func (s *Settings) checkTrace() error {
-	if !(s.Trace.SampleRatio >= 0 && s.Trace.SampleRatio <= 1) {
-		return mistake("$.trace.sample_ratio", "must be between 0 and 1, not %v", s.Trace.SampleRatio)
+func (t *Trace) check() error {
+	if !(t.SampleRatio >= 0 && t.SampleRatio <= 1) {
+		return mistake("$.trace.sample_ratio", "must be between 0 and 1, not %v", t.SampleRatio)
 	}
-	if s.Trace.File != "" {
-		if info, err := os.Stat(filepath.Dir(s.Trace.File)); err != nil || !info.IsDir() {
-			return mistake("$.trace.file", "the folder of %s does not exist", s.Trace.File)
+	if t.File != "" {
+		if info, err := os.Stat(filepath.Dir(t.File)); err != nil || !info.IsDir() {
+			return mistake("$.trace.file", "the folder of %s does not exist", t.File)
 		}
 	}
-	if s.Trace.OTLPURL == "" {
+	if t.OTLPURL == "" {
 		return nil
 	}
-	target, err := url.Parse(s.Trace.OTLPURL)
+	target, err := url.Parse(t.OTLPURL)
 	if err != nil || (target.Scheme != "http" && target.Scheme != "https") || target.Host == "" {
-		return mistake("$.trace.otlp_url", "%q is not a URL such as http://10.0.0.9:4318", s.Trace.OTLPURL)
+		return mistake("$.trace.otlp_url", "%q is not a URL such as http://10.0.0.9:4318", t.OTLPURL)
 	}
 	if _, err := netip.ParseAddr(target.Hostname()); err != nil {
 		return mistake("$.trace.otlp_url", "%q is a host name; use an IP number", target.Hostname())
