Explain a request from collected log files

Cause: boragelead explain asked a daemon, which keeps the newest requests of the OpenAI-compatible path in memory. For a request of the gateway, or after a daemon is gone, there was grep alone, and lines of daemons whose clocks differ came in the wrong order.

--- a/cmd/boragelead/command_test.go
+++ b/cmd/boragelead/command_test.go
@@ -227,6 +227,17 @@
 		Expect(out.String()).To(MatchRegexp(`d1 .*\n`))
 	})
 
+	// Guards against an explanation that needs a daemon which may be gone by then.
+	It("explains a request from collected logs", func() {
+		log := filepath.Join(GinkgoT().TempDir(), "log")
+		Expect(os.WriteFile(log, []byte(`{"level":"warn","ts":"2026-12-04T12:00:01.900Z","msg":"Request refused.","daemon":"entry-1","request":"a1","status":429,"reason":"over_quota","ms":4}`+"\n"), 0o600)).To(Succeed())
+		GinkgoT().Setenv(keyVariable, "")
+		Expect(local("explain", "a1", "--log", log)).To(Equal(exitOK), errs.String())
+		Expect(out.String()).To(MatchRegexp(`\* +0.0 ms  entry-1 +Request refused\.  ms=4  reason=over_quota  status=429`))
+		Expect(local("explain", "a2", "--log", log)).To(Equal(exitNotFound))
+		Expect(local("explain", "a1", "--log", log+"x")).To(Equal(exitUsage))
+	})
+
 	// Guards against a key that goes to a stranger.
 	It("refuses a daemon of another authority", func() {
 		authority, err := tlsconfig.NewAuthority()
--- a/cmd/boragelead/exit.go
+++ b/cmd/boragelead/exit.go
@@ -7,6 +7,7 @@
 
 	"github.com/boragelead/boragelead/internal/adminclient"
 	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/logview"
 	"github.com/boragelead/boragelead/internal/status"
 )
 
@@ -60,6 +61,7 @@
 	var behind *notEverywhereError
 	var answered *adminclient.Error
 	var unreachable *adminclient.UnreachableError
+	var unnamed *logview.NotFoundError
 	switch {
 	case err == nil:
 		return exitOK
@@ -76,6 +78,8 @@
 		return exitTimeout
 	case errors.As(err, &unreachable):
 		return exitUnreachable
+	case errors.As(err, &unnamed):
+		return exitNotFound
 	default:
 		return exitFailure
 	}
--- a/cmd/boragelead/status.go
+++ b/cmd/boragelead/status.go
@@ -84,10 +84,15 @@
 func registerExplain(a *app) {
 	var r *remote
 	var request string
+	var logs []string
 	sub := a.add(nil, "explain", "show what happened to a request and why", []string{
 		"boragelead explain 0f3b2c9e --address 10.0.1.11:8083 --key-file key",
 		"boragelead explain 0f3b2c9e --json",
+		"boragelead explain 0f3b2c9e --log entry-1.log --log state-1.log",
 	}, func(ctx context.Context) error {
+		if len(logs) > 0 {
+			return a.explainFromLogs(request, logs, r)
+		}
 		var record telemetry.Explanation
 		err := r.ask(ctx, func(ctx context.Context, client *adminclient.Client) (err error) {
 			record, err = client.Explain(ctx, request)
@@ -99,6 +104,7 @@
 		return r.show(record, func() { a.printExplanation(record) })
 	})
 	sub.AddPositionalValue(&request, "request", 1, true, "request ID, as in X-Request-Id")
+	sub.StringSlice(&logs, "l", "log", "collected log of a daemon or of several; no daemon is asked then")
 	r = a.remoteFlags(sub)
 }
 
