--- /dev/null
+++ b/internal/gateway/pick/bench_test.go
@@ -0,0 +1,39 @@
+package pick
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/port"
+)
+
+// BenchmarkChoose measures one decision with a prompt of three parts, at the
+// endpoints of one failure domain and of all twelve at the target size.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{192, 2300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var endpoints []registry.Endpoint
+			for i := range size {
+				endpoints = append(endpoints, registry.Endpoint{
+					ID: fmt.Sprint("i-", i), Service: "llm", Address: fmt.Sprint("10.0.", i/250, ".", i%250, ":1"),
+					Domain: fmt.Sprint(i % 12), Slots: 64, State: registry.Ready, Born: 1,
+				})
+			}
+			board := NewBoard(rand.Float64)
+			board.Update(endpoints)
+			request := &Request{Service: "llm", Domain: "3", PromptTokens: 12_000, MaxConnections: 50}
+			for b.Loop() {
+				request.Now = time.Now()
+				request.Prefix = []port.PromptPart{{ID: 1, Tokens: 512}, {ID: rand.Uint64N(400), Tokens: 4870}, {ID: rand.Uint64(), Tokens: 6610}}
+				choice, err := board.Choose(request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				choice.End()
+			}
+		})
+	}
+}
