Do not append a failure to a stream that has begun

Cause: where a stream went on at another endpoint and that one answered with a status other than 200, the answer was taken for a plain one: its body was written behind the events that the caller had, and the response ended as if it were whole.

Change: such an answer ends the attempt; another one follows if the request may still run, otherwise the connection is reset.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -110,6 +110,12 @@
 		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "it belongs to another request"}}
 	}
 	x.endpoint = choice.Endpoint.ID
+	if x.begun && answer.StatusCode != http.StatusOK {
+		// The caller already has a part of the stream, to which this answer is no continuation.
+		answer.Discard()
+		choice.Erred(now)
+		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "stream not gone on with, status " + strconv.Itoa(answer.StatusCode)}}
+	}
 	if x.route.Kind == rules.Streaming && answer.StatusCode == http.StatusOK {
 		return x.stream(ctx, choice, answer)
 	}
