Take signals before anything else at the start of a gateway daemon

Cause: the handlers of signals were set after the settings were read, the files of a replica opened and the listeners started. A hangup that came earlier ended the process.

What is left is the time until the Go runtime has started.

Change: signals are taken first and kept until the daemon has started.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +34,8 @@
 	megabyte    = 1 << 20
 	// controlHeaderTimeout bounds the head of a request to the control interface.
 	controlHeaderTimeout = 5 * time.Second
+	// maxSignals are kept until the daemon has started.
+	maxSignals = 4
 	// stopPause keeps a replica whose disk fails from restarting in a tight loop.
 	stopPause = 500 * time.Millisecond
 	// controlGrace is how long requests of operators may still take at a stop.
@@ -44,6 +48,9 @@
 
 // runGateway runs a daemon of the gateway until a signal ends it.
 func runGateway(role settings.GatewayRole) int {
+	// First of all: a hangup that finds no handler ends the process.
+	signals := make(chan os.Signal, maxSignals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	config, err := settings.LoadGateway(os.Getenv(settingsVariable))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -58,7 +65,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(config.Limits.MemoryMB) * megabyte))
 	}
 	log.Info("Daemon starts.", zap.String("role", string(role)), zap.String("failure_domain", config.FailureDomain), zap.Strings("seeds", config.Seeds))
-	g := &gatewayDaemon{config: config, log: log, metrics: telemetry.NewRegistry(), rpc: peerrpc.New(peerrpc.Options{Name: config.Name}), seeds: config.Seeds}
+	g := &gatewayDaemon{config: config, log: log, metrics: telemetry.NewRegistry(), rpc: peerrpc.New(peerrpc.Options{Name: config.Name}), seeds: config.Seeds, signals: signals}
 	if err := g.serveMetrics(); err != nil {
 		log.Warn("Metrics not served.", zap.Error(err))
 	}
@@ -81,6 +88,7 @@
 	log     *zap.Logger
 	metrics *telemetry.Registry
 	rpc     *peerrpc.Node
+	signals chan os.Signal
 	// seeds are those in effect.
 	seeds []string
 	// settingsBroken is set while the settings file cannot be used.
--- a/cmd/borageleadd/reload.go
+++ b/cmd/borageleadd/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
 	"slices"
 	"syscall"
 	"time"
@@ -19,13 +18,11 @@
 // awaitStop returns at the first signal to stop. Meanwhile it reads the settings
 // again at a hangup, and where the file changed without one.
 func (g *gatewayDaemon) awaitStop(setSeeds func([]string)) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case one := <-signals:
+		case one := <-g.signals:
 			if one != syscall.SIGHUP {
 				g.log.Info("Signal to stop.", zap.String("signal", one.String()))
 				return
