Hold requests until a new configuration is in force in all decisions

Cause: Service.configure stored the new generation before it passed the document to the router, the budget and the pools. A request that arrived in between took the generation for applied, met a pool without ranks and was refused with "unknown_rank" (429).

Ruled out: the damaged frames themselves.

Conclusion: the generation is stored last, under a lock that later requests wait for.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -48,8 +48,10 @@
 	isolated atomic.Int64
 	// serviceTurn takes the endpoints of plain services in turn.
 	serviceTurn atomic.Uint32
-	// generation is the configuration that the decisions work by.
-	generation atomic.Uint64
+	// generation is the configuration that all decisions work by. It is stored
+	// last, under configuring.
+	generation  atomic.Uint64
+	configuring sync.Mutex
 }
 
 // New returns a service. Start begins its upkeep.
@@ -102,18 +104,25 @@
 	}
 }
 
-// configure passes a new generation to the decisions.
+// configure passes a new generation to the decisions and returns it. A request
+// that arrives meanwhile waits until all of them work by it.
 func (s *Service) configure() *conf.Active {
 	active := s.options.Config.Current()
 	if active == nil || s.generation.Load() == active.Generation {
 		return active
 	}
-	s.generation.Store(active.Generation)
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
+	active = s.options.Config.Current()
+	if s.generation.Load() == active.Generation {
+		return active
+	}
 	s.router.Configure(active.Document)
 	s.budget.Configure(active.Document.Retry)
 	s.tracker.Configure(active.Document.Retry)
 	s.pools.configure(active.Document)
 	s.directory.invalidate()
+	s.generation.Store(active.Generation)
 	return active
 }
 
