Show life on a peer connection while a large message is coded

Cause: a probe waits behind the message before it on the connection. While one side encodes or decodes a message for longer than the 0.5 s that a probe may take, the other closes the connection as silent. The same holds for the answer: a node that decodes it does not read the answer to its own probe.

Ruled out: the pings of TCP, which tell nothing of the process; a longer bound, which would delay finding a peer that is really silent; marks by the calls in flight, which a frozen peer has as well.

Change: empty frames every 100 ms while a message is coded (internal/adapter/ peerrpc/stream.go, which replaces codec.go).

Conclusion: length of a message no longer counts as silence. A daemon of an older build closes a connection on which it receives an empty frame; only messages that take over 100 ms to code cause one.

--- a/internal/adapter/peerrpc/conn.go
+++ b/internal/adapter/peerrpc/conn.go
@@ -63,7 +63,9 @@
 		}
 		stream = secure
 	}
-	c.rpc = jsonrpc2.NewConn(n.ctx, jsonrpc2.NewBufferedStream(stream, frameCodec{}), refuseAll{},
+	// A message that is being decoded keeps the answer to a probe from being read.
+	frames := newFrameStream(stream, func() { c.health.received(time.Now()) })
+	c.rpc = jsonrpc2.NewConn(n.ctx, frames, refuseAll{},
 		jsonrpc2.SetLogger(quiet), jsonrpc2.OnSend(c.noteBegun))
 	return c, nil
 }
--- a/internal/adapter/peerrpc/node_test.go
+++ b/internal/adapter/peerrpc/node_test.go
@@ -1,6 +1,7 @@
 package peerrpc
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -213,3 +214,18 @@
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", SilenceBound*3/2))
 	t.Logf("replaced after %v", time.Since(began))
 }
+
+// Guards against connections that count as silent while one side still decodes
+// a message, such as a snapshot: the probe waits behind it.
+func TestLargeMessageIsNotSilence(t *testing.T) {
+	const size = 6 << 20
+	g := gomega.NewWithT(t)
+	_, address := start(t, Options{}, map[string]func(context.Context, []byte) ([]byte, error){"echo": echo})
+	client := New(Options{Timeout: time.Minute})
+	defer client.Close()
+	big := make([]byte, size)
+	result, err := client.Call(t.Context(), address, "echo", big)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(bytes.Equal(result, big)).To(gomega.BeTrue())
+	g.Expect(client.Stats().Silent).To(gomega.BeZero())
+}
--- a/internal/adapter/peerrpc/server.go
+++ b/internal/adapter/peerrpc/server.go
@@ -67,7 +67,7 @@
 		stream = secure
 	}
 	handler := &connHandler{node: n}
-	conn := jsonrpc2.NewConn(n.ctx, jsonrpc2.NewBufferedStream(stream, frameCodec{}), handler, jsonrpc2.SetLogger(quiet))
+	conn := jsonrpc2.NewConn(n.ctx, newFrameStream(stream, nil), handler, jsonrpc2.SetLogger(quiet))
 	<-conn.DisconnectNotify()
 }
 
