Authenticate membership datagrams and read peer certificates again

Cause: anyone who can send UDP to a daemon could forge membership, also where TLS is on. Connections between daemons used their own reader of certificates, which read the files once, beside tlsconfig.ForPeers, which reads them again and was used by tests only.

Ruled out: DTLS, which needs a handshake with each of hundreds of peers for one datagram a second; a nonce against copies, since the sequence number of a datagram already makes an old one harmless.

Change: setting peer_key_file, one key a line; the first signs with 16 bytes of HMAC-SHA256 and each is accepted, so that a key is replaced by rolling restarts. Peer connections take their configuration from tlsconfig.ForPeers; the second reader is gone.

Tests: forged, unsigned and short datagrams are dropped and counted, both keys are heard, key files that protect nothing are refused; a server takes a renewed authority without a restart.

--- a/internal/adapter/gossipudp/socket.go
+++ b/internal/adapter/gossipudp/socket.go
@@ -38,19 +38,24 @@
 	BytesSent     uint64 `json:"bytes_sent"`
 	BytesReceived uint64 `json:"bytes_received"`
 	SendErrors    uint64 `json:"send_errors"`
+	// Rejected counts received datagrams whose authentication code does not fit.
+	Rejected uint64 `json:"rejected"`
 }
 
 // Socket sends and receives datagrams. It is safe for concurrent use.
 type Socket struct {
-	conn                                             *net.UDPConn
-	sent, received, bytesSent, bytesReceived, failed atomic.Uint64
+	conn *net.UDPConn
+	keys *Keys
+
+	sent, received, bytesSent, bytesReceived, failed, rejected atomic.Uint64
 }
 
 // published holds the counters of each socket of the process by its name.
 var published = expvar.NewMap("gossipudp")
 
-// Listen opens a socket. The name labels its counters in expvar; empty publishes none.
-func Listen(address, name string) (*Socket, error) {
+// Listen opens a socket. The name labels its counters in expvar; empty publishes
+// none. With keys, datagrams are authenticated: those of others are dropped.
+func Listen(address, name string, keys *Keys) (*Socket, error) {
 	local, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, &AddressError{Address: address, Err: err}
@@ -61,7 +66,7 @@
 	}
 	// A smaller buffer than asked for works as well; it only loses datagrams earlier.
 	_ = conn.SetReadBuffer(receiveBuffer)
-	s := &Socket{conn: conn}
+	s := &Socket{conn: conn, keys: keys}
 	if name != "" {
 		published.Set(name, expvar.Func(func() any { return s.Stats() }))
 	}
@@ -77,6 +82,7 @@
 	if err != nil {
 		return &AddressError{Address: address, Err: err}
 	}
+	data = s.keys.seal(data)
 	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
 		s.failed.Add(1)
 		return eris.Wrapf(err, "send to %s", address)
@@ -102,7 +108,12 @@
 		}
 		s.received.Add(1)
 		s.bytesReceived.Add(uint64(n))
-		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), buffer[:n])
+		data, ok := s.keys.open(buffer[:n])
+		if !ok {
+			s.rejected.Add(1)
+			continue
+		}
+		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), data)
 	}
 }
 
@@ -114,6 +125,7 @@
 		BytesSent:     s.bytesSent.Load(),
 		BytesReceived: s.bytesReceived.Load(),
 		SendErrors:    s.failed.Load(),
+		Rejected:      s.rejected.Load(),
 	}
 }
 
--- a/internal/adapter/gossipudp/socket_test.go
+++ b/internal/adapter/gossipudp/socket_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 )
@@ -11,10 +15,10 @@
 // socket whose Serve does not end with Close.
 func TestSendAndServe(t *testing.T) {
 	g := gomega.NewWithT(t)
-	a, err := Listen("127.0.0.1:0", "")
+	a, err := Listen("127.0.0.1:0", "", nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer a.Close()
-	b, err := Listen("127.0.0.1:0", "b")
+	b, err := Listen("127.0.0.1:0", "b", nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	type got struct{ from, data string }
 	arrived := make(chan got, 1)
@@ -31,6 +35,64 @@
 
 	var wrong *AddressError
 	g.Expect(errors.As(a.Send("host.example:1", nil), &wrong)).To(gomega.BeTrue())
-	_, err = Listen("nowhere", "")
+	_, err = Listen("nowhere", "", nil)
+	g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue())
+}
+
+// keyFile writes a key file and loads it.
+func keyFile(t *testing.T, text string) (*Keys, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "keys")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadKeys(path)
+}
+
+// Guards against forged datagrams, and against daemons that do not hear each
+// other while their keys are replaced one after the other.
+func TestAuthentication(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first, second := strings.Repeat("1a", minKeyBytes), strings.Repeat("2b", minKeyBytes)
+	listen := func(text string) *Socket {
+		var keys *Keys
+		if text != "" {
+			var err error
+			keys, err = keyFile(t, text)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		s, err := Listen("127.0.0.1:0", "", keys)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { _ = s.Close() })
+		return s
+	}
+	receiver := listen(first + "\n" + second + "\n")
+	arrived := make(chan string, 10)
+	go func() { _ = receiver.Serve(func(_ string, data []byte) { arrived <- string(data) }) }()
+	for text, accepted := range map[string]bool{
+		first: true, second: true, second + "\n\n" + first: true, strings.Repeat("3c", minKeyBytes): false, "": false,
+	} {
+		before := receiver.Stats().Rejected
+		g.Expect(listen(text).Send(receiver.Address(), []byte("a datagram that is longer than a code"))).To(gomega.Succeed())
+		if accepted {
+			g.Eventually(arrived, time.Second).Should(gomega.Receive(gomega.Equal("a datagram that is longer than a code")), text)
+			continue
+		}
+		g.Eventually(func() uint64 { return receiver.Stats().Rejected }, time.Second).Should(gomega.Equal(before+1), text)
+		g.Expect(arrived).To(gomega.BeEmpty())
+	}
+	g.Expect(listen("").Send(receiver.Address(), []byte("short"))).To(gomega.Succeed())
+	g.Eventually(func() uint64 { return receiver.Stats().Rejected }, time.Second).Should(gomega.BeEquivalentTo(3))
+}
+
+// Guards against a key file that is taken although it protects nothing.
+func TestKeyFile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var wrong *KeyError
+	for _, text := range []string{"", "\n \n", "not hexadecimal", strings.Repeat("1a", minKeyBytes-1), strings.Repeat("1a", minKeyBytes) + "\nzz"} {
+		_, err := keyFile(t, text)
+		g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue(), "%q", text)
+	}
+	_, err := LoadKeys(filepath.Join(t.TempDir(), "absent"))
 	g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue())
 }
--- a/internal/adapter/peerrpc/conn.go
+++ b/internal/adapter/peerrpc/conn.go
@@ -55,8 +55,8 @@
 	}
 	c := &clientConn{node: n, address: address, health: newHealth(time.Now()), begun: make(map[uint64]bool)}
 	var stream net.Conn = &meteredConn{Conn: raw, meter: &n.meter, onRead: func() { c.health.received(time.Now()) }}
-	if n.options.TLS != nil {
-		secure := tls.Client(stream, n.options.TLS)
+	if n.options.ClientTLS != nil {
+		secure := tls.Client(stream, n.options.ClientTLS)
 		if err := secure.HandshakeContext(ctx); err != nil {
 			_ = raw.Close()
 			return nil, err
--- a/internal/adapter/peerrpc/node.go
+++ b/internal/adapter/peerrpc/node.go
@@ -22,8 +22,9 @@
 type Options struct {
 	// Name labels the counters in expvar; empty publishes none.
 	Name string
-	// TLS enables mutual TLS on both sides; see LoadTLS.
-	TLS *tls.Config
+	// ServerTLS and ClientTLS enable mutual TLS on accepted and on dialled
+	// connections; see tlsconfig.ForPeers.
+	ServerTLS, ClientTLS *tls.Config
 	// MaxInFlight bounds the calls in flight; 0 means DefaultMaxInFlight.
 	MaxInFlight int
 	// Timeout is the deadline of calls whose context has none; 0 means DefaultTimeout.
--- a/internal/adapter/peerrpc/server.go
+++ b/internal/adapter/peerrpc/server.go
@@ -55,8 +55,8 @@
 	metered.onRead = func() { _ = raw.SetReadDeadline(time.Now().Add(serverIdle)) }
 	metered.onRead()
 	var stream net.Conn = metered
-	if n.options.TLS != nil {
-		secure := tls.Server(stream, n.options.TLS)
+	if n.options.ServerTLS != nil {
+		secure := tls.Server(stream, n.options.ServerTLS)
 		ctx, cancel := context.WithTimeout(n.ctx, DefaultTimeout)
 		err := secure.HandshakeContext(ctx)
 		cancel()
--- a/internal/adapter/peerrpc/tls_test.go
+++ b/internal/adapter/peerrpc/tls_test.go
@@ -2,74 +2,37 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
-)
+	"go.uber.org/zap"
 
-// authority signs certificates of daemons.
-type authority struct {
-	t    *testing.T
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
+	"github.com/boragelead/boragelead/internal/settings"
+	"github.com/boragelead/boragelead/internal/tlsconfig"
+)
 
-func newAuthority(t *testing.T) *authority {
+// issue writes a certificate of a daemon.
+func issue(t *testing.T, authority *tlsconfig.Authority, folder string) tlsconfig.Files {
 	t.Helper()
-	a := &authority{t: t, dir: t.TempDir()}
-	a.cert, a.key = a.sign("ca", true)
-	return a
-}
-
-func (a *authority) path(name string) string { return filepath.Join(a.dir, name) }
-
-func (a *authority) sign(name string, isCA bool) (*x509.Certificate, *ecdsa.PrivateKey) {
-	a.t.Helper()
-	g := gomega.NewWithT(a.t)
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: isCA, BasicConstraintsValid: true,
-		KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
-	}
-	parent, signer := a.cert, a.key
-	if isCA {
-		parent, signer = template, key
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	a.write(name+".crt", "CERTIFICATE", der)
-	a.write(name+".key", "EC PRIVATE KEY", keyDER)
-	cert, err := x509.ParseCertificate(der)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	return cert, key
+	files, err := authority.Issue(folder, "daemon", tlsconfig.DaemonName)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return files
 }
 
-func (a *authority) write(name, kind string, der []byte) {
-	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	gomega.NewWithT(a.t).Expect(os.WriteFile(a.path(name), data, 0o600)).To(gomega.Succeed())
+func newAuthority(t *testing.T) *tlsconfig.Authority {
+	t.Helper()
+	authority, err := tlsconfig.NewAuthority()
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return authority
 }
 
-func (a *authority) options(name string) Options {
-	a.sign(name, false)
-	config, err := LoadTLS(a.path(name+".crt"), a.path(name+".key"), a.path("ca.crt"))
-	gomega.NewWithT(a.t).Expect(err).NotTo(gomega.HaveOccurred())
-	return Options{TLS: config}
+func tlsOptions(t *testing.T, files tlsconfig.Files) Options {
+	t.Helper()
+	server, client, err := tlsconfig.ForPeers(&settings.TLS{CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA, Peers: true}, zap.NewNop())
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return Options{ServerTLS: server, ClientTLS: client}
 }
 
 // Guards against a daemon that accepts, or calls, one without a certificate of
@@ -77,10 +40,11 @@
 func TestMutualTLS(t *testing.T) {
 	g := gomega.NewWithT(t)
 	ours, other := newAuthority(t), newAuthority(t)
+	daemon := func(authority *tlsconfig.Authority) Options { return tlsOptions(t, issue(t, authority, t.TempDir())) }
 	methods := map[string]func(context.Context, []byte) ([]byte, error){"echo": echo}
-	_, address := start(t, ours.options("server"), methods)
-	_, foreign := start(t, other.options("server"), methods)
-	client := New(ours.options("client"))
+	_, address := start(t, daemon(ours), methods)
+	_, foreign := start(t, daemon(other), methods)
+	client := New(daemon(ours))
 	defer client.Close()
 	result, err := client.Call(t.Context(), address, "echo", []byte("x"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -89,10 +53,33 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(MaySent(err)).To(gomega.BeFalse())
 
-	for _, options := range []Options{other.options("stranger"), {}} {
+	for _, options := range []Options{daemon(other), {}} {
 		stranger := New(options)
 		_, err = stranger.Call(t.Context(), address, "echo", []byte("x"))
 		g.Expect(err).To(gomega.HaveOccurred())
 		stranger.Close()
 	}
 }
+
+// Guards against daemons that go on with certificates of a withdrawn authority
+// until they are restarted.
+func TestRenewedCertificates(t *testing.T) {
+	g := gomega.NewWithT(t)
+	folder := t.TempDir()
+	options := tlsOptions(t, issue(t, newAuthority(t), folder))
+	methods := map[string]func(context.Context, []byte) ([]byte, error){"echo": echo}
+	_, address := start(t, options, methods)
+	renewed := newAuthority(t)
+	issue(t, renewed, folder)
+	// File systems with a coarse clock give the new files the time of the old ones.
+	later := time.Now().Add(time.Minute)
+	for _, name := range []string{"daemon.pem", "daemon-key.pem", "ca.pem"} {
+		g.Expect(os.Chtimes(folder+"/"+name, later, later)).To(gomega.Succeed())
+	}
+	client := New(tlsOptions(t, issue(t, renewed, t.TempDir())))
+	defer client.Close()
+	g.Eventually(func() error {
+		_, err := client.Call(t.Context(), address, "echo", []byte("x"))
+		return err
+	}, "10s", "100ms").Should(gomega.Succeed())
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -59,6 +59,8 @@
 	RPC           RPC
 	// Datagrams is a UDP socket on the address of Self if it is nil.
 	Datagrams Datagrams
+	// Keys authenticate the datagrams of that socket; nil means none.
+	Keys *gossipudp.Keys
 	// Install puts a generation in force on this daemon.
 	Install func(port.Generation) error
 	// Source is nil on a daemon without the replicated state.
@@ -105,7 +107,7 @@
 		options.Log = zap.NewNop()
 	}
 	if options.Datagrams == nil {
-		socket, err := gossipudp.Listen(options.Self.Address, options.Self.Name)
+		socket, err := gossipudp.Listen(options.Self.Address, options.Self.Name, options.Keys)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cluster/harness_test.go
+++ b/internal/cluster/harness_test.go
@@ -119,7 +119,7 @@
 		rpc: peerrpc.New(peerrpc.Options{}), registry: member.NewRegistry(),
 		address: listener.Addr().String(), installed: make(map[uint64]time.Time), cut: &cutList{},
 	}
-	socket, err := gossipudp.Listen(d.address, "")
+	socket, err := gossipudp.Listen(d.address, "", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"crypto/tls"
 	"net/http"
 
 	"github.com/rotisserie/eris"
@@ -9,6 +8,7 @@
 
 	"github.com/boragelead/boragelead/internal/adapter/callerhttp"
 	"github.com/boragelead/boragelead/internal/adapter/enginehttp"
+	"github.com/boragelead/boragelead/internal/adapter/gossipudp"
 	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 	"github.com/boragelead/boragelead/internal/adapter/peerrpc"
 	"github.com/boragelead/boragelead/internal/adapter/servicehttp"
@@ -29,11 +29,14 @@
 	if d.tracing, err = telemetry.NewTracing(d.settings.Trace, d.settings.Name, d.settings.FailureDomain); err != nil {
 		return err
 	}
-	peerTLS, err := d.buildTLS()
-	if err != nil {
+	if err := d.buildTLS(); err != nil {
 		return err
 	}
-	d.rpc = peerrpc.New(peerrpc.Options{TLS: peerTLS})
+	server, client, err := tlsconfig.ForPeers(d.settings.TLS, d.log)
+	if err != nil {
+		return eris.Wrap(err, "TLS between daemons")
+	}
+	d.rpc = peerrpc.New(peerrpc.Options{ServerTLS: server, ClientTLS: client})
 	if d.ledger, err = d.newLedgerRole(); err != nil {
 		return err
 	}
@@ -46,31 +49,38 @@
 	return nil
 }
 
-// buildTLS reads the certificates, and returns the configuration between daemons.
-func (d *Daemon) buildTLS() (*tls.Config, error) {
+// buildTLS reads the certificates towards callers and operators.
+func (d *Daemon) buildTLS() error {
 	var err error
 	if d.callerTLS, err = tlsconfig.ForCallers(d.settings.TLS, d.log); err != nil {
-		return nil, eris.Wrap(err, "TLS towards callers")
+		return eris.Wrap(err, "TLS towards callers")
 	}
 	if d.adminTLS, err = tlsconfig.ForAdmin(d.settings.TLS, d.log); err != nil {
-		return nil, eris.Wrap(err, "TLS towards operators")
+		return eris.Wrap(err, "TLS towards operators")
 	}
 	if d.settings.TLS != nil && d.settings.TLS.Callers {
 		if d.forwardTLS, err = tlsconfig.ForOperator(tlsconfig.Files{CA: d.settings.TLS.CAFile}); err != nil {
-			return nil, eris.Wrap(err, "TLS of forwarded requests")
+			return eris.Wrap(err, "TLS of forwarded requests")
 		}
 		// Peers are reached by IP number; their certificates carry this name.
 		d.forwardTLS.ServerName = tlsconfig.DaemonName
 	}
-	if d.settings.TLS == nil || !d.settings.TLS.Peers {
+	return nil
+}
+
+// peerKeys reads the keys of membership datagrams, nil where there are none.
+func (d *Daemon) peerKeys() (*gossipudp.Keys, error) {
+	if d.settings.PeerKeyFile == "" {
 		return nil, nil
 	}
-	config, err := peerrpc.LoadTLS(d.settings.TLS.CertFile, d.settings.TLS.KeyFile, d.settings.TLS.CAFile)
-	return config, eris.Wrap(err, "TLS between daemons")
+	return gossipudp.LoadKeys(d.settings.PeerKeyFile)
 }
 
 func (d *Daemon) buildCluster() error {
-	var err error
+	keys, err := d.peerKeys()
+	if err != nil {
+		return err
+	}
 	d.cluster, err = cluster.New(cluster.Options{
 		Self: member.Identity{
 			Name:        d.settings.Name,
@@ -85,6 +95,7 @@
 		StateReplicas: d.ledger.addresses(),
 		Registry:      d.registry,
 		RPC:           d.rpc,
+		Keys:          keys,
 		Install:       func(g port.Generation) error { return d.install(g.Number, g.Document, g.Digest) },
 		Source:        d.ledger.source(),
 		IsLeader:      d.ledger.isLeader,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,9 @@
 	Log           Log    `json:"log"`
 	Trace         Trace  `json:"trace"`
 	TLS           *TLS   `json:"tls,omitempty"`
+	// PeerKeyFile holds the keys that authenticate membership datagrams between
+	// daemons, one a line in hexadecimal; empty means none.
+	PeerKeyFile string `json:"peer_key_file,omitempty"`
 	// AdminKeySHA256 is the SHA-256 of the operators' key in hexadecimal.
 	AdminKeySHA256 string `json:"admin_key_sha256"`
 	// DrainWaitMS is how long the daemon serves on after readiness went off, in milliseconds.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -71,6 +71,7 @@
 		Entry("collector by host name", "trace", `{"otlp_url":"http://collector:4318"}`, "$.trace.otlp_url"),
 		Entry("no streams", "limits", `{"max_streams":0}`, "$.limits.max_streams"),
 		Entry("too little memory", "limits", `{"max_memory_bytes":1000}`, "$.limits.max_memory_bytes"),
+		Entry("missing key file", "peer_key_file", `"/no/such"`, "$.peer_key_file"),
 		Entry("missing certificate", "tls", `{"cert_file":"/no/such","key_file":"/no/such"}`, "$.tls.cert_file"),
 		Entry("short key hash", "admin_key_sha256", `"ab"`, "$.admin_key_sha256"),
 		Entry("drain bound below the wait", "drain_timeout_ms", `10`, "$.drain_timeout_ms"),
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -23,7 +23,7 @@
 func (s *Settings) Validate() error {
 	checks := []func() error{
 		s.checkNames, s.checkListen, s.checkReplica, s.checkDataFolder, s.checkPeerLists,
-		s.checkLimits, s.checkLog, s.Trace.check, s.checkTLS, s.checkAdminKey, s.checkDrain,
+		s.checkLimits, s.checkLog, s.Trace.check, s.checkTLS, s.checkPeerKeys, s.checkAdminKey, s.checkDrain,
 	}
 	for _, check := range checks {
 		if err := check(); err != nil {
@@ -211,6 +211,24 @@
 	return nil
 }
 
+// checkPeerKeys checks that the key file can be read; its content is checked at the start.
+func (s *Settings) checkPeerKeys() error {
+	if s.PeerKeyFile == "" {
+		return nil
+	}
+	return readable("$.peer_key_file", s.PeerKeyFile)
+}
+
+// readable checks that a file can be opened.
+func readable(field, path string) error {
+	handle, err := os.Open(path)
+	if err != nil {
+		return mistake(field, "%v", err)
+	}
+	_ = handle.Close()
+	return nil
+}
+
 func (s *Settings) checkTLS() error {
 	if s.TLS == nil {
 		return nil
@@ -231,11 +249,9 @@
 		if file.path == "" {
 			return mistake(file.field, "is required")
 		}
-		handle, err := os.Open(file.path)
-		if err != nil {
-			return mistake(file.field, "%v", err)
+		if err := readable(file.field, file.path); err != nil {
+			return err
 		}
-		_ = handle.Close()
 	}
 	if s.TLS.AdminClientCAFile != "" && !s.TLS.Admin {
 		return mistake("$.tls.admin_client_ca_file", "needs $.tls.admin")
