Ask the replica itself first after a change of its term

Cause: the client of a replica remembers the leader that answered last.

Ruled out: a shorter attempt (a promotion on a slow disk takes longer than a second), and two attempts at a time (twice the load while a leader is slow).

Change: the address is forgotten with each change of role or term; the next request asks this replica, which leads or knows who does.

Before: the new test takes 2.5 s for a request that it allows 1 s.

Conclusion: an acknowledgement or a lease after the loss of a leader no longer waits for the lost one where a replica asks.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -272,6 +272,9 @@
 		r.abandon(CodeLost)
 	}
 	r.role, r.term = role, term
+	// The client must not wait for the answer of a leader that was lost: without
+	// an address it asks this replica first, which knows the leader or is it.
+	r.remember("")
 	if role == raft.Leader {
 		// Time before the election is not counted, and timers of leases start again.
 		r.accounted, r.ticked = time.Now(), time.Now()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -253,3 +253,32 @@
 	c.g.Expect(err).NotTo(HaveOccurred())
 	c.g.Expect(again.Granted).To(BeTrue())
 }
+
+// Guards against a new leader whose own requests wait for the answer of the
+// former one: the duties of a gateway stood still for 1.7 s after a loss.
+func TestLeaderAsksItselfFirst(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	ctx := context.Background()
+	old := c.leader()
+	for _, node := range c.nodes {
+		_, err := node.AcquireLease(ctx, "duties", "probe", time.Millisecond)
+		c.g.Expect(err).NotTo(HaveOccurred())
+	}
+	for i := range c.nodes {
+		c.faults.set(c.addr[i], c.addr[old], true)
+		c.faults.set(c.addr[old], c.addr[i], true)
+	}
+	next := old
+	c.g.Eventually(func() int {
+		for i := range c.nodes {
+			if i != old && c.nodes[i].ConfirmLeadership(ctx) == nil {
+				next = i
+			}
+		}
+		return next
+	}, "10s", "10ms").ShouldNot(Equal(old))
+	asked := time.Now()
+	_, err := c.nodes[next].AcquireLease(ctx, "duties", "probe", time.Millisecond)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(time.Since(asked)).To(BeNumerically("<", time.Second))
+}
