Let a new leader take the duties at once where fencing is enforced

Ruled out: a shorter lease, whose renewals would fail on a slow disk.

Change: with bounds.fencing_enforced the new leader ends the former lease in the log and gets a higher fencing number. One that lost the lease in this way gets it back only after its own time, so that two replicas do not alternate within the lease.

--- a/internal/core/ledger/command.go
+++ b/internal/core/ledger/command.go
@@ -36,6 +36,9 @@
 	Holder  string        `json:"holder"`
 	TTL     time.Duration `json:"ttl"`
 	Release bool          `json:"release,omitempty"`
+	// TakeOver ends the grant of another holder. It is for leases whose former
+	// holders are kept from acting by their fencing number.
+	TakeOver bool `json:"take_over,omitempty"`
 	// Fencing is the number of the grant that is renewed or released; 0 asks for a new grant.
 	Fencing uint64 `json:"fencing,omitempty"`
 	// Elapsed is set by the leader, as in Tick: without it the time before the
--- a/internal/core/ledger/lease.go
+++ b/internal/core/ledger/lease.go
@@ -44,16 +44,16 @@
 		}
 		return Outcome{}
 	}
-	if held != nil && held.Holder != req.Holder {
+	if held != nil && held.Holder != req.Holder && !s.takeOver(held, req) {
 		return Outcome{Lease: &port.LeaseGrant{Holder: held.Holder, FencingNumber: held.Fencing, TTL: held.TTL}}
 	}
 	next := &lease{
 		Name: req.Name, Holder: req.Holder, TTL: req.TTL, Fencing: s.index, Expires: s.now + guarded(req.TTL),
 	}
-	if held != nil && held.Fencing == req.Fencing {
+	if held != nil && held.Holder == req.Holder && held.Fencing == req.Fencing {
 		next.Fencing = held.Fencing
 	}
-	if held != nil {
+	if held != nil && held.Holder == req.Holder {
 		// A shorter renewal that overtook a longer one must not cut it.
 		next.Expires = max(next.Expires, held.Expires)
 	}
@@ -63,6 +63,30 @@
 	}}
 }
 
+// displacedKey names a former holder of a lease.
+type displacedKey struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+}
+
+// takeOver ends the grant of another holder where the request asks for it, and
+// reports whether it did. A displaced holder does not get the lease back in
+// this way while its own grant would still last: holders that alternate could
+// undo each other's orders.
+func (s *State) takeOver(held *lease, req *LeaseRequest) bool {
+	for key, until := range s.displaced {
+		if until < s.now {
+			delete(s.displaced, key)
+		}
+	}
+	_, displaced := s.displaced[displacedKey{req.Name, req.Holder}]
+	if !req.TakeOver || displaced {
+		return false
+	}
+	s.displaced[displacedKey{held.Name, held.Holder}] = s.now + guarded(held.TTL)
+	return true
+}
+
 // restartLeases gives every holder its full time again: a new leader does not
 // know how much of it passed while no leader counted.
 func (s *State) restartLeases() {
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -151,6 +151,31 @@
 		Expect(m.lease("a", time.Second, 0).Granted).To(BeFalse())
 	})
 
+	// Guards against holders that alternate: one whose lease was taken over gets
+	// it back only after its own time, also when the state was reloaded meanwhile.
+	It("lets a lease be taken over, but not taken back at once", func() {
+		m := newMachine()
+		takeOver := func(holder string, elapsed time.Duration) *port.LeaseGrant {
+			return m.do(ledger.Command{Lease: &ledger.LeaseRequest{
+				Name: "c", Holder: holder, TTL: 10 * time.Second, Elapsed: elapsed, TakeOver: true,
+			}}).Lease
+		}
+		first := takeOver("a", time.Hour)
+		second := takeOver("b", time.Second)
+		Expect(second.Granted).To(BeTrue())
+		Expect(second.FencingNumber).To(BeNumerically(">", first.FencingNumber))
+		Expect(m.lease("a", 10*time.Second, 0).Granted).To(BeFalse())
+		Expect(takeOver("a", 10*time.Second).Granted).To(BeFalse())
+		m.reload()
+		Expect(takeOver("a", 100*time.Millisecond).Granted).To(BeFalse())
+		third := takeOver("c", 0)
+		Expect(third.Granted).To(BeTrue())
+		again := takeOver("a", time.Millisecond)
+		Expect(again.Granted).To(BeTrue())
+		Expect(again.FencingNumber).To(BeNumerically(">", third.FencingNumber))
+		Expect(takeOver("c", 0).Granted).To(BeFalse())
+	})
+
 	// Guards against a snapshot that changes after it was taken.
 	It("freezes a view that later commands do not touch", func() {
 		m := newMachine()
--- a/internal/core/ledger/snapshot.go
+++ b/internal/core/ledger/snapshot.go
@@ -30,6 +30,7 @@
 	f.state.released = maps.Clone(s.released)
 	f.state.releasedOrder = slices.Clone(s.releasedOrder)
 	f.state.leases = maps.Clone(s.leases)
+	f.state.displaced = maps.Clone(s.displaced)
 	f.state.records = maps.Clone(s.records)
 	f.state.running = nil
 	return f
@@ -53,8 +54,14 @@
 	Owners      []*owner          `json:"owners"`
 	Released    []releasedImage   `json:"released"`
 	Leases      []*lease          `json:"leases"`
-	// Records are missing in snapshots of older versions.
-	Records []port.RecordRequest `json:"records,omitempty"`
+	// Records and Displaced are missing in snapshots of older versions.
+	Records   []port.RecordRequest `json:"records,omitempty"`
+	Displaced []displacedImage     `json:"displaced,omitempty"`
+}
+
+type displacedImage struct {
+	Key   displacedKey  `json:"key"`
+	Until time.Duration `json:"until"`
 }
 
 type endedImage struct {
@@ -90,6 +97,12 @@
 	for _, name := range slices.Sorted(maps.Keys(s.leases)) {
 		im.Leases = append(im.Leases, s.leases[name])
 	}
+	for key, until := range s.displaced {
+		im.Displaced = append(im.Displaced, displacedImage{key, until})
+	}
+	slices.SortFunc(im.Displaced, func(a, b displacedImage) int {
+		return cmp.Or(cmp.Compare(a.Key.Name, b.Key.Name), cmp.Compare(a.Key.Holder, b.Key.Holder))
+	})
 	for _, series := range slices.Sorted(maps.Keys(s.records)) {
 		im.Records = append(im.Records, s.records[series]...)
 	}
@@ -134,6 +147,9 @@
 	for _, l := range im.Leases {
 		next.leases[l.Name] = l
 	}
+	for _, d := range im.Displaced {
+		next.displaced[d.Key] = d.Until
+	}
 	for _, r := range im.Records {
 		next.records[r.Series] = append(next.records[r.Series], r)
 	}
--- a/internal/core/ledger/state.go
+++ b/internal/core/ledger/state.go
@@ -42,6 +42,8 @@
 	releasedOrder []string
 
 	leases map[string]*lease
+	// displaced holds until when a holder that lost a lease to a take-over is kept from it.
+	displaced map[displacedKey]time.Duration
 	// records holds the newest records of each series, the lowest key first.
 	records map[string][]port.RecordRequest
 }
@@ -55,6 +57,7 @@
 		owners:     map[string]*owner{},
 		released:   map[string]time.Duration{},
 		leases:     map[string]*lease{},
+		displaced:  map[displacedKey]time.Duration{},
 		records:    map[string][]port.RecordRequest{},
 	}
 }
--- a/internal/gateway/state/duties.go
+++ b/internal/gateway/state/duties.go
@@ -60,16 +60,23 @@
 func (h *holder) step(now time.Time) {
 	h.keepLease()
 	h.forget()
-	if bootclock.Now() >= h.until {
-		return
-	}
-	if !h.state.hearsAll() {
+	if !h.mayAct() || !h.state.hearsAll() {
 		return
 	}
 	h.reportUsage(now)
 	h.orderEndpoints(now)
 }
 
+// mayAct reports whether this replica holds the duties. Where a new leader may
+// take them from the former one, only the leader does.
+func (h *holder) mayAct() bool {
+	return bootclock.Now() < h.until && (!h.fenced() || h.state.leads())
+}
+
+// fenced reports whether calls of a former holder are refused, so that a new
+// leader need not wait for the end of its lease.
+func (h *holder) fenced() bool { return h.state.options.Settings.Bounds.FencingEnforced }
+
 // keepLease renews the lease, or asks for it where this replica leads the
 // state: the lease then moves only when the leader does. In a large group a
 // former leader lets it end, because the entries no longer poll it.
@@ -81,12 +88,16 @@
 	if holds && h.until.Sub(now) > time.Duration(renewShare*float64(ttl)) {
 		return
 	}
-	if !s.leads() && (!holds || !s.isSmall()) {
+	if !s.leads() && (!holds || !s.isSmall() || h.fenced()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	grant, err := s.replica.AcquireLease(ctx, dutyLease, s.options.Settings.Name, ttl)
+	acquire := s.replica.AcquireLease
+	if h.fenced() {
+		acquire = s.replica.TakeOverLease
+	}
+	grant, err := acquire(ctx, dutyLease, s.options.Settings.Name, ttl)
 	if err != nil {
 		s.log.Warn("Lease of the duties not renewed.", zap.Duration("left", h.until.Sub(now)), zap.Error(err))
 		return
@@ -111,7 +122,7 @@
 	}
 	s := h.state
 	current := meter.WindowAt(s.clock.Now(), h.window)
-	for k := h.oldest(); k < current; k++ {
+	for k := h.oldest(); k < current && h.mayAct(); k++ {
 		if h.reported[k] || !h.isSettled(k) {
 			continue
 		}
--- a/internal/gateway/state/scaling.go
+++ b/internal/gateway/state/scaling.go
@@ -70,6 +70,9 @@
 		return
 	}
 	for _, order := range planner.Plan(in) {
+		if !h.mayAct() {
+			return
+		}
 		h.order(planner, order, in.InFlight, in.Now)
 	}
 }
--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -79,21 +79,27 @@
 
 // group is some replicas, each on an address of its own.
 type group struct {
-	t     *testing.T
-	g     *WithT
-	port  int
-	cloud *cloud
-	nodes map[string]*node
-	seeds []string
+	t *testing.T
+	g *WithT
+	// bounds apply to replicas that are started from now on.
+	bounds settings.GatewayBounds
+	port   int
+	cloud  *cloud
+	nodes  map[string]*node
+	seeds  []string
 }
 
 func newGroup(t *testing.T) *group {
+	return newGroupWith(t, settings.GatewayBounds{HeartbeatMS: 300, UsageWindowS: 1, UsageDelayS: 3, LeaseMS: 500})
+}
+
+func newGroupWith(t *testing.T, bounds settings.GatewayBounds) *group {
 	g := NewWithT(t)
 	probe, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	free := probe.Addr().(*net.TCPAddr).Port
 	_ = probe.Close()
-	gr := &group{t: t, g: g, port: free, nodes: map[string]*node{}, cloud: &cloud{reports: map[uint64][]string{}, fences: map[string]uint64{}}}
+	gr := &group{t: t, g: g, bounds: bounds, port: free, nodes: map[string]*node{}, cloud: &cloud{reports: map[uint64][]string{}, fences: map[string]uint64{}}}
 	for i := 1; i <= 3; i++ {
 		gr.seeds = append(gr.seeds, fmt.Sprintf("127.0.0.%d:1", i))
 	}
@@ -113,7 +119,7 @@
 	n.metrics = telemetry.NewRegistry()
 	config := &settings.Gateway{
 		Name: ip, Role: settings.RoleState, IP: ip, PeerPort: gr.port, Seeds: gr.seeds, Bootstrap: bootstrap, DataFolder: n.folder, Domains: []string{"a"},
-		Bounds: settings.GatewayBounds{HeartbeatMS: 300, UsageWindowS: 1, UsageDelayS: 3, LeaseMS: 500},
+		Bounds: gr.bounds,
 	}
 	var err error
 	n.state, err = state.Start(state.Options{
@@ -149,6 +155,19 @@
 	gr.g.Eventually(func() error { return gr.put(ip, data) }, "15s", "50ms").Should(Succeed())
 }
 
+// holder returns who reported with the highest fencing number.
+func (gr *group) holder() string {
+	gr.cloud.mu.Lock()
+	defer gr.cloud.mu.Unlock()
+	newest, name := uint64(0), ""
+	for one, fence := range gr.cloud.fences {
+		if fence > newest {
+			newest, name = fence, one
+		}
+	}
+	return name
+}
+
 func (gr *group) read(ip string) string {
 	ctx, cancel := context.WithTimeout(gr.t.Context(), time.Second)
 	defer cancel()
@@ -362,6 +381,28 @@
 	}
 }
 
+// Guards against seconds without orders of endpoints after a leader is lost:
+// where the cloud refuses lower fencing numbers, the next one takes the duties
+// without waiting for the lease (incident inc-9387: 3.4 s).
+func TestNewLeaderTakesFencedDutiesAtOnce(t *testing.T) {
+	gr := newGroupWith(t, settings.GatewayBounds{HeartbeatMS: 300, UsageWindowS: 1, UsageDelayS: 3, LeaseMS: 20_000, FencingEnforced: true})
+	gr.eventuallyPut("127.0.0.1", document(1, "first"))
+	gr.awaitVoters()
+	counter := meter.NewCounter(time.Second)
+	poll := func() {
+		counter.Add("w", time.Now())
+		for ip, n := range gr.nodes {
+			if n.state != nil {
+				gr.poll(ip, &link.PollRequest{Entry: "e", Incarnation: 1, Usage: counter.Report(time.Now())})
+			}
+		}
+	}
+	gr.g.Eventually(func() string { poll(); return gr.holder() }, "10s", "100ms").ShouldNot(BeEmpty())
+	stopped := gr.holder()
+	gr.stop(stopped)
+	gr.g.Eventually(func() string { poll(); return gr.holder() }, "8s", "100ms").ShouldNot(Equal(stopped))
+}
+
 // Guards against usage that is reported twice with different counts when the
 // holder of the duties changes, and against windows that are never reported.
 func TestUsageIsReportedOnceAcrossHolders(t *testing.T) {
@@ -369,17 +410,6 @@
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
 	gr.awaitVoters()
 	counter := meter.NewCounter(time.Second)
-	holder := func() string {
-		gr.cloud.mu.Lock()
-		defer gr.cloud.mu.Unlock()
-		newest, name := uint64(0), ""
-		for one, fence := range gr.cloud.fences {
-			if fence > newest {
-				newest, name = fence, one
-			}
-		}
-		return name
-	}
 	stopped := ""
 	for i := range 80 {
 		counter.Add("w", time.Now())
@@ -389,13 +419,13 @@
 			}
 		}
 		if i == 40 {
-			stopped = holder()
+			stopped = gr.holder()
 			gr.stop(stopped)
 		}
 		time.Sleep(75 * time.Millisecond)
 	}
 	gr.g.Expect(stopped).NotTo(BeEmpty())
-	gr.g.Eventually(holder, "10s").ShouldNot(Equal(stopped))
+	gr.g.Eventually(gr.holder, "10s").ShouldNot(Equal(stopped))
 	gr.cloud.mu.Lock()
 	defer gr.cloud.mu.Unlock()
 	gr.g.Expect(len(gr.cloud.reports)).To(BeNumerically(">=", 3))
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -267,7 +267,19 @@
 func (c *Client) AcquireLease(
 	ctx context.Context, name, holder string, ttl time.Duration,
 ) (port.LeaseGrant, error) {
-	req := &ledger.LeaseRequest{Name: name, Holder: holder, TTL: ttl, Fencing: c.grant(name, holder)}
+	return c.acquireLease(ctx, &ledger.LeaseRequest{Name: name, Holder: holder, TTL: ttl})
+}
+
+// TakeOverLease is AcquireLease for a lease that may be taken from its holder,
+// unless this holder lost it in the same way less than its time ago.
+func (c *Client) TakeOverLease(
+	ctx context.Context, name, holder string, ttl time.Duration,
+) (port.LeaseGrant, error) {
+	return c.acquireLease(ctx, &ledger.LeaseRequest{Name: name, Holder: holder, TTL: ttl, TakeOver: true})
+}
+
+func (c *Client) acquireLease(ctx context.Context, req *ledger.LeaseRequest) (port.LeaseGrant, error) {
+	req.Fencing = c.grant(req.Name, req.Holder)
 	outcome, err := c.outcome(ctx, &request{Lease: req})
 	if err != nil {
 		return port.LeaseGrant{}, err
@@ -276,7 +288,7 @@
 	if outcome.Lease.Granted {
 		number = outcome.Lease.FencingNumber
 	}
-	c.setGrant(name, holder, number)
+	c.setGrant(req.Name, req.Holder, number)
 	return *outcome.Lease, nil
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -80,6 +80,9 @@
 	UsageDelayS float64 `json:"usage_delay_s"`
 	// LeaseMS is the lease of the holder of duties, in milliseconds.
 	LeaseMS int `json:"lease_ms"`
+	// FencingEnforced says that the cloud refuses a call of the duties whose
+	// fencing number is lower than one that it has seen.
+	FencingEnforced bool `json:"fencing_enforced"`
 	// GraceS is the time from the signal to stop until the process is killed, in seconds.
 	GraceS float64 `json:"grace_s"`
 }
