Let on-demand endpoints go as soon as reclaimable ones carry the load

On-demand ones that stood in during a reclaim stayed five seconds longer than needed, at four to five times the price.

Change: they go at once where reclaimable endpoints carry the load, and after the pause otherwise.

--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -47,7 +47,9 @@
 	// repeatAfter is how long an order may take until it is seen; then it is
 	// given again, since it may be lost. Endpoints take seconds to start.
 	repeatAfter = 6 * time.Second
-	// lowerAfter is how long fewer must be wanted before endpoints go.
+	// lowerAfter is how long fewer must be wanted before endpoints go. On-demand
+	// ones cost several times as much and only stand in for reclaimable ones:
+	// they go as soon as those carry the load.
 	lowerAfter = 5 * time.Second
 )
 
@@ -84,6 +86,8 @@
 	// found is the number of endpoints before the first request, of the kind
 	// that had most: one kind may be replaced by the other meanwhile.
 	found int
+	// covered tells that reclaimable endpoints carry the load, as of the last plan.
+	covered bool
 }
 
 type order struct {
@@ -188,6 +192,7 @@
 		present = append(present, running[k])
 	}
 	missing := int(math.Ceil(p.need)) - p.dependable(present, in.Now)
+	p.covered = missing <= 0
 	p.placeOnDemand(in, want, running, max(missing, 0))
 	return want
 }
@@ -252,15 +257,9 @@
 }
 
 // due reports whether an order must be given: another count is wanted than
-// what runs, and the same was not ordered a moment ago. Fewer are ordered only
-// when they have been wanted for a while.
+// what runs, and the same was not ordered a moment ago.
 func (p *Planner) due(k key, want, running int, now time.Time) bool {
-	if want >= running {
-		delete(p.fewer, k)
-	} else if since, known := p.fewer[k]; !known {
-		p.fewer[k] = now
-		return false
-	} else if now.Sub(since) < lowerAfter {
+	if p.isKept(k, want, running, now) {
 		return false
 	}
 	if want > running && p.isRefused(k, now) {
@@ -272,3 +271,17 @@
 	}
 	return running != want
 }
+
+// isKept reports whether endpoints stay although fewer are wanted.
+func (p *Planner) isKept(k key, want, running int, now time.Time) bool {
+	if want >= running || !k.reclaimable && p.covered {
+		delete(p.fewer, k)
+		return false
+	}
+	since, known := p.fewer[k]
+	if !known {
+		p.fewer[k] = now
+		return true
+	}
+	return now.Sub(since) < lowerAfter
+}
--- a/internal/gateway/scale/plan_test.go
+++ b/internal/gateway/scale/plan_test.go
@@ -141,6 +141,23 @@
 	g.Expect(c.total(false)).To(BeZero())
 }
 
+// Guards against paying for on-demand endpoints after reclaimable ones are back:
+// they stayed 5 s longer, for a tenth of the price of endpoints of a calm day.
+func TestOnDemandGoesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	c, p := newCloud(), New()
+	for range 60 {
+		c.step(p, 60)
+	}
+	g.Expect(c.total(false)).To(BeZero())
+	for _, d := range domains {
+		c.running[key{d, false}] = 1
+	}
+	c.step(p, 60)
+	c.step(p, 60)
+	g.Expect(c.total(false)).To(BeZero())
+}
+
 // Guards against orders that swing with each look at the load.
 func TestSteadyLoadGivesNoOrders(t *testing.T) {
 	g := NewWithT(t)
