Count requests whose answer was lost as begun

Cause: usage counted a request at its first event or whole answer.

Change: an attempt that was sent, failed and was not proved unrun counts as begun, once a request.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -216,6 +216,10 @@
 	x.w.WriteHeader(status)
 }
 
+// mayHaveRun reports whether an attempt without an answer was sent and the
+// endpoint did not prove that it left the request alone.
+func (o *outcome) mayHaveRun() bool { return o.err != nil && o.sent && !o.notRun }
+
 // countRun counts the request once as one that began to run.
 func (x *call) countRun() {
 	if x.counted || x.workspace == "" {
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -231,6 +231,10 @@
 		tried := choice.Endpoint.ID
 		result := x.attempt(ctx, choice)
 		choice = nil
+		if result.mayHaveRun() {
+			x.ran = true
+			x.countRun()
+		}
 		switch {
 		case result.held != nil:
 			return x.giveUp(ctx, result.held)
@@ -249,7 +253,6 @@
 			}
 			return x.giveUp(ctx, result.err)
 		}
-		x.ran = x.ran || !result.notRun
 		if !result.approved && !x.mayRepeat() {
 			return x.giveUp(ctx, result.err)
 		}
