Test the pipeline of generations against a fake engine

Cause: internal/entry, where all decisions of a request meet, had no tests of its own; whole-system tests showed its promises slowly and with real time.

Change: short tests at the ports: a broken stream is resumed without a lost or repeated token, a refusal says truly what ran (refused, unknown, broken and then refused), a caller that leaves cancels its attempt, and a model without endpoints is refused in time as not run.

Conclusion: hand-over between daemons and marks of crashes still have tests of the whole system only.

--- /dev/null
+++ b/internal/entry/generation_test.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/core/member"
+	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/telemetry"
+)
+
+// answerTokens is the length of a whole answer of the fake engine.
+const answerTokens = 6
+
+// script says how the fake engine answers one attempt.
+type script struct {
+	refused *endpoint.ErrorBody
+	// tokens are sent before the stream breaks; answerTokens ends it whole.
+	tokens int
+	// silent keeps the stream open without a further frame.
+	silent bool
+}
+
+// fakeEngine answers attempts by its scripts, the last one again and again.
+type fakeEngine struct {
+	mu       sync.Mutex
+	scripts  []script
+	requests []endpoint.GenerateRequest
+	// cancelled counts silent attempts whose context ended.
+	cancelled int
+}
+
+func (f *fakeEngine) Generate(ctx context.Context, _ string, req *endpoint.GenerateRequest) (port.FrameStream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	step := f.scripts[min(len(f.requests), len(f.scripts)-1)]
+	f.requests = append(f.requests, *req)
+	if step.refused != nil {
+		return nil, &port.RefusedError{Status: 503, Body: *step.refused}
+	}
+	return &fakeStream{ctx: ctx, engine: f, script: step, attempt: req.AttemptID, next: req.EmittedTokens}, nil
+}
+
+func (f *fakeEngine) seen() []endpoint.GenerateRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.requests)
+}
+
+func (*fakeEngine) Ping(context.Context, string) error           { return nil }
+func (*fakeEngine) Cancel(context.Context, string, string) error { return nil }
+func (*fakeEngine) KVExport(context.Context, string, string) (endpoint.KVHandle, error) {
+	return endpoint.KVHandle{}, errors.ErrUnsupported
+}
+
+func (*fakeEngine) KVImport(context.Context, string, endpoint.KVImportRequest) error {
+	return errors.ErrUnsupported
+}
+
+func (*fakeEngine) Order(context.Context, string, endpoint.Order) (endpoint.OrderResult, error) {
+	return endpoint.OrderResult{}, errors.ErrUnsupported
+}
+
+type fakeStream struct {
+	ctx     context.Context
+	engine  *fakeEngine
+	script  script
+	attempt string
+	next    int
+	ended   bool
+}
+
+func (s *fakeStream) Next(frame *endpoint.Frame) error {
+	switch {
+	case s.ended:
+		return io.EOF
+	case s.next < min(s.script.tokens, answerTokens):
+		*frame = endpoint.Frame{AttemptID: s.attempt, Type: endpoint.FrameTokens, Offset: s.next, Count: 1, Text: string(rune('a' + s.next))}
+		s.next++
+	case s.next >= answerTokens:
+		*frame = endpoint.Frame{AttemptID: s.attempt, Type: endpoint.FrameDone, Offset: s.next, FinishReason: "stop"}
+		s.ended = true
+	case s.script.silent:
+		<-s.ctx.Done()
+		s.engine.mu.Lock()
+		s.engine.cancelled++
+		s.engine.mu.Unlock()
+		return &port.TransportError{Sent: true, Err: s.ctx.Err()}
+	default:
+		return &port.TransportError{Sent: true, Err: io.ErrUnexpectedEOF}
+	}
+	return nil
+}
+
+func (*fakeStream) Close() error { return nil }
+
+// fakeSink keeps what the caller got. It calls leave at the first token.
+type fakeSink struct {
+	text  string
+	leave func()
+}
+
+func (s *fakeSink) Tokens(_, _ int, text string) error {
+	s.text += text
+	if s.leave != nil {
+		s.leave()
+	}
+	return nil
+}
+
+func (*fakeSink) Flush() error { return nil }
+
+// newTestService starts a service with two endpoints of one model.
+func newTestService(t *testing.T, engine *fakeEngine) *Service {
+	store, registry := conf.NewStore(), member.NewRegistry()
+	store.Install(1, &conf.Document{
+		Ranks: []conf.Rank{{Name: "urgent", MaxWaitMS: 500, PerTokenMS: 100, FirstTokenMS: 1000}},
+		Retry: conf.Retry{BudgetShare: 0.5, MaxAttempts: 4, BackoffBaseMS: 1, BackoffMaxMS: 2, QuarantineCrashes: 5, QuarantineS: 1},
+	}, "digest", time.Now())
+	for _, id := range []string{"e1", "e2"} {
+		registry.Announce(endpoint.Announcement{
+			ID: id, Incarnation: 1, BaseURL: "http://" + id, FailureDomain: "a", Kind: endpoint.KindEngine, Slots: 4,
+			State: endpoint.StateReady, LeaseMS: 60_000, KVCapacityTokens: 100_000, Models: []endpoint.LoadedModel{{Name: "m"}},
+		}, time.Now())
+	}
+	s := New(Options{
+		Name: "d", FailureDomain: "a", Config: store, Registry: registry, Cluster: noPeers{}, Engine: engine,
+		Explainer: telemetry.NewExplainer(10), Metrics: telemetry.NewRegistry(), Log: zap.NewNop(),
+	})
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func testRequest() *Request {
+	return &Request{ID: "r", Workspace: "w", Caller: "c", Model: "m", Prompt: "p", PromptTokens: 1, MaxTokens: answerTokens, Arrived: time.Now()}
+}
+
+// Guards against tokens that are lost or repeated when an attempt breaks off,
+// and a resumption that starts again from the prompt.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	g := NewWithT(t)
+	engine := &fakeEngine{scripts: []script{{tokens: 2}, {tokens: 4}, {tokens: answerTokens}}}
+	sink := &fakeSink{}
+	result, err := newTestService(t, engine).Complete(t.Context(), testRequest(), sink)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(sink.text).To(Equal("abcdef"))
+	g.Expect(result.Attempts).To(Equal(3))
+	requests := engine.seen()
+	g.Expect(requests).To(HaveLen(3))
+	g.Expect(requests[1].EmittedTokens).To(Equal(2))
+	g.Expect(requests[1].Emitted).To(Equal("ab"))
+	g.Expect(requests[2].EmittedTokens).To(Equal(4))
+	g.Expect(requests[0].AttemptID).NotTo(Equal(requests[1].AttemptID))
+}
+
+// Guards against a refusal that says "not run" although an attempt may have
+// run, and one that hides that none did.
+func TestRefusalTellsWhatRan(t *testing.T) {
+	refused := func(run endpoint.RunState) script {
+		return script{refused: &endpoint.ErrorBody{Code: endpoint.CodeBadRequest, Run: run}}
+	}
+	for name, c := range map[string]struct {
+		scripts []script
+		run     endpoint.RunState
+	}{
+		"refused by the endpoint": {[]script{refused(endpoint.NotRun)}, endpoint.NotRun},
+		"unknown to the endpoint": {[]script{refused(endpoint.RunUnknown)}, endpoint.RunUnknown},
+		"broken, then refused":    {[]script{{tokens: 0}, refused(endpoint.NotRun)}, endpoint.RunUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := newTestService(t, &fakeEngine{scripts: c.scripts}).Complete(t.Context(), testRequest(), nil)
+			var refusal *RefusalError
+			g.Expect(errors.As(err, &refusal)).To(BeTrue(), "%v", err)
+			g.Expect(refusal.Run).To(Equal(c.run), "%v", err)
+		})
+	}
+}
+
+// Guards against attempts that go on for a caller that left.
+func TestCallerLeavesGeneration(t *testing.T) {
+	g := NewWithT(t)
+	engine := &fakeEngine{scripts: []script{{tokens: 1, silent: true}}}
+	ctx, cancel := context.WithCancel(t.Context())
+	_, err := newTestService(t, engine).Complete(ctx, testRequest(), &fakeSink{leave: cancel})
+	var gone *CallerGoneError
+	g.Expect(errors.As(err, &gone)).To(BeTrue(), "%v", err)
+	g.Expect(engine.seen()).To(HaveLen(1))
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	g.Expect(engine.cancelled).To(Equal(1))
+}
+
+// Guards against requests that hang, or look as if they had run, where no
+// endpoint holds their model.
+func TestModelWithoutEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	engine := &fakeEngine{scripts: []script{{tokens: answerTokens}}}
+	request := testRequest()
+	request.Model = "absent"
+	began := time.Now()
+	_, err := newTestService(t, engine).Complete(t.Context(), request, nil)
+	var refusal *RefusalError
+	g.Expect(errors.As(err, &refusal)).To(BeTrue(), "%v", err)
+	g.Expect(refusal.Run).To(Equal(endpoint.NotRun))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second))
+	g.Expect(engine.seen()).To(BeEmpty())
+}
