Follow falling load faster with reclaimable endpoints

Cause: endpoints stay the largest price. Reclaimable ones stayed 5 s after fewer were wanted, on top of a load that was smoothed over 10 s.

Change: fall time 3 s; reclaimable ones go after 0.5 s, on-demand ones at once where the load is carried without them and after 5 s otherwise.

--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -37,7 +37,7 @@
 	// riseTime and fallTime smooth the load. A burst is over before an endpoint
 	// that was ordered for it serves, and load that fell may come back.
 	riseTime = 700 * time.Millisecond
-	fallTime = 10 * time.Second
+	fallTime = 3 * time.Second
 	// refusedPause is how long a kind is not ordered in a domain that had none.
 	refusedPause = 3 * time.Second
 	// scarceTime is how long a refusal shows that none are to be had.
@@ -47,10 +47,12 @@
 	// repeatAfter is how long an order may take until it is seen; then it is
 	// given again, since it may be lost. Endpoints take seconds to start.
 	repeatAfter = 6 * time.Second
-	// lowerAfter is how long fewer must be wanted before endpoints go. On-demand
-	// ones cost several times as much and only stand in for reclaimable ones:
-	// they go as soon as those carry the load.
-	lowerAfter = 5 * time.Second
+	// lowerAfter is how long fewer reclaimable endpoints must be wanted before
+	// they go; the load is smoothed already.
+	lowerAfter = 500 * time.Millisecond
+	// replacedAfter is the same for on-demand ones while reclaimable ones do not
+	// carry the load: those that replace them may still be starting.
+	replacedAfter = 5 * time.Second
 )
 
 // Input is what the planner sees of one service.
@@ -272,16 +274,22 @@
 	return running != want
 }
 
-// isKept reports whether endpoints stay although fewer are wanted.
+// isKept reports whether endpoints stay although fewer are wanted. On-demand ones
+// cost several times as much as the reclaimable ones that they stand in for: they
+// go as soon as those carry the load.
 func (p *Planner) isKept(k key, want, running int, now time.Time) bool {
 	if want >= running || !k.reclaimable && p.covered {
 		delete(p.fewer, k)
 		return false
 	}
+	patience := lowerAfter
+	if !k.reclaimable {
+		patience = replacedAfter
+	}
 	since, known := p.fewer[k]
 	if !known {
 		p.fewer[k] = now
 		return true
 	}
-	return now.Sub(since) < lowerAfter
+	return now.Sub(since) < patience
 }
