Take on no peer connection once a node is closed

Cause: Serve counted a connection in a WaitGroup while Close might wait on it already, and a listener given to a closed node was never closed.

Change: listeners and connections are taken on under the node's lock, which Close holds while it cancels.

Before: the new test hangs (a listener stays open). Conclusion: only the end of a process is affected.

--- a/internal/adapter/peerrpc/node.go
+++ b/internal/adapter/peerrpc/node.go
@@ -81,8 +81,9 @@
 
 // Close closes all connections and listeners. Calls in flight fail.
 func (n *Node) Close() {
-	n.cancel()
 	n.mu.Lock()
+	// Under the lock, so that no connection is taken on after it.
+	n.cancel()
 	listeners := n.listeners
 	peers := n.peers
 	n.peers = make(map[string]*peer)
--- a/internal/adapter/peerrpc/node_test.go
+++ b/internal/adapter/peerrpc/node_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -229,3 +230,35 @@
 	g.Expect(bytes.Equal(result, big)).To(gomega.BeTrue())
 	g.Expect(client.Stats().Silent).To(gomega.BeZero())
 }
+
+// Guards against connections that are taken on while the node is closed: Close
+// would not wait for them, and a listener given to a closed node stayed open.
+func TestCloseWhileConnectionsArrive(t *testing.T) {
+	const rounds, callers = 100, 4
+	for range rounds {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		node := New(Options{})
+		served := make(chan error, 1)
+		go func() { served <- node.Serve(listener) }()
+		var group sync.WaitGroup
+		for range callers {
+			group.Go(func() {
+				if conn, err := net.Dial("tcp", listener.Addr().String()); err == nil {
+					_ = conn.Close()
+				}
+			})
+		}
+		node.Close()
+		group.Wait()
+		if err := <-served; err != nil {
+			t.Fatal(err)
+		}
+		if conn, err := net.Dial("tcp", listener.Addr().String()); err == nil {
+			_ = conn.Close()
+			t.Fatal("the listener of a closed node is open")
+		}
+	}
+}
--- a/internal/adapter/peerrpc/server.go
+++ b/internal/adapter/peerrpc/server.go
@@ -25,9 +25,9 @@
 
 // Serve accepts connections until the listener or the node is closed.
 func (n *Node) Serve(listener net.Listener) error {
-	n.mu.Lock()
-	n.listeners = append(n.listeners, listener)
-	n.mu.Unlock()
+	if !n.listen(listener) {
+		return nil
+	}
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
@@ -36,7 +36,10 @@
 			}
 			return err
 		}
-		n.serving.Add(1)
+		if !n.takeOn() {
+			_ = raw.Close()
+			return nil
+		}
 		go func() {
 			defer n.serving.Done()
 			n.serveConn(raw)
@@ -44,6 +47,31 @@
 	}
 }
 
+// listen notes a listener for Close. It closes it, and reports false, where the
+// node is closed already.
+func (n *Node) listen(listener net.Listener) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		_ = listener.Close()
+		return false
+	}
+	n.listeners = append(n.listeners, listener)
+	return true
+}
+
+// takeOn counts a connection that Close waits for, and reports false where the
+// node is closed already: Close may wait by then.
+func (n *Node) takeOn() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		return false
+	}
+	n.serving.Add(1)
+	return true
+}
+
 func (n *Node) serveConn(raw net.Conn) {
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive)
