Name the prompt parts in logs of failures, and log the receipt of crash records

The logs could not tell whether crashes share a prompt part (hypothesis 1) or whether the evidence travels too late (hypothesis 2). Lines of failures and repeats now name up to eight shared parts; entries log how many crash records a replica's answer changed.

--- a/internal/core/suspect/exchange.go
+++ b/internal/core/suspect/exchange.go
@@ -121,12 +121,12 @@
 	}
 }
 
-// Merge applies the payload of a peer. It is idempotent, and the result does not
-// depend on the order of the payloads.
-func (t *Tracker) Merge(data []byte, now time.Time) error {
+// Merge applies the payload of a peer and returns how many records changed. It is
+// idempotent, and the result does not depend on the order of the payloads.
+func (t *Tracker) Merge(data []byte, now time.Time) (changed int, err error) {
 	var m message
 	if err := payload.Decode(data, &m); err != nil {
-		return err
+		return 0, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -136,16 +136,19 @@
 		}
 	}
 	for i := range m.Records {
-		t.merge(&m.Records[i], now)
+		if t.merge(&m.Records[i], now) {
+			changed++
+		}
 	}
 	t.count.Store(int64(len(t.records)))
-	return nil
+	return changed, nil
 }
 
-func (t *Tracker) merge(m *recordMessage, now time.Time) {
+// merge applies a record of a peer and reports whether it changed the own record.
+func (t *Tracker) merge(m *recordMessage, now time.Time) bool {
 	lastCrash := now.Add(-time.Duration(max(m.AgeMS, 0)) * time.Millisecond)
 	if len(m.Fingerprint) != len(Fingerprint{}) || now.Sub(lastCrash) > t.quarantine {
-		return
+		return false
 	}
 	r := t.record(Fingerprint(m.Fingerprint), now)
 	known := len(r.crashes) + len(r.forgiven)
@@ -154,9 +157,11 @@
 	}
 	r.crashes = union(r.crashes, crashIDs(m.Crashes))
 	r.forgiven = union(r.forgiven, crashIDs(m.Forgiven))
-	if len(r.crashes)+len(r.forgiven) > known {
-		t.setChanged(r, false, now)
+	if len(r.crashes)+len(r.forgiven) == known {
+		return false
 	}
+	t.setChanged(r, false, now)
+	return true
 }
 
 func crashNumbers(list []crashID) []uint64 {
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -131,7 +131,7 @@
 				t.Fatal(err)
 			}
 			for _, peer := range entries {
-				if err := peer.Merge(data, now); err != nil {
+				if _, err := peer.Merge(data, now); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -168,7 +168,7 @@
 					t.Fatal(err)
 				}
 				for _, peer := range entries {
-					if err := peer.Merge(data, now); err != nil {
+					if _, err := peer.Merge(data, now); err != nil {
 						t.Fatal(err)
 					}
 				}
@@ -183,7 +183,7 @@
 				}
 			}
 		}
-		if err := entries[0].Merge([]byte{0xc1}, now); err == nil {
+		if _, err := entries[0].Merge([]byte{0xc1}, now); err == nil {
 			t.Fatal("Merge accepted a damaged payload")
 		}
 	})
@@ -216,7 +216,7 @@
 						continue
 					}
 					records++
-					if err := transfer.to.Merge(data, epoch); err != nil {
+					if _, err := transfer.to.Merge(data, epoch); err != nil {
 						t.Fatal(err)
 					}
 				}
--- a/internal/entry/crash_records.go
+++ b/internal/entry/crash_records.go
@@ -84,7 +84,7 @@
 	if err := json.Unmarshal(params, &message); err != nil {
 		return nil, err
 	}
-	if err := s.tracker.Merge(message.Records, time.Now()); err != nil {
+	if _, err := s.tracker.Merge(message.Records, time.Now()); err != nil {
 		return nil, err
 	}
 	if message.Relay {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -153,7 +153,10 @@
 	e.removeGonePeers(now)
 	e.merge(payloadLimits, func(p member.Payload) error { return s.pools.shares.Merge(p.Daemon, p.Data, now) })
 	e.merge(payloadRoute, func(p member.Payload) error { return s.router.MergeSummary(p.Daemon, p.Data, now) })
-	e.merge(payloadSuspect, func(p member.Payload) error { return s.tracker.Merge(p.Data, now) })
+	e.merge(payloadSuspect, func(p member.Payload) error {
+		_, err := s.tracker.Merge(p.Data, now)
+		return err
+	})
 	for _, pool := range s.pools.list() {
 		e.merge(payloadUsage+pool.key, func(p member.Payload) error { return pool.admitter.MergeUsage(p.Daemon, p.Data, now) })
 	}
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -270,7 +270,7 @@
 		}
 		c.entry.metrics.retries.Inc()
 		c.entry.log.Info("Request sent again.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", tried),
-			zap.Int("attempts", len(c.tried)), zap.Bool("not_run", result.notRun), zap.Int64("after_event", c.lastEventID), zap.Error(result.err))
+			zap.Int("attempts", len(c.tried)), zap.Bool("not_run", result.notRun), zap.Int64("after_event", c.lastEventID), c.sharedPartsField(), zap.Error(result.err))
 	}
 }
 
--- a/internal/gateway/entry/crash.go
+++ b/internal/gateway/entry/crash.go
@@ -95,13 +95,18 @@
 	return data, next
 }
 
-// merge adds the crash records of other entries.
-func (c *crashDetector) merge(data []byte) {
+// merge adds the crash records of other entries, which a replica sent.
+func (c *crashDetector) merge(replica string, data []byte) {
 	if len(data) == 0 {
 		return
 	}
-	if err := c.tracker.Merge(data, time.Now()); err != nil {
-		c.entry.log.Warn("Crash records of other entries could not be decoded and are ignored.", zap.Error(err))
+	changed, err := c.tracker.Merge(data, time.Now())
+	if err != nil {
+		c.entry.log.Warn("Crash records of other entries could not be decoded and are ignored.", zap.String("replica", replica), zap.Error(err))
+		return
+	}
+	if changed > 0 {
+		c.entry.log.Info("Crash records received.", zap.String("replica", replica), zap.Int("changed", changed), zap.Int("bytes", len(data)))
 	}
 }
 
--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/internal/gateway/pick"
 )
 
 // finish answers the caller if no endpoint did, and logs the request. It panics
@@ -79,6 +81,22 @@
 		c.entry.log.Info(message, fields...)
 		return
 	}
-	fields = append(fields, zap.String("reason", string(refusal.Reason)), zap.Duration("retry_after", refusal.RetryAfter), zap.Error(refusal.Err))
+	fields = append(fields, c.sharedPartsField(), zap.String("reason", string(refusal.Reason)), zap.Duration("retry_after", refusal.RetryAfter), zap.Error(refusal.Err))
 	c.entry.log.Warn(message, fields...)
 }
+
+// maxLoggedParts bounds the prompt parts that a log line names.
+const maxLoggedParts = 8
+
+// sharedPartsField names the prompt parts that the request may share with others.
+func (c *call) sharedPartsField() zap.Field {
+	shared := pick.SharedParts(c.meta.Prefix)
+	names := make([]string, 0, maxLoggedParts)
+	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
+		names = append(names, partName(part.ID))
+	}
+	return zap.Strings("parts", names)
+}
+
+// partName returns the ID of a prompt part as callers write it.
+func partName(id uint64) string { return strconv.FormatUint(id, 16) }
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -289,7 +289,7 @@
 		e.setEntryCount(reply.Entries)
 		c.entryCount.Store(int64(reply.Entries))
 	}
-	e.crashes.merge(reply.Crashes)
+	e.crashes.merge(address, reply.Crashes)
 	c.noteReplicas(address, reply)
 	if !reply.FullUpdate && len(reply.Endpoints) == 0 {
 		return
--- a/internal/gateway/pick/affinity.go
+++ b/internal/gateway/pick/affinity.go
@@ -11,9 +11,9 @@
 // again what another endpoint holds in its KV cache.
 const affinityWeight = 1.0
 
-// sharedParts returns the prompt parts that other requests may have in common with
+// SharedParts returns the prompt parts that other requests may have in common with
 // this one: all but the last, which is specific to the request.
-func sharedParts(prefix []port.PromptPart) []port.PromptPart { return prefix[:max(len(prefix)-1, 0)] }
+func SharedParts(prefix []port.PromptPart) []port.PromptPart { return prefix[:max(len(prefix)-1, 0)] }
 
 // preferredIndex returns the index of the endpoint that all entries prefer for the
 // shared prompt parts, by rendezvous hashing, or -1 if there are no parts. Entries
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -96,7 +96,7 @@
 	}
 	b.scores = append(b.scores[:0], make([]float64, len(views))...)
 	scores := b.scores
-	parts := sharedParts(r.Prefix)
+	parts := SharedParts(r.Prefix)
 	if preferred := preferredIndex(parts, views); preferred >= 0 {
 		scores[preferred] = -float64(affinityTokens(parts)) / prefillTokensPerS
 	}
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -28,7 +28,7 @@
 		request.RegistryVersion, request.CrashVersion = 0, 0
 	}
 	if len(request.Crashes) > 0 {
-		if err := s.suspects.Merge(request.Crashes, now); err != nil {
+		if _, err := s.suspects.Merge(request.Crashes, now); err != nil {
 			s.log.Warn("Crash records of an entry not merged.", zap.String("entry", request.Entry), zap.Error(err))
 		}
 	}
