Quarantine prompt parts that crash endpoints

What callers saw: one kind of request crashed endpoint after endpoint for as long as it came; other requests there were broken off (6 to 9 in 100 failed). Cause: crash records were keyed by the content of a whole request, and no two requests with the deadly part are alike. Class: harm that is limited by a key which each harmful request renews. Why it works: prompt parts get records in the same tracker and messages. A part counts only the crashes after its last survival on any entry, and only those that no stronger suspect explains, so that parts shared with sound requests stay free. Quarantined parts are refused at once as not run; the leader grants one probe at a time as a way back. Ruled out: records that arrive late (all entries knew the first crash within 0.9 s).

--- a/internal/core/suspect/exchange.go
+++ b/internal/core/suspect/exchange.go
@@ -22,11 +22,17 @@
 	Waves []uint64
 }
 
+// recordMessage is a record with ages in milliseconds instead of times, because the
+// clocks of VMs may differ.
 type recordMessage struct {
-	Fingerprint       []byte
+	Fingerprint []byte
+	// Crashes and CrashAgesMS list the crashes. Daemons of earlier releases send no
+	// ages; AgeMS then holds for all crashes that are not in Forgiven.
 	Crashes, Forgiven []uint64
-	// AgeMS is the time since the last crash in milliseconds. An age is sent
-	// instead of a time, because the clocks of VMs may differ.
+	CrashAgesMS       []int64 `msgpack:",omitempty"`
+	// SurvivedAgeMS is the time since the last survival, 0 if none is known.
+	SurvivedAgeMS int64 `msgpack:",omitempty"`
+	// AgeMS is the time since the record was last seen.
 	AgeMS int64
 }
 
@@ -115,10 +121,37 @@
 }
 
 func (r *record) message(f Fingerprint, now time.Time) recordMessage {
-	return recordMessage{
-		Fingerprint: f[:], Crashes: crashNumbers(r.crashes), Forgiven: crashNumbers(r.forgiven),
-		AgeMS: now.Sub(r.lastCrash).Milliseconds(),
+	m := recordMessage{Fingerprint: f[:], AgeMS: now.Sub(r.lastSeen).Milliseconds()}
+	for _, e := range r.crashes {
+		m.Crashes = append(m.Crashes, uint64(e.id))
+		m.CrashAgesMS = append(m.CrashAgesMS, now.Sub(e.at).Milliseconds())
+		if !e.at.After(r.survivedAt) {
+			m.Forgiven = append(m.Forgiven, uint64(e.id))
+		}
+	}
+	if !r.survivedAt.IsZero() {
+		m.SurvivedAgeMS = max(now.Sub(r.survivedAt).Milliseconds(), 1)
 	}
+	return m
+}
+
+// crashEvents returns the crashes with times by the clock of this daemon.
+func (m *recordMessage) crashEvents(now time.Time) []crashEvent {
+	var list []crashEvent
+	for i, id := range m.Crashes {
+		switch {
+		case len(m.CrashAgesMS) == len(m.Crashes):
+			list = append(list, crashEvent{crashID(id), before(now, m.CrashAgesMS[i])})
+		case !slices.Contains(m.Forgiven, id):
+			list = append(list, crashEvent{crashID(id), before(now, m.AgeMS)})
+		}
+	}
+	return list
+}
+
+// before returns the time an age ago. Negative ages count as 0.
+func before(now time.Time, ageMS int64) time.Time {
+	return now.Add(-time.Duration(max(ageMS, 0)) * time.Millisecond)
 }
 
 // Merge applies the payload of a peer and returns how many records changed. It is
@@ -145,37 +178,48 @@
 }
 
 // merge applies a record of a peer and reports whether it changed the own record.
-func (t *Tracker) merge(m *recordMessage, now time.Time) bool {
-	lastCrash := now.Add(-time.Duration(max(m.AgeMS, 0)) * time.Millisecond)
-	if len(m.Fingerprint) != len(Fingerprint{}) || now.Sub(lastCrash) > t.quarantine {
+func (t *Tracker) merge(m *recordMessage, now time.Time) (changed bool) {
+	lastSeen := before(now, m.AgeMS)
+	if len(m.Fingerprint) != len(Fingerprint{}) || now.Sub(lastSeen) > t.quarantine {
 		return false
 	}
-	r := t.record(Fingerprint(m.Fingerprint), now)
-	known := len(r.crashes) + len(r.forgiven)
-	if known == 0 || lastCrash.After(r.lastCrash) {
-		r.lastCrash = lastCrash
+	f := Fingerprint(m.Fingerprint)
+	r := t.records[f]
+	if r == nil || now.Sub(r.lastSeen) > t.quarantine {
+		r = t.record(f, now)
+		r.lastSeen = lastSeen
+		// The peer may not know of the runs that survived here.
+		if !r.survivedAt.IsZero() {
+			t.setChanged(r, true, now)
+		}
 	}
-	r.crashes = union(r.crashes, crashIDs(m.Crashes))
-	r.forgiven = union(r.forgiven, crashIDs(m.Forgiven))
-	if len(r.crashes)+len(r.forgiven) == known {
-		return false
+	if lastSeen.Sub(r.lastSeen) >= refreshInterval/2 {
+		changed = true
 	}
-	t.setChanged(r, false, now)
-	return true
-}
-
-func crashNumbers(list []crashID) []uint64 {
-	out := make([]uint64, len(list))
-	for i, id := range list {
-		out[i] = uint64(id)
+	if lastSeen.After(r.lastSeen) {
+		r.lastSeen = lastSeen
+	}
+	for _, e := range m.crashEvents(now) {
+		changed = r.addCrash(e) || changed
 	}
-	return out
+	changed = t.mergeSurvival(r, m, now) || changed
+	if changed {
+		t.setChanged(r, false, now)
+	}
+	return changed
 }
 
-func crashIDs(list []uint64) []crashID {
-	out := make([]crashID, len(list))
-	for i, n := range list {
-		out[i] = crashID(n)
+// mergeSurvival applies the last survival that a peer knows. Only the first one and
+// those that clear crashes are passed on.
+func (t *Tracker) mergeSurvival(r *record, m *recordMessage, now time.Time) (changed bool) {
+	if m.SurvivedAgeMS <= 0 {
+		return false
+	}
+	at := before(now, m.SurvivedAgeMS)
+	if !at.After(r.survivedAt) {
+		return false
 	}
-	return out
+	first, uncleared := r.survivedAt.IsZero(), len(r.uncleared())
+	r.survivedAt = at
+	return first || len(r.uncleared()) != uncleared
 }
--- a/internal/core/suspect/tracker.go
+++ b/internal/core/suspect/tracker.go
@@ -1,21 +1,18 @@
 package suspect
 
 import (
-	"encoding/binary"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/boragelead/boragelead/internal/core/conf"
 )
 
 const (
 	// maxRecords bounds the records; see evictBefore for the order of eviction.
 	maxRecords = 8192
-	// maxCrashes bounds the crashes remembered per fingerprint.
+	// maxCrashes bounds the crashes remembered per fingerprint. The newest are kept.
 	maxCrashes = 16
 	// If at least waveCrashes endpoints crash within waveWindow, the cause is
 	// assumed to be a failure of the infrastructure, such as the loss of a rack.
@@ -30,6 +27,15 @@
 	// request may run although End was not called for the last one.
 	isolatedRunTimeout = 10 * time.Minute
 
+	// refreshInterval is how often a refused request prolongs the quarantine of its
+	// part. Each prolongation is sent to all entries.
+	refreshInterval = 20 * time.Second
+	// minProbeInterval is the time after the last crash or probe until a request
+	// with a quarantined part may run as a probe. Each probe doubles it, up to
+	// maxProbeInterval, since a probe of a deadly part costs an endpoint.
+	minProbeInterval = 15 * time.Second
+	maxProbeInterval = 10 * time.Minute
+
 	defaultCrashes    = 2
 	defaultQuarantine = 10 * time.Minute
 )
@@ -45,31 +51,6 @@
 	Alone
 )
 
-// crashID identifies the crash of one incarnation of an endpoint, so that a crash
-// with several observers is counted once.
-type crashID uint64
-
-// record holds the crashes of a fingerprint. The lists crashes and forgiven only
-// grow while the record exists, so that entries can merge records in any order.
-type record struct {
-	crashes  []crashID
-	forgiven []crashID
-	// lastCrash and lastChange are the times of the last crash and of the last
-	// change of the record.
-	lastCrash, lastChange time.Time
-	// version is the number of the last change, ownVersion that of the last
-	// change that this tracker observed itself.
-	version, ownVersion uint64
-	// isolatedSince is the start of the run of this request alone on this entry,
-	// zero if none is in progress.
-	isolatedSince time.Time
-}
-
-type crashEvent struct {
-	id crashID
-	at time.Time
-}
-
 // Tracker decides which requests are suspect, must run alone or are quarantined.
 // It is safe for concurrent use. While it has no records, Begin and End take no
 // lock.
@@ -79,6 +60,7 @@
 	records        map[Fingerprint]*record
 	recentCrashes  []crashEvent
 	waves          map[crashID]time.Time
+	survivals      *survivalLog
 	version        uint64
 	crashThreshold int
 	quarantine     time.Duration
@@ -86,7 +68,7 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker(config conf.Retry) *Tracker {
-	t := &Tracker{records: make(map[Fingerprint]*record), waves: make(map[crashID]time.Time)}
+	t := &Tracker{records: make(map[Fingerprint]*record), waves: make(map[crashID]time.Time), survivals: newSurvivalLog()}
 	t.Configure(config)
 	return t
 }
@@ -117,8 +99,8 @@
 	t.recordCrash(id, now)
 	for _, f := range running {
 		r := t.record(f, now)
-		r.lastCrash = now
-		r.crashes = union(r.crashes, []crashID{id})
+		r.lastSeen = now
+		r.addCrash(crashEvent{id, now})
 		t.setChanged(r, true, now)
 	}
 	t.count.Store(int64(len(t.records)))
@@ -141,10 +123,10 @@
 	defer t.mu.Unlock()
 	score := t.score(r)
 	switch {
-	case now.Sub(r.lastCrash) > t.quarantine || score < fullCrashWeight:
+	case now.Sub(r.lastSeen) > t.quarantine || score < fullCrashWeight:
 		return Clean, nil
 	case score >= fullCrashWeight*t.crashThreshold:
-		return Clean, &QuarantinedError{Crashes: len(r.crashes), RetryAfter: t.quarantine - now.Sub(r.lastCrash)}
+		return Clean, r.quarantinedError(now, t.quarantine-now.Sub(r.lastSeen))
 	case !r.isolatedSince.IsZero() && now.Sub(r.isolatedSince) < isolatedRunTimeout:
 		return Alone, &BusyError{}
 	}
@@ -154,7 +136,7 @@
 
 // End records the end of an attempt, with the verdict that Begin returned for it.
 // finished is set if the endpoint sent the complete answer. The crashes recorded so
-// far are then forgiven, unless the request is quarantined.
+// far then no longer count, unless the request is quarantined.
 func (t *Tracker) End(f Fingerprint, verdict Verdict, finished bool, now time.Time) {
 	if t.count.Load() == 0 {
 		return
@@ -169,7 +151,17 @@
 		r.isolatedSince = time.Time{}
 	}
 	if finished && t.score(r) < fullCrashWeight*t.crashThreshold {
-		r.forgiven = union(r.forgiven, r.crashes)
+		t.setSurvived(r, now)
+	}
+}
+
+// setSurvived records that a run did not crash its endpoint until now. It must be
+// called with the lock held.
+func (t *Tracker) setSurvived(r *record, now time.Time) {
+	uncleared := len(r.uncleared())
+	r.survivedAt = now
+	if uncleared > 0 {
+		r.probes = 0
 		t.setChanged(r, true, now)
 	}
 }
@@ -189,12 +181,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for f, r := range t.records {
-		if now.Sub(r.lastCrash) > t.quarantine {
+		if now.Sub(r.lastSeen) > t.quarantine {
 			delete(t.records, f)
 		}
 	}
-	for id, lastCrash := range t.waves {
-		if now.Sub(lastCrash) > t.quarantine {
+	for id, recordedAt := range t.waves {
+		if now.Sub(recordedAt) > t.quarantine {
 			delete(t.waves, id)
 		}
 	}
@@ -204,15 +196,6 @@
 // Len returns the number of records.
 func (t *Tracker) Len() int { return int(t.count.Load()) }
 
-func newCrashID(endpoint string, incarnation uint64) crashID {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(endpoint)
-	var number [8]byte
-	binary.LittleEndian.PutUint64(number[:], incarnation)
-	_, _ = digest.Write(number[:])
-	return crashID(digest.Sum64())
-}
-
 // recordCrash stores a crash and detects whether it belongs to a wave.
 func (t *Tracker) recordCrash(id crashID, now time.Time) {
 	t.recentCrashes = append(t.recentCrashes, crashEvent{id, now})
@@ -231,33 +214,33 @@
 	}
 }
 
-// score returns the sum of the weights of the crashes that are not forgiven.
+// score returns the sum of the weights of the crashes after the last survival.
 func (t *Tracker) score(r *record) int {
 	score := 0
-	for _, id := range r.crashes {
-		if slices.Contains(r.forgiven, id) {
-			continue
-		}
-		if _, wave := t.waves[id]; wave {
-			score += waveCrashWeight
-		} else {
-			score += fullCrashWeight
-		}
+	for _, e := range r.uncleared() {
+		score += t.weight(e.id)
 	}
 	return score
 }
 
+func (t *Tracker) weight(id crashID) int {
+	if _, wave := t.waves[id]; wave {
+		return waveCrashWeight
+	}
+	return fullCrashWeight
+}
+
 // record returns the record of a fingerprint and creates it if there is none or
 // it has expired. If the tracker is full, it evicts another record.
 func (t *Tracker) record(f Fingerprint, now time.Time) *record {
 	r := t.records[f]
-	if r != nil && now.Sub(r.lastCrash) <= t.quarantine {
+	if r != nil && now.Sub(r.lastSeen) <= t.quarantine {
 		return r
 	}
 	if r == nil && len(t.records) >= maxRecords {
 		t.evict()
 	}
-	r = &record{lastCrash: now}
+	r = &record{lastSeen: now, survivedAt: t.survivals.last(f)}
 	t.records[f] = r
 	return r
 }
@@ -281,17 +264,8 @@
 	if rQuarantined != sQuarantined {
 		return sQuarantined
 	}
-	if !r.lastCrash.Equal(s.lastCrash) {
-		return r.lastCrash.Before(s.lastCrash)
+	if !r.lastSeen.Equal(s.lastSeen) {
+		return r.lastSeen.Before(s.lastSeen)
 	}
 	return slices.Compare(f[:], g[:]) < 0
 }
-
-func union(a, b []crashID) []crashID {
-	for _, id := range b {
-		if len(a) < maxCrashes && !slices.Contains(a, id) {
-			a = append(a, id)
-		}
-	}
-	return a
-}
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -70,10 +70,11 @@
 	if len(c.tried) == 0 {
 		e.retries.First(c.service.Name, time.Now())
 	}
-	end, err := e.crashes.beginAttempt(c.fingerprint, choice.Endpoint.ID)
+	watch, err := e.crashes.beginAttempt(c.fingerprint, c.parts, choice.Endpoint.ID)
 	if err != nil {
 		return outcome{refusal: c.suspectRefusal(err)}
 	}
+	c.watch = watch
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ctx, span := e.options.Tracing.Start(ctx, telemetry.HopAttempt)
@@ -81,7 +82,7 @@
 	span.Text("endpoint", choice.Endpoint.ID)
 	result := c.exchange(ctx, cancel, choice)
 	span.Fail(result.err)
-	end(result.done && c.complete)
+	watch.end(result.done && c.complete)
 	return result
 }
 
@@ -90,7 +91,7 @@
 	e := c.entry
 	answer, err := c.send(ctx, cancel, choice)
 	if err != nil {
-		return c.classifyFailure(choice, err)
+		return c.classifyFailure(ctx, choice, err)
 	}
 	defer answer.Close()
 	c.tried = append(c.tried, choice.Endpoint.ID)
@@ -125,7 +126,7 @@
 	if c.route.Kind == rules.Streaming && answer.StatusCode == http.StatusOK {
 		return c.forwardStream(ctx, choice, answer)
 	}
-	return c.forwardPlain(choice, answer)
+	return c.forwardPlain(ctx, choice, answer)
 }
 
 // send sends the request and waits for the header of the answer. For a repeatable
@@ -157,13 +158,13 @@
 
 // classifyFailure returns the outcome of an attempt without an answer and records
 // the failure.
-func (c *call) classifyFailure(choice *pick.Choice, err error) outcome {
+func (c *call) classifyFailure(ctx context.Context, choice *pick.Choice, err error) outcome {
 	var transport *port.TransportError
 	sent := !errors.As(err, &transport) || transport.Sent
 	if sent {
 		c.tried = append(c.tried, choice.Endpoint.ID)
 		if c.r.Context().Err() == nil && !isTimeout(err) {
-			c.entry.crashes.answerLost(&choice.Endpoint)
+			c.awaitCrashVerdict(ctx, c.entry.crashes.answerLost(&choice.Endpoint))
 		}
 	}
 	if c.r.Context().Err() == nil {
@@ -188,12 +189,12 @@
 
 // forwardPlain reads the complete answer before it forwards it. If the answer is
 // truncated, the request can then still be retried or answered with an error.
-func (c *call) forwardPlain(choice *pick.Choice, answer *wire.Answer) outcome {
+func (c *call) forwardPlain(ctx context.Context, choice *pick.Choice, answer *wire.Answer) outcome {
 	body, err := io.ReadAll(io.LimitReader(answer, maxPlainBodyBytes))
 	if err != nil {
 		answer.Discard()
 		choice.RecordFailure(time.Now())
-		c.entry.crashes.answerLost(&choice.Endpoint)
+		c.awaitCrashVerdict(ctx, c.entry.crashes.answerLost(&choice.Endpoint))
 		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "body truncated: " + err.Error()}}
 	}
 	c.countUsage()
@@ -207,6 +208,7 @@
 		}
 	} else {
 		choice.RecordSuccess(now)
+		c.watch.survived()
 	}
 	header := c.w.Header()
 	copyHeader(header, answer.Header)
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -81,8 +81,12 @@
 	usageCounted bool
 	// complete is set once the answer was read to its end.
 	complete bool
-	// fingerprint identifies the content of the request in crash records.
+	// fingerprint identifies the content of the request in crash records, and parts
+	// the parts of its prompt that requests share.
 	fingerprint suspect.Fingerprint
+	parts       []suspect.Fingerprint
+	// watch is the crash detection of the current attempt.
+	watch *crashWatch
 	// responseStarted is set once the response header was written to the caller.
 	responseStarted bool
 	// status is the HTTP status that the caller received, for the log.
@@ -142,6 +146,7 @@
 	}
 	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body)
 	c.service = table.Service(c.route.Pick(rand.Float64()))
+	c.parts = c.suspectParts()
 	return c.chargeQuota(workspace)
 }
 
@@ -235,7 +240,7 @@
 	for {
 		var err error
 		if choice == nil {
-			choice, err = c.choose(ctx)
+			choice, err = c.nextEndpoint(ctx)
 		}
 		if err != nil {
 			return c.finalError(ctx, err)
@@ -307,6 +312,14 @@
 	}
 }
 
+// nextEndpoint chooses the endpoint of the next attempt, if the request may run.
+func (c *call) nextEndpoint(ctx context.Context) (*pick.Choice, error) {
+	if err := c.checkParts(ctx); err != nil {
+		return nil, err
+	}
+	return c.choose(ctx)
+}
+
 // choose picks an endpoint. If none is available, it waits for one for a limited time.
 func (c *call) choose(ctx context.Context) (*pick.Choice, error) {
 	request := c.pickRequest()
--- a/internal/gateway/entry/crash.go
+++ b/internal/gateway/entry/crash.go
@@ -26,15 +26,22 @@
 	minProbeInterval = time.Second
 )
 
-// crashDetector finds requests that crash the endpoints that run them. Entries
-// exchange their crash records through the state replicas.
+// crashDetector finds requests and prompt parts that crash the endpoints that run
+// them. Entries exchange their crash records through the state replicas.
 type crashDetector struct {
 	entry   *Entry
 	tracker *suspect.Tracker
 	running *suspect.RunningRequests
 
-	mu       sync.Mutex
-	probedAt map[string]time.Time
+	mu sync.Mutex
+	// probes holds the last probe of each endpoint.
+	probes map[string]*endpointProbe
+}
+
+// endpointProbe is a probe of an endpoint; done is closed when it has ended.
+type endpointProbe struct {
+	startedAt time.Time
+	done      chan struct{}
 }
 
 // Quarantine is the policy for requests that crash endpoints. State replicas, which
@@ -42,34 +49,40 @@
 var Quarantine = conf.Retry{QuarantineCrashes: quarantineCrashes, QuarantineS: quarantineSeconds}
 
 func newCrashDetector(e *Entry) *crashDetector {
-	return &crashDetector{entry: e, tracker: suspect.NewTracker(Quarantine), running: suspect.NewRunningRequests(), probedAt: make(map[string]time.Time)}
+	return &crashDetector{entry: e, tracker: suspect.NewTracker(Quarantine), running: suspect.NewRunningRequests(), probes: make(map[string]*endpointProbe)}
 }
 
 // answerLost records that the connection to an endpoint failed before its answer
 // was complete. It probes the endpoint in the background; if the endpoint has
-// crashed, a crash is recorded for every request that ran there.
-func (c *crashDetector) answerLost(endpoint *registry.Endpoint) {
+// crashed, a crash is recorded for every request that ran there. The returned
+// channel is closed when the probe has ended.
+func (c *crashDetector) answerLost(endpoint *registry.Endpoint) <-chan struct{} {
 	c.entry.metrics.answerLost.Inc()
 	now := time.Now()
 	c.mu.Lock()
-	if now.Sub(c.probedAt[endpoint.ID]) < minProbeInterval {
-		c.mu.Unlock()
-		return
+	defer c.mu.Unlock()
+	if last := c.probes[endpoint.ID]; last != nil && now.Sub(last.startedAt) < minProbeInterval {
+		return last.done
 	}
-	c.probedAt[endpoint.ID] = now
-	for id, at := range c.probedAt {
-		if now.Sub(at) > quarantineSeconds*time.Second {
-			delete(c.probedAt, id)
+	for id, probe := range c.probes {
+		if now.Sub(probe.startedAt) > quarantineSeconds*time.Second {
+			delete(c.probes, id)
 		}
 	}
-	c.mu.Unlock()
+	probe := &endpointProbe{startedAt: now, done: make(chan struct{})}
+	c.probes[endpoint.ID] = probe
 	// The list is read before the attempts end, so that it contains all of them.
 	fingerprints := c.running.At(endpoint.ID)
 	if endpoint.State != registry.Ready || len(fingerprints) == 0 {
-		return
+		close(probe.done)
+		return probe.done
 	}
 	target := *endpoint
-	c.entry.group.Go(func() { c.probe(&target, fingerprints) })
+	c.entry.group.Go(func() {
+		defer close(probe.done)
+		c.probe(&target, fingerprints)
+	})
+	return probe.done
 }
 
 // probe connects to an endpoint once. If that fails, it records a crash.
@@ -110,28 +123,63 @@
 	}
 }
 
+// crashWatch is an attempt that is suspect if its endpoint crashes.
+type crashWatch struct {
+	detector    *crashDetector
+	endpoint    string
+	fingerprint suspect.Fingerprint
+	// parts holds the prompt parts that are suspect, none once the run has survived.
+	parts   []suspect.Fingerprint
+	verdict suspect.Verdict
+}
+
 // beginAttempt records the start of an attempt if the request may run. The caller
-// must call end when the attempt ends, and tell it whether the answer was
-// complete. The error is a *suspect.QuarantinedError or, while another copy of the
-// request runs, a *suspect.BusyError.
-func (c *crashDetector) beginAttempt(fingerprint suspect.Fingerprint, endpoint string) (end func(complete bool), err error) {
+// must call end when the attempt ends. The error is a *suspect.QuarantinedError or,
+// while another copy of the request runs, a *suspect.BusyError.
+func (c *crashDetector) beginAttempt(fingerprint suspect.Fingerprint, parts []suspect.Fingerprint, endpoint string) (*crashWatch, error) {
 	verdict, err := c.tracker.Begin(fingerprint, time.Now())
 	if err != nil {
 		return nil, err
 	}
 	c.running.Start(endpoint, fingerprint)
-	return func(complete bool) {
-		c.running.End(endpoint, fingerprint)
-		c.tracker.End(fingerprint, verdict, complete, time.Now())
-	}, nil
+	for _, part := range parts {
+		c.running.Start(endpoint, part)
+	}
+	return &crashWatch{detector: c, endpoint: endpoint, fingerprint: fingerprint, parts: parts, verdict: verdict}, nil
+}
+
+// survived records that the run has written enough of its answer to show that its
+// prompt parts do not crash the endpoint.
+func (w *crashWatch) survived() {
+	if len(w.parts) == 0 {
+		return
+	}
+	w.detector.tracker.Survived(w.parts, time.Now())
+	w.endParts()
+}
+
+func (w *crashWatch) endParts() {
+	for _, part := range w.parts {
+		w.detector.running.End(w.endpoint, part)
+	}
+	w.parts = nil
+}
+
+// end records the end of the attempt, and whether its answer was complete.
+func (w *crashWatch) end(complete bool) {
+	w.endParts()
+	w.detector.running.End(w.endpoint, w.fingerprint)
+	w.detector.tracker.End(w.fingerprint, w.verdict, complete, time.Now())
 }
 
-// suspectRefusal converts an error of beginAttempt into a refusal.
+// suspectRefusal converts an error of the crash detector into a refusal. The time
+// of a quarantine is not limited to what callers accept: an earlier return would be
+// refused again.
 func (c *call) suspectRefusal(err error) *Refusal {
-	wait := defaultRetryAfter
+	wait := c.retryAfter(defaultRetryAfter)
 	var quarantined *suspect.QuarantinedError
 	if errors.As(err, &quarantined) {
 		wait = quarantined.RetryAfter
 	}
-	return &Refusal{Status: statusNotRun, Reason: ReasonQuarantined, RetryAfter: c.retryAfter(wait), Err: err}
+	return &Refusal{Status: statusNotRun, Reason: ReasonQuarantined, RetryAfter: wait, Err: err}
 }
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/bootclock"
@@ -29,10 +31,10 @@
 	pollTimeout = 1800 * time.Millisecond
 	// pollRetryPause is the pause after a failed poll.
 	pollRetryPause = 100 * time.Millisecond
-	// spendTimeout limits the request to the leader for common quota. It is short
-	// because a refusal must not be delayed and the answer takes only one round
-	// trip.
-	spendTimeout = 60 * time.Millisecond
+	// leaderCallTimeout limits a call to the leader on which a request waits. It is
+	// short because a refusal must not be delayed and the answer takes only one
+	// round trip.
+	leaderCallTimeout = 60 * time.Millisecond
 	// spendRetryPause is how long no common quota is requested after a failed
 	// request.
 	spendRetryPause = 500 * time.Millisecond
@@ -248,24 +250,15 @@
 // stands.
 func (c *replicaClient) spend(ctx context.Context, workspace string, cost float64, ownDecision quota.Decision) quota.Decision {
 	e := c.entry
-	leader := c.leader.Load()
-	if leader == nil {
-		return ownDecision
-	}
-	params, err := link.Encode(&link.SpendRequest{Workspace: workspace, Cost: cost})
-	if err != nil {
-		return ownDecision
-	}
-	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
-	defer cancel()
-	data, err := e.options.Caller.Call(ctx, *leader, link.MethodSpend, params)
 	reply := &link.SpendReply{}
-	if err == nil {
-		err = link.Decode(data, reply)
+	err := c.callLeader(ctx, link.MethodSpend, &link.SpendRequest{Workspace: workspace, Cost: cost}, reply)
+	var unknown *UnknownLeaderError
+	if errors.As(err, &unknown) {
+		return ownDecision
 	}
 	now := time.Now()
 	if err != nil {
-		e.log.Warn("Common quota not reached.", zap.String("workspace", workspace), zap.String("replica", *leader), zap.Error(err))
+		e.log.Warn("Common quota not reached.", zap.String("workspace", workspace), zap.Error(err))
 		e.quotas.RecordDenial(workspace, 0, now.Add(spendRetryPause))
 		return ownDecision
 	}
@@ -277,6 +270,31 @@
 	return quota.Decision{Wait: min(wait, ownDecision.Wait)}
 }
 
+// UnknownLeaderError reports that no replica has answered as the leader yet.
+type UnknownLeaderError struct{}
+
+// Error implements error.
+func (*UnknownLeaderError) Error() string { return "no leading replica is known" }
+
+// callLeader asks the leading replica for a permission that one request needs.
+func (c *replicaClient) callLeader(ctx context.Context, method string, request, reply any) error {
+	leader := c.leader.Load()
+	if leader == nil {
+		return &UnknownLeaderError{}
+	}
+	params, err := link.Encode(request)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
+	defer cancel()
+	data, err := c.entry.options.Caller.Call(ctx, *leader, method, params)
+	if err != nil {
+		return eris.Wrapf(err, "call leader %s", *leader)
+	}
+	return link.Decode(data, reply)
+}
+
 // applyReply applies the changes in the answer of a replica.
 func (c *replicaClient) applyReply(address string, reply *link.PollReply, demand map[string]float64) {
 	e := c.entry
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -30,7 +30,7 @@
 		c.entry.metrics.resumed.Inc()
 	}
 	silenceTimeout := c.silenceTimeout()
-	firstEvent := true
+	var firstEventAt time.Time
 	var run *streamRun
 	defer func() { c.releaseRun(run, choice) }()
 	for {
@@ -43,6 +43,7 @@
 				c.startStream(answer)
 			}
 			c.complete = true
+			c.watch.survived()
 			return outcome{done: true, sent: true}
 		}
 		if err != nil {
@@ -53,15 +54,17 @@
 			}
 			if c.r.Context().Err() == nil {
 				choice.RecordFailure(time.Now())
-				c.entry.crashes.answerLost(&choice.Endpoint)
+				c.awaitCrashVerdict(ctx, c.entry.crashes.answerLost(&choice.Endpoint))
 			}
 			return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "stream ended early: " + err.Error()}}
 		}
 		choice.RecordProgress()
-		if firstEvent {
-			firstEvent = false
-			choice.RecordSuccess(time.Now())
+		if firstEventAt.IsZero() {
+			firstEventAt = time.Now()
+			choice.RecordSuccess(firstEventAt)
 			c.countUsage()
+		} else if time.Since(firstEventAt) >= survivalTime {
+			c.watch.survived()
 		}
 		if resuming {
 			block = c.dropSeenEvents(block)
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -19,6 +19,8 @@
 	MethodPoll = "gateway.poll"
 	// MethodSpend is called by entries on the leader.
 	MethodSpend = "gateway.spend"
+	// MethodProbe is called by entries on the leader.
+	MethodProbe = "gateway.probe"
 	// MethodShare is called by state replicas on each other, to forward announcements
 	// of endpoints.
 	MethodShare = "gateway.share"
@@ -99,6 +101,17 @@
 	WaitMS  int64 `msgpack:"w,omitempty"`
 }
 
+// ProbeRequest asks whether a request may run as a probe, although a part of its
+// prompt is quarantined. Part is the fingerprint of the part.
+type ProbeRequest struct {
+	Part []byte `msgpack:"p"`
+}
+
+// ProbeReply answers a ProbeRequest.
+type ProbeReply struct {
+	Granted bool `msgpack:"g"`
+}
+
 // ShareRequest forwards announcements of endpoints.
 type ShareRequest struct {
 	Announcements []registry.ReceivedAnnouncement `msgpack:"s"`
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/core/suspect"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 )
@@ -57,8 +58,24 @@
 	return link.Encode(&link.SpendReply{Granted: ok, WaitMS: wait.Milliseconds()})
 }
 
-// NotLeaderError reports that the replica cannot grant from the common quota,
-// because it is not the leader or has no rules yet.
+// handleProbe grants an entry the probe of a quarantined prompt part.
+func (s *State) handleProbe(_ context.Context, params []byte) ([]byte, error) {
+	request := &link.ProbeRequest{}
+	if err := link.Decode(params, request); err != nil {
+		return nil, err
+	}
+	if !s.isLeader() {
+		return nil, &NotLeaderError{}
+	}
+	reply := &link.ProbeReply{}
+	if len(request.Part) == len(suspect.Fingerprint{}) {
+		reply.Granted = s.suspects.TakeProbe(suspect.Fingerprint(request.Part), time.Now())
+	}
+	return link.Encode(reply)
+}
+
+// NotLeaderError reports that the replica cannot grant from the common quota or
+// grant a probe, because it is not the leader or has no rules yet.
 type NotLeaderError struct{}
 
 // Error implements error.
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -148,6 +148,7 @@
 	options.RPC.Handle(link.MethodPoll, st.handlePoll)
 	options.RPC.Handle(link.MethodShare, st.handleShare)
 	options.RPC.Handle(link.MethodSpend, st.handleSpend)
+	options.RPC.Handle(link.MethodProbe, st.handleProbe)
 	return st, nil
 }
 
