Record a crash only if the endpoint refuses connections

Cause: a probe that timed out counted as a crash of the endpoint. Conclusion: a request that takes its whole VM down is no longer recognized; one that crashes its endpoint's process is.

--- a/internal/gateway/entry/crash.go
+++ b/internal/gateway/entry/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/core/suspect"
@@ -85,7 +86,8 @@
 	return probe.done
 }
 
-// probe connects to an endpoint once. If that fails, it records a crash.
+// probe connects to an endpoint once. If the connection is refused, it records a
+// crash.
 func (c *crashDetector) probe(endpoint *registry.Endpoint, fingerprints []suspect.Fingerprint) {
 	ctx, cancel := context.WithTimeout(c.entry.ctx, probeTimeout)
 	defer cancel()
@@ -93,10 +95,19 @@
 	if err == nil || c.entry.ctx.Err() != nil {
 		return
 	}
+	if !showsCrash(err) {
+		c.entry.log.Warn("Endpoint not reached.", zap.String("endpoint", endpoint.ID), zap.Int("running", len(fingerprints)), zap.Error(err))
+		return
+	}
 	c.tracker.Crash(endpoint.ID, uint64(endpoint.Born), fingerprints, time.Now())
 	c.entry.log.Warn("Endpoint crashed.", zap.String("endpoint", endpoint.ID), zap.Int64("born", endpoint.Born), zap.Int("running", len(fingerprints)), zap.Error(err))
 }
 
+// showsCrash reports whether a failed connection shows that the process of the
+// endpoint has ended. A VM that is lost or behind a network partition does not answer
+// at all, and then the requests that ran there are no suspects.
+func showsCrash(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
+
 // ownRecords encodes the crash records that this entry made after a version, or
 // returns nil if there are none. next is the version for the next call.
 func (c *crashDetector) ownRecords(version uint64) (data []byte, next uint64) {
