Treat a stream that ends inside an event as broken off

What callers saw: a stream without a length whose connection ended inside an event was passed on as complete, with half an event at its end. Cause: at the end of the body the reader of events returned the remaining bytes as the last event. Without a length or chunks the missing end of the event is the only sign. TestStreamWithoutLengthEndsBetweenEvents failed before (no error for the cut stream).

--- a/internal/gateway/entry/events.go
+++ b/internal/gateway/entry/events.go
@@ -32,8 +32,9 @@
 	return &eventReader{source: source, buffer: make([]byte, eventBuffer)}
 }
 
-// next returns one or more complete events. At a regular end of the stream it
-// first returns the remaining bytes, also if no event ends there, and then io.EOF.
+// next returns one or more complete events. The error is io.EOF at a regular end of
+// the stream, and io.ErrUnexpectedEOF if the stream ended inside an event: without a
+// length that is the only sign that it was broken off.
 func (e *eventReader) next() (events []byte, err error) {
 	for {
 		if end := lastEventEnd(e.buffer[:e.pending], e.searched); end > 0 {
@@ -49,8 +50,8 @@
 		n, err := e.source.Read(e.buffer[e.pending:])
 		e.pending += n
 		if n == 0 && err != nil {
-			if errors.Is(err, io.EOF) && e.pending > 0 {
-				return e.take(e.pending), nil
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.buffer[:e.pending])) > 0 {
+				return nil, io.ErrUnexpectedEOF
 			}
 			return nil, err
 		}
