Decode and log the request limits that endpoints name

The logs could not show whether a limit is known to the entries. Answers with Server-Limit are decoded in the adapter; malformed, repeated, negative and huge values are ignored with a log line. Entries log a limit, its changes and its end; nothing acts on it yet.

--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
+	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/port"
@@ -71,6 +72,7 @@
 	replicaClient *replicaClient
 	crashes       *crashDetector
 	migrations    *migrations
+	rateLimits    *ratelimit.Table
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -111,6 +113,7 @@
 	e.replicaClient = newReplicaClient(e)
 	e.crashes = newCrashDetector(e)
 	e.migrations = newMigrations(e)
+	e.rateLimits = ratelimit.NewTable()
 	return e
 }
 
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -102,6 +102,12 @@
 	Sealed bool
 	// Load is nil if the answer contains no load report.
 	Load *EndpointLoad
+	// RateLimit is how many requests per second the endpoint takes from all entries
+	// together; nil if the answer names no limit.
+	RateLimit *float64
+	// InvalidRateLimit is the text of a limit that cannot be used; empty if there is
+	// none.
+	InvalidRateLimit string
 }
 
 // Dialect reads and writes the headers with which callers, gateway and
