Move the division of limits by demand out of the quota package

The request limits of endpoints need the same division. No change of behaviour: the tests of the quota package pass unchanged but for the package of the type.

--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/bootclock"
+	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
@@ -123,8 +124,8 @@
 	state := &pollState{maxWait: pollWait}
 	connected := false
 	for ctx.Err() == nil {
-		demand := e.quotas.Demand(time.Now())
-		reply, err := c.sendPoll(ctx, address, state, demand)
+		ownDemand := e.quotas.Demand(time.Now())
+		reply, err := c.sendPoll(ctx, address, state, ownDemand)
 		if ctx.Err() != nil {
 			return
 		}
@@ -141,7 +142,7 @@
 			e.log.Info("State replica reached.", zap.String("replica", address))
 		}
 		connected = true
-		c.applyReply(address, reply, demand)
+		c.applyReply(address, reply, ownDemand)
 	}
 }
 
@@ -189,11 +190,11 @@
 	return changed, ackedCounts
 }
 
-func (c *replicaClient) sendPoll(ctx context.Context, address string, state *pollState, demand map[string]float64) (*link.PollReply, error) {
+func (c *replicaClient) sendPoll(ctx context.Context, address string, state *pollState, ownDemand map[string]float64) (*link.PollReply, error) {
 	e := c.entry
 	request := &link.PollRequest{
 		Entry: e.options.Settings.Name, Incarnation: e.incarnation, ReplicaRun: state.replicaRun, RegistryVersion: state.registryVersion, CrashVersion: state.crashVersion,
-		WaitMS: state.maxWait.Milliseconds(), Demand: demand, Load: e.board.Load(),
+		WaitMS: state.maxWait.Milliseconds(), Demand: ownDemand, Load: e.board.Load(),
 	}
 	var ackedCounts map[uint64]int
 	request.Usage, ackedCounts = state.unackedCounts(e.counter.Report(e.clock.Now()))
@@ -296,14 +297,14 @@
 }
 
 // applyReply applies the changes in the answer of a replica.
-func (c *replicaClient) applyReply(address string, reply *link.PollReply, demand map[string]float64) {
+func (c *replicaClient) applyReply(address string, reply *link.PollReply, ownDemand map[string]float64) {
 	e := c.entry
 	if reply.Generation > 0 {
 		e.apply(reply.Generation, reply.Document)
 	}
 	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
 	if reply.PolledByAll {
-		e.quotas.SetTotal(quota.Demand{Entries: reply.Entries, PerS: reply.Demand}, demand, time.Now())
+		e.quotas.SetTotal(demand.Total{Entries: reply.Entries, PerS: reply.Demand}, ownDemand, time.Now())
 		e.setEntryCount(reply.Entries)
 		c.entryCount.Store(int64(reply.Entries))
 	}
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 )
 
@@ -24,17 +25,6 @@
 	// commonOvershootShare is the part of Tolerance.Overshoot that the common part
 	// may use.
 	commonOvershootShare = 0.5
-	// evenShare is the part of the divided limit that is divided evenly; the rest
-	// is divided by demand. An entry without recent demand thus admits its first
-	// requests.
-	evenShare = 0.25
-	// demandWindow is the time over which demand is averaged.
-	demandWindow = 4 * time.Second
-	// assumedEntries is the number of entries that is assumed before a replica
-	// reports one.
-	assumedEntries = 16
-	// totalDemandTTL is how long a report of the demand of all entries is used.
-	totalDemandTTL = 5 * time.Second
 )
 
 // Tolerance is how much may be granted above a limit within any window, over all
@@ -47,14 +37,6 @@
 	Tokens float64
 }
 
-// Demand is the total demand of all entries, as a replica reports it.
-type Demand struct {
-	// Entries is the number of entries.
-	Entries int
-	// PerS is the demand of all entries by workspace, in units of the limit per second.
-	PerS map[string]float64
-}
-
 // bucket is a token bucket. Its level may become negative.
 type bucket struct {
 	level     float64
@@ -136,10 +118,7 @@
 
 	mu         sync.Mutex
 	workspaces map[string]*workspace
-	total      Demand
-	totalAt    time.Time
-	// ownDemand is the demand of this entry that is included in total.
-	ownDemand map[string]float64
+	division   demand.Division
 	// commonLost is set while no leader holds the common part.
 	commonLost bool
 }
@@ -147,7 +126,7 @@
 type workspace struct {
 	limits
 	bucket
-	demand rateMeter
+	demand demand.Meter
 	// deniedUntil is when the common part may grant deniedCost again.
 	deniedUntil time.Time
 	deniedCost  float64
@@ -189,12 +168,10 @@
 
 // SetTotal sets the demand of all entries, and the demand of this entry that is
 // included in it.
-func (l *Limiter) SetTotal(d Demand, ownDemand map[string]float64, now time.Time) {
+func (l *Limiter) SetTotal(total demand.Total, own map[string]float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.total = d
-	l.ownDemand = ownDemand
-	l.totalAt = now
+	l.division.SetTotal(total, own, now)
 }
 
 // SetLeaderless sets whether the common part is lost, which is the case if a
@@ -224,8 +201,8 @@
 	if w == nil || w.rate <= 0 {
 		return Decision{Granted: true}
 	}
-	w.demand.add(cost, now)
-	rate := w.rate * l.share(name, now)
+	w.demand.Add(cost, now)
+	rate := w.rate * l.division.Share(name, now)
 	if !l.commonLost {
 		rate *= 1 - commonPart
 	}
@@ -261,57 +238,14 @@
 	defer l.mu.Unlock()
 	list := make(map[string]float64, len(l.workspaces))
 	for name, w := range l.workspaces {
-		if rate := w.demand.perS(now); rate > 0 {
+		if rate := w.demand.PerS(now); rate > 0 {
 			list[name] = rate
 		}
 	}
 	return list
 }
 
-func (l *Limiter) entries() int {
-	if l.totalAt.IsZero() {
-		return assumedEntries
-	}
-	return max(l.total.Entries, 1)
-}
-
 // capacity returns how much of its share this entry may spend at once.
 func (l *Limiter) capacity(name string, w *workspace, now time.Time) float64 {
-	return w.burst*(1-commonPart)*l.share(name, now) + w.extraTokens*dividedTokenShare/float64(l.entries())
-}
-
-// share returns the part of the divided limit that this entry may spend. It relates
-// the total demand to the demand of this entry that is included in it, and not to
-// its current demand: while demand grows, the shares would otherwise add up to more
-// than 1.
-func (l *Limiter) share(name string, now time.Time) float64 {
-	even := 1 / float64(l.entries())
-	if now.Sub(l.totalAt) > totalDemandTTL {
-		return even
-	}
-	ownDemand := l.ownDemand[name]
-	all := max(l.total.PerS[name], ownDemand)
-	if all <= 0 {
-		return even
-	}
-	return evenShare*even + (1-evenShare)*ownDemand/all
-}
-
-// rateMeter averages a rate over about demandWindow.
-type rateMeter struct {
-	rate      float64
-	updatedAt time.Time
-}
-
-func (m *rateMeter) add(amount float64, now time.Time) {
-	m.rate = m.perS(now) + amount/demandWindow.Seconds()
-	m.updatedAt = now
-}
-
-func (m *rateMeter) perS(now time.Time) float64 {
-	if m.updatedAt.IsZero() {
-		return 0
-	}
-	weight := 1 - now.Sub(m.updatedAt).Seconds()/demandWindow.Seconds()
-	return m.rate * max(weight, 0)
+	return w.burst*(1-commonPart)*l.division.Share(name, now) + w.extraTokens*dividedTokenShare/float64(l.division.Entries())
 }
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 )
 
@@ -52,7 +53,7 @@
 		}
 	}
 	for i, limiter := range s.limiters {
-		limiter.SetTotal(Demand{Entries: len(s.limiters), PerS: total}, reported[i], s.now)
+		limiter.SetTotal(demand.Total{Entries: len(s.limiters), PerS: total}, reported[i], s.now)
 	}
 }
 
