Divide the request limits that endpoints name among the entries

What callers saw: hardly anything. Why it works: the newest answer of an endpoint travels to all entries; each has a share by its part of the demand, as permits that lapse after a second, so that idle entries cannot burst; routing sees an endpoint without a permit as one without capacity, and a request that no endpoint can take in time is refused at once. Ruled out: a bucket per entry (at 88 entries it holds a burst of 88 requests).

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -98,7 +98,7 @@
 	now := time.Now()
 	meta := e.options.Dialect.ParseAnswer(answer.StatusCode, answer.Header)
 	choice.RecordAnswer(meta.Load, now)
-	e.observeRateLimit(&choice.Endpoint, &meta, now)
+	e.rateLimits.observe(&choice.Endpoint, &meta, now)
 	switch {
 	case meta.Misdirected:
 		choice.RecordDraining()
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -317,6 +317,9 @@
 	if err := c.checkParts(ctx); err != nil {
 		return nil, err
 	}
+	if len(c.tried) == 0 {
+		c.entry.rateLimits.countDemand(c.service.Name, time.Now())
+	}
 	return c.choose(ctx)
 }
 
@@ -336,8 +339,10 @@
 		if err == nil {
 			return choice, nil
 		}
-		if request.Now.After(waitEnd) {
-			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: c.retryAfter(defaultRetryAfter), Err: err}
+		availableAt := availableAt(err)
+		if request.Now.After(waitEnd) || availableAt.After(waitEnd) {
+			retryAfter := max(availableAt.Sub(request.Now), defaultRetryAfter)
+			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: c.retryAfter(retryAfter), Err: err}
 		}
 		select {
 		case <-time.After(choiceInterval):
@@ -347,6 +352,15 @@
 	}
 }
 
+// availableAt returns when an endpoint will be available, or zero if that is unknown.
+func availableAt(err error) time.Time {
+	var none *pick.NoEndpointError
+	if errors.As(err, &none) {
+		return none.AvailableAt
+	}
+	return time.Time{}
+}
+
 // finalError converts the last failure into the *Refusal for the caller.
 func (c *call) finalError(ctx context.Context, err error) error {
 	switch {
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -17,7 +17,6 @@
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
-	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/port"
@@ -72,7 +71,7 @@
 	replicaClient *replicaClient
 	crashes       *crashDetector
 	migrations    *migrations
-	rateLimits    *ratelimit.Table
+	rateLimits    *rateLimits
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -113,7 +112,7 @@
 	e.replicaClient = newReplicaClient(e)
 	e.crashes = newCrashDetector(e)
 	e.migrations = newMigrations(e)
-	e.rateLimits = ratelimit.NewTable()
+	e.rateLimits = newRateLimits(e)
 	return e
 }
 
@@ -157,6 +156,8 @@
 		case now := <-ticker.C:
 			e.client.Sweep(now)
 			e.crashes.tracker.Expire(now)
+			e.rateLimits.table.Expire(now)
+			e.rateLimits.apply(now)
 		case <-e.ctx.Done():
 			return
 		}
--- a/internal/gateway/entry/rate_limits.go
+++ b/internal/gateway/entry/rate_limits.go
@@ -1,20 +1,37 @@
 package entry
 
 import (
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/port"
 )
 
-// observeRateLimit records the limit that an answer of an endpoint names. Only an
-// answer of the endpoint's own program shows that a limit has ended.
-func (e *Entry) observeRateLimit(endpoint *registry.Endpoint, meta *port.AnswerMeta, now time.Time) {
+// rateLimits divides the request rates to which endpoints limit all entries. The
+// share of an entry follows its part of the demand for the service.
+type rateLimits struct {
+	entry *Entry
+	table *ratelimit.Table
+
+	mu       sync.Mutex
+	division demand.Division
+	meters   map[string]*demand.Meter
+}
+
+func newRateLimits(e *Entry) *rateLimits {
+	return &rateLimits{entry: e, table: ratelimit.NewTable(), meters: make(map[string]*demand.Meter)}
+}
+
+// observe records the limit that an answer of an endpoint names. Only an answer of
+// the endpoint's own program shows that a limit has ended.
+func (l *rateLimits) observe(endpoint *registry.Endpoint, meta *port.AnswerMeta, now time.Time) {
 	if meta.InvalidRateLimit != "" {
-		e.log.Warn("Rate limit of an endpoint cannot be used and is ignored.", zap.String("endpoint", endpoint.ID), zap.String("value", meta.InvalidRateLimit))
+		l.entry.log.Warn("Rate limit of an endpoint cannot be used and is ignored.", zap.String("endpoint", endpoint.ID), zap.String("value", meta.InvalidRateLimit))
 		return
 	}
 	observed := ratelimit.Limit{Named: meta.RateLimit != nil}
@@ -23,7 +40,69 @@
 	} else if !meta.Sealed {
 		return
 	}
-	if e.rateLimits.Observe(endpoint.ID, endpoint.Born, observed, now) {
-		e.log.Info("Rate limit of an endpoint.", zap.String("endpoint", endpoint.ID), zap.Int64("born", endpoint.Born), zap.Bool("named", observed.Named), zap.Float64("per_s", observed.PerS))
+	if l.table.Observe(endpoint.ID, endpoint.Born, observed, now) {
+		l.logChange(endpoint.ID, endpoint.Born, observed, "")
+		l.apply(now)
+	}
+}
+
+// merge applies the limits that a replica received from other entries.
+func (l *rateLimits) merge(replica string, reports []ratelimit.Report, now time.Time) {
+	for _, report := range l.table.Merge(reports, now) {
+		l.logChange(report.Endpoint, report.Born, report.Limit, replica)
+	}
+}
+
+func (l *rateLimits) logChange(endpoint string, born int64, limit ratelimit.Limit, replica string) {
+	l.entry.log.Info("Rate limit of an endpoint.", zap.String("endpoint", endpoint), zap.Int64("born", born),
+		zap.Bool("named", limit.Named), zap.Float64("per_s", limit.PerS), zap.String("replica", replica))
+}
+
+// countDemand counts a request for a service.
+func (l *rateLimits) countDemand(service string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.meters[service]
+	if m == nil {
+		m = &demand.Meter{}
+		l.meters[service] = m
+	}
+	m.Add(1, now)
+}
+
+// demand returns the demand of this entry by service, in requests per second.
+func (l *rateLimits) demand(now time.Time) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make(map[string]float64, len(l.meters))
+	for service, m := range l.meters {
+		if perS := m.PerS(now); perS > 0 {
+			list[service] = perS
+		} else {
+			delete(l.meters, service)
+		}
+	}
+	return list
+}
+
+// setTotal sets the demand of all entries, and the demand of this entry that is
+// included in it.
+func (l *rateLimits) setTotal(total demand.Total, own map[string]float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.division.SetTotal(total, own, now)
+}
+
+// apply gives the board this entry's shares of the limits in force.
+func (l *rateLimits) apply(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	shares := make(map[string]float64)
+	for id, limit := range l.table.Limits(now) {
+		endpoint, known := l.entry.board.Endpoint(id)
+		if known && endpoint.Born == limit.Born {
+			shares[id] = limit.PerS * l.division.Share(endpoint.Service, now)
+		}
 	}
+	l.entry.board.SetRates(shares, now)
 }
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -124,8 +124,9 @@
 	state := &pollState{maxWait: pollWait}
 	connected := false
 	for ctx.Err() == nil {
-		ownDemand := e.quotas.Demand(time.Now())
-		reply, err := c.sendPoll(ctx, address, state, ownDemand)
+		now := time.Now()
+		own := ownDemand{workspaces: e.quotas.Demand(now), services: e.rateLimits.demand(now)}
+		reply, err := c.sendPoll(ctx, address, state, own)
 		if ctx.Err() != nil {
 			return
 		}
@@ -142,7 +143,7 @@
 			e.log.Info("State replica reached.", zap.String("replica", address))
 		}
 		connected = true
-		c.applyReply(address, reply, ownDemand)
+		c.applyReply(address, reply, own)
 	}
 }
 
@@ -160,14 +161,17 @@
 	}
 }
 
+// ownDemand is the demand of this entry that a poll reports.
+type ownDemand struct{ workspaces, services map[string]float64 }
+
 // pollState is what an entry and a replica have acknowledged to each other.
 type pollState struct {
-	// replicaRun identifies the run of the replica's process; registryVersion and
-	// crashVersion are the versions of its registry and its crash records.
-	replicaRun, registryVersion, crashVersion uint64
-	// ackedCrashes is the version of this entry's crash records that the replica
-	// acknowledged.
-	ackedCrashes uint64
+	// replicaRun identifies the run of the replica's process; the versions are those
+	// of its registry, its crash records and its rate limits.
+	replicaRun, registryVersion, crashVersion, rateLimitVersion uint64
+	// ackedCrashes and ackedRateLimits are the versions of this entry's crash records
+	// and of the limits that it read, as far as the replica acknowledged them.
+	ackedCrashes, ackedRateLimits uint64
 	// ackedCounts holds the number of requests per window that the replica
 	// acknowledged.
 	ackedCounts map[uint64]int
@@ -190,16 +194,18 @@
 	return changed, ackedCounts
 }
 
-func (c *replicaClient) sendPoll(ctx context.Context, address string, state *pollState, ownDemand map[string]float64) (*link.PollReply, error) {
+func (c *replicaClient) sendPoll(ctx context.Context, address string, state *pollState, own ownDemand) (*link.PollReply, error) {
 	e := c.entry
 	request := &link.PollRequest{
-		Entry: e.options.Settings.Name, Incarnation: e.incarnation, ReplicaRun: state.replicaRun, RegistryVersion: state.registryVersion, CrashVersion: state.crashVersion,
-		WaitMS: state.maxWait.Milliseconds(), Demand: ownDemand, Load: e.board.Load(),
+		Entry: e.options.Settings.Name, Incarnation: e.incarnation, ReplicaRun: state.replicaRun, RegistryVersion: state.registryVersion, CrashVersion: state.crashVersion, RateLimitVersion: state.rateLimitVersion,
+		WaitMS: state.maxWait.Milliseconds(), Demand: own.workspaces, ServiceDemand: own.services, Load: e.board.Load(),
 	}
 	var ackedCounts map[uint64]int
 	request.Usage, ackedCounts = state.unackedCounts(e.counter.Report(e.clock.Now()))
 	var ackedCrashes uint64
 	request.Crashes, ackedCrashes = e.crashes.ownRecords(state.ackedCrashes)
+	var ackedRateLimits uint64
+	request.RateLimits, ackedRateLimits = e.rateLimits.table.Changes(state.ackedRateLimits, true, time.Now())
 	if active := e.active.Load(); active != nil {
 		request.Generation = active.generation
 	}
@@ -219,9 +225,11 @@
 	}
 	if state.replicaRun != 0 && state.replicaRun != reply.ReplicaRun {
 		// The replica restarted and lost what it had acknowledged.
-		ackedCrashes, ackedCounts = 0, nil
+		ackedCrashes, ackedRateLimits, ackedCounts = 0, 0, nil
 	}
-	state.replicaRun, state.registryVersion, state.crashVersion, state.ackedCrashes, state.ackedCounts = reply.ReplicaRun, reply.RegistryVersion, reply.CrashVersion, ackedCrashes, ackedCounts
+	state.replicaRun, state.registryVersion = reply.ReplicaRun, reply.RegistryVersion
+	state.crashVersion, state.rateLimitVersion = reply.CrashVersion, reply.RateLimitVersion
+	state.ackedCrashes, state.ackedRateLimits, state.ackedCounts = ackedCrashes, ackedRateLimits, ackedCounts
 	state.maxWait = partialPollWait
 	if reply.PolledByAll {
 		state.maxWait = pollWait
@@ -297,18 +305,23 @@
 }
 
 // applyReply applies the changes in the answer of a replica.
-func (c *replicaClient) applyReply(address string, reply *link.PollReply, ownDemand map[string]float64) {
+func (c *replicaClient) applyReply(address string, reply *link.PollReply, own ownDemand) {
 	e := c.entry
+	now := time.Now()
 	if reply.Generation > 0 {
 		e.apply(reply.Generation, reply.Document)
 	}
 	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
 	if reply.PolledByAll {
-		e.quotas.SetTotal(demand.Total{Entries: reply.Entries, PerS: reply.Demand}, ownDemand, time.Now())
+		e.quotas.SetTotal(demand.Total{Entries: reply.Entries, PerS: reply.Demand}, own.workspaces, now)
+		e.rateLimits.setTotal(demand.Total{Entries: reply.Entries, PerS: reply.ServiceDemand}, own.services, now)
 		e.setEntryCount(reply.Entries)
 		c.entryCount.Store(int64(reply.Entries))
 	}
 	e.crashes.merge(address, reply.Crashes)
+	e.rateLimits.merge(address, reply.RateLimits, now)
+	// The shares are set after the endpoints, so that a new endpoint has its limit.
+	defer e.rateLimits.apply(now)
 	c.noteReplicas(address, reply)
 	if !reply.FullUpdate && len(reply.Endpoints) == 0 {
 		return
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 )
 
@@ -53,6 +54,13 @@
 	Crashes []byte `msgpack:"x,omitempty"`
 	// CrashVersion is the version of the replica's crash records that the entry has.
 	CrashVersion uint64 `msgpack:"k,omitempty"`
+	// ServiceDemand is the demand of the entry by service, in requests per second.
+	ServiceDemand map[string]float64 `msgpack:"q,omitempty"`
+	// RateLimits holds the limits that endpoints named to this entry and that the
+	// replica has not yet acknowledged.
+	RateLimits []ratelimit.Report `msgpack:"o,omitempty"`
+	// RateLimitVersion is the version of the replica's limits that the entry has.
+	RateLimitVersion uint64 `msgpack:"v,omitempty"`
 }
 
 // PollReply carries what changed since the versions in the request.
@@ -83,6 +91,11 @@
 	// Crashes holds the changed crash records of all entries, up to CrashVersion.
 	Crashes      []byte `msgpack:"x,omitempty"`
 	CrashVersion uint64 `msgpack:"k,omitempty"`
+	// ServiceDemand is the demand of the entries by service.
+	ServiceDemand map[string]float64 `msgpack:"q,omitempty"`
+	// RateLimits holds the changed limits of endpoints, up to RateLimitVersion.
+	RateLimits       []ratelimit.Report `msgpack:"o,omitempty"`
+	RateLimitVersion uint64             `msgpack:"v,omitempty"`
 	// TimeNS is the agreed time of day when the reply was sent, in Unix nanoseconds.
 	TimeNS int64 `msgpack:"t"`
 }
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/boragelead/boragelead/internal/core/limit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/port"
 )
@@ -47,12 +48,16 @@
 	// service.
 	slowness      float64
 	residentParts *partCache
+	// permits is this entry's share of the request rate that the endpoint limits; nil
+	// if the endpoint names no limit.
+	permits *limit.Permits
 	// idHash is the hash of the endpoint's ID, for rendezvous hashing.
 	idHash uint64
 }
 
 // Board holds the known endpoints and their statistics by service. It is safe for concurrent use.
 type Board struct {
+	random  func() float64
 	filters []Filter
 	scorers []Scorer
 	picker  Picker
@@ -70,7 +75,8 @@
 // NewBoard returns an empty board with the standard filters, scorers and picker.
 func NewBoard(random func() float64) *Board {
 	return &Board{
-		filters:       []Filter{ReadyFilter{}, AvoidFilter{}, PauseFilter{}, ConnectionFilter{}},
+		random:        random,
+		filters:       []Filter{ReadyFilter{}, AvoidFilter{}, PauseFilter{}, ConnectionFilter{}, RateFilter{}},
 		scorers:       []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}},
 		picker:        LowestScorePicker{Random: random},
 		endpoints:     make(map[string]*stats),
@@ -106,6 +112,34 @@
 	return unused
 }
 
+// SetRates sets this entry's shares of the request rates that endpoints limit, in
+// requests per second by endpoint ID. Other endpoints are not limited.
+func (b *Board) SetRates(perS map[string]float64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.endpoints {
+		rate, limited := perS[id]
+		switch {
+		case !limited:
+			s.permits = nil
+		case s.permits == nil:
+			s.permits = limit.NewPermits(rate, b.random(), now)
+		default:
+			s.permits.SetRate(rate, now)
+		}
+	}
+}
+
+// Endpoint returns an endpoint, or false if it is not known.
+func (b *Board) Endpoint(id string) (registry.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.endpoints[id]; s != nil {
+		return s.endpoint, true
+	}
+	return registry.Endpoint{}, false
+}
+
 // Len returns the number of endpoints.
 func (b *Board) Len() int {
 	b.mu.Lock()
--- a/internal/gateway/pick/filters.go
+++ b/internal/gateway/pick/filters.go
@@ -31,7 +31,9 @@
 func (PauseFilter) Name() string { return "paused" }
 
 // Keep implements Filter.
-func (PauseFilter) Keep(r *Request, v *View) bool { return !r.Now.Before(v.pausedUntil) }
+func (PauseFilter) Keep(r *Request, v *View) bool {
+	return r.ignorePauses || !r.Now.Before(v.pausedUntil)
+}
 
 // ConnectionFilter drops endpoints to which this entry already has its share of
 // the connections. An endpoint resets connections above its limit.
@@ -44,3 +46,15 @@
 func (ConnectionFilter) Keep(r *Request, v *View) bool {
 	return r.MaxConnections <= 0 || v.inFlight < r.MaxConnections
 }
+
+// RateFilter drops endpoints that limit their request rate and of whose limit this
+// entry has no share left.
+type RateFilter struct{}
+
+// Name implements Filter.
+func (RateFilter) Name() string { return "rate" }
+
+// Keep implements Filter.
+func (RateFilter) Keep(r *Request, v *View) bool {
+	return v.permits == nil || v.permits.Available(r.Now)
+}
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -22,6 +22,8 @@
 	// no limit.
 	MaxConnections int
 	Now            time.Time
+	// ignorePauses admits paused endpoints.
+	ignorePauses bool
 }
 
 // NoEndpointError reports that no endpoint can receive the request now.
@@ -31,6 +33,9 @@
 	// filter that dropped the last of them.
 	Known     int
 	DroppedBy string
+	// AvailableAt is when the first endpoint can receive the request, as far as
+	// pauses and rate limits tell; zero if that is unknown.
+	AvailableAt time.Time
 }
 
 // Error implements error.
@@ -92,7 +97,7 @@
 		views = b.pausedOnce(r, members)
 	}
 	if len(views) == 0 {
-		return nil, &NoEndpointError{Service: r.Service, Known: len(members), DroppedBy: dropped}
+		return nil, &NoEndpointError{Service: r.Service, Known: len(members), DroppedBy: dropped, AvailableAt: b.availableAt(r, members)}
 	}
 	b.scores = append(b.scores[:0], make([]float64, len(views))...)
 	scores := b.scores
@@ -130,12 +135,12 @@
 // pausedOnce returns the endpoints that are paused after a single failure. They are
 // used if no other endpoint is left, since an attempt is better than a refusal.
 func (b *Board) pausedOnce(r *Request, members []*stats) []View {
-	afterPause := *r
-	afterPause.Now = r.Now.Add(maxPause)
+	despitePause := *r
+	despitePause.ignorePauses = true
 	var views []View
 	for _, s := range members {
 		v := View{stats: s}
-		if s.consecutiveFailures == 1 && b.droppedBy(&afterPause, &v) == "" {
+		if s.consecutiveFailures == 1 && b.droppedBy(&despitePause, &v) == "" {
 			v.uncachedTokens = r.PromptTokens
 			views = append(views, v)
 		}
@@ -143,6 +148,35 @@
 	return views
 }
 
+// availableAt returns when the first of the endpoints can receive the request, or
+// zero if that depends on more than pauses and rate limits.
+func (b *Board) availableAt(r *Request, members []*stats) time.Time {
+	later := *r
+	later.ignorePauses = true
+	var first time.Time
+	for _, s := range members {
+		at := r.Now
+		if at.Before(s.pausedUntil) {
+			at = s.pausedUntil
+		}
+		switch b.droppedBy(&later, &View{stats: s}) {
+		case "":
+		case RateFilter{}.Name():
+			if next := s.permits.NextAt(r.Now); at.Before(next) {
+				at = next
+			}
+		case ConnectionFilter{}.Name():
+			return time.Time{}
+		default:
+			continue
+		}
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
 // droppedBy returns the name of the first filter that drops the endpoint, or "".
 func (b *Board) droppedBy(r *Request, v *View) string {
 	for _, filter := range b.filters {
@@ -160,6 +194,9 @@
 		Endpoint: s.endpoint, Score: score, Requests: s.requests(r.Now), Cached: r.PromptTokens - v.uncachedTokens,
 		Candidates: candidates, board: b, stats: s, uncachedTokens: v.uncachedTokens, startedAt: r.Now, awaitingAnswer: true,
 	}
+	if s.permits != nil {
+		s.permits.Take(r.Now)
+	}
 	s.inFlight++
 	if s.silentSince.IsZero() {
 		s.silentSince = r.Now
--- a/internal/gateway/pick/pick_test.go
+++ b/internal/gateway/pick/pick_test.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -229,3 +230,23 @@
 		g.Expect(n).To(BeNumerically("<=", 30), id)
 	}
 }
+
+// Guards against an endpoint that limits its rate and gets more requests than this
+// entry's share, also as the last one left after a failure of the others.
+func TestRateLimitedEndpointGetsItsShareOnly(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard(newEngine("one", "a"), newEngine("two", "b"))
+	b.SetRates(map[string]float64{"one": 2}, start)
+	now := start.Add(500 * time.Millisecond)
+	g.Expect(choose(g, b, newRequest(now)).Endpoint.ID).To(Equal("one"))
+	c := choose(g, b, newRequest(now))
+	g.Expect(c.Endpoint.ID).To(Equal("two"))
+	c.RecordFailure(now)
+	c.RecordFailure(now)
+	_, err := b.Choose(newRequest(now))
+	var none *NoEndpointError
+	g.Expect(errors.As(err, &none)).To(BeTrue())
+	g.Expect(none.AvailableAt).To(Equal(start.Add(time.Second)))
+	b.SetRates(nil, now)
+	g.Expect(choose(g, b, newRequest(now)).Endpoint.ID).To(Equal("one"))
+}
--- a/internal/gateway/state/entries.go
+++ b/internal/gateway/state/entries.go
@@ -18,9 +18,10 @@
 }
 
 type entryReport struct {
-	polledAt time.Time
-	demand   map[string]float64
-	load     map[string]int
+	polledAt      time.Time
+	demand        map[string]float64
+	serviceDemand map[string]float64
+	load          map[string]int
 }
 
 func newEntries() *entries { return &entries{byEntry: make(map[string]*entryReport)} }
@@ -28,20 +29,21 @@
 func (e *entries) record(r *link.PollRequest, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.byEntry[r.Entry] = &entryReport{polledAt: now, demand: r.Demand, load: r.Load}
+	e.byEntry[r.Entry] = &entryReport{polledAt: now, demand: r.Demand, serviceDemand: r.ServiceDemand, load: r.Load}
 }
 
 // totals is the sum of the reports of all active entries.
 type totals struct {
-	entries int
-	demand  map[string]float64
-	load    map[string]int
+	entries       int
+	demand        map[string]float64
+	serviceDemand map[string]float64
+	load          map[string]int
 }
 
 func (e *entries) totals(now time.Time) totals {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := totals{demand: make(map[string]float64), load: make(map[string]int)}
+	t := totals{demand: make(map[string]float64), serviceDemand: make(map[string]float64), load: make(map[string]int)}
 	for name, report := range e.byEntry {
 		if now.Sub(report.polledAt) > entryTimeout {
 			delete(e.byEntry, name)
@@ -49,6 +51,7 @@
 		}
 		t.entries++
 		addUp(t.demand, report.demand)
+		addUp(t.serviceDemand, report.serviceDemand)
 		addUp(t.load, report.load)
 	}
 	return t
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -26,13 +26,14 @@
 	s.entries.record(request, now)
 	s.usage.Merge(meter.Source{Entry: request.Entry, Incarnation: request.Incarnation}, request.Usage)
 	if request.ReplicaRun != s.runID {
-		request.RegistryVersion, request.CrashVersion = 0, 0
+		request.RegistryVersion, request.CrashVersion, request.RateLimitVersion = 0, 0, 0
 	}
 	if len(request.Crashes) > 0 {
 		if _, err := s.suspects.Merge(request.Crashes, now); err != nil {
 			s.log.Warn("Crash records of an entry not merged.", zap.String("entry", request.Entry), zap.Error(err))
 		}
 	}
+	s.rateLimits.Merge(request.RateLimits, now)
 	return link.Encode(s.awaitUpdate(ctx, request))
 }
 
@@ -115,9 +116,10 @@
 		PolledByAll: s.isPolledByAll(), Entries: sum.entries, TimeNS: s.clock.Now().UnixNano(),
 	}
 	if reply.PolledByAll {
-		reply.Demand = sum.demand
+		reply.Demand, reply.ServiceDemand = sum.demand, sum.serviceDemand
 	}
 	reply.Crashes, reply.CrashVersion = s.crashesSince(request.CrashVersion, now)
+	reply.RateLimits, reply.RateLimitVersion = s.rateLimits.Changes(request.RateLimitVersion, false, now)
 	if generation.Number > request.Generation {
 		reply.Generation = generation.Number
 		reply.Document = generation.Document
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -18,6 +18,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
+	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/port"
@@ -93,7 +94,9 @@
 	clock       *walltime.Clock
 	// suspects holds the requests that crashed endpoints, as observed by all
 	// entries.
-	suspects      *suspect.Tracker
+	suspects *suspect.Tracker
+	// rateLimits holds the request rates to which endpoints limit all entries.
+	rateLimits    *ratelimit.Table
 	documentCache documentCache
 	// savedVersion is the registry version that was last written to disk.
 	savedVersion uint64
@@ -128,7 +131,7 @@
 		usage:    meter.NewLedger(),
 		entries:  newEntries(),
 		clock:    walltime.New(time.Now(), bootclock.Now()),
-		suspects: suspect.NewTracker(entry.Quarantine),
+		suspects: suspect.NewTracker(entry.Quarantine), rateLimits: ratelimit.NewTable(),
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
@@ -207,6 +210,7 @@
 func (s *State) expire(now time.Time) {
 	s.registry.Expire(now)
 	s.suspects.Expire(now)
+	s.rateLimits.Expire(now)
 }
 
 func (s *State) refreshStatus(time.Time) {
