Cut off answers of endpoints that do not end

What callers saw: nothing yet; an endpoint that sends bytes without end in a head, an interim answer, a body, an event or a trailer filled the memory of the entry until the deadline, and a body of more than 8 MiB was passed on truncated as complete. Cause: no bound on heads; bodies and events were bounded one by one only, and a body at the bound counted as whole. Class: a bound per request without one on the sum. The body of a refusal is read for 50 ms at most (TestEndlessRefusalIsRetriedAtOnce).

--- a/internal/adapter/exchange/conn.go
+++ b/internal/adapter/exchange/conn.go
@@ -20,15 +20,45 @@
 // was written in full.
 var ErrRequestNotWritten = errors.New("request not written in full")
 
-const readBufferBytes = 4 << 10
+const (
+	readBufferBytes = 4 << 10
+	// maxHeadBytes limits the status line and header of an answer together with the
+	// interim answers before it.
+	maxHeadBytes = 64 << 10
+)
+
+// errHeadTooLong reports an answer whose head exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("head of the answer exceeds the size limit")
+
+// headLimiter reads from a connection. While limited is set it returns at most
+// remaining bytes.
+type headLimiter struct {
+	source    io.Reader
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // conn is one connection to an endpoint. It serves one request at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	reused bool
+	limiter *headLimiter
+	reader  *bufio.Reader
+	reused  bool
 	// sendStarted is set before the first byte of a request is written.
 	sendStarted atomic.Bool
 	// writePending is set while a request is written concurrently with reading
@@ -39,7 +69,8 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	limiter := &headLimiter{source: raw}
+	return &conn{Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // roundTrip writes a request and reads the status line and header of its answer.
@@ -87,7 +118,10 @@
 	_ = c.Close()
 }
 
+// readHead reads the status line and header of the final answer.
 func (c *conn) readHead(method string) (*Answer, error) {
+	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
+	defer func() { c.limiter.limited = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -18,8 +18,12 @@
 
 const (
 	// maxPlainBodyBytes limits the body of an answer that is read completely before
-	// it is forwarded.
+	// it is forwarded, and plainBuffer is the initial size of its buffer.
 	maxPlainBodyBytes = 8 << 20
+	plainBuffer       = 2 << 10
+	// refusalDrainTime limits how long the body of a refusal is read. A new
+	// connection costs less than a longer wait.
+	refusalDrainTime = 50 * time.Millisecond
 	// connectionShareFactor is the ratio of the connections that an entry may
 	// open to an endpoint to an even share among entries. It exceeds 1 because
 	// callers spread unevenly over entries.
@@ -148,8 +152,7 @@
 	dispatch.KVHandle, c.kvHandle = c.kvHandle, ""
 	c.entry.options.Dialect.Dispatch(header, dispatch)
 	request := &wire.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body}
-	if c.route.Repeatable() && c.attempts()+1 < c.route.MaxAttempts {
-		silence := max(silentTargetFactor*c.route.Target, minAttemptSilence)
+	if silence, limited := c.attemptSilence(c.attempts() + 1); limited {
 		timer := time.AfterFunc(silence, cancel)
 		defer timer.Stop()
 	}
@@ -157,6 +160,12 @@
 	return c.entry.client.Do(ctx, choice.Endpoint.Address, request)
 }
 
+// attemptSilence returns how long the last of the started attempts may wait for its
+// answer, if another endpoint could still answer after it.
+func (c *call) attemptSilence(started int) (silence time.Duration, limited bool) {
+	return max(silentTargetFactor*c.route.Target, minAttemptSilence), c.route.Repeatable() && started < c.route.MaxAttempts
+}
+
 // classifyFailure returns the outcome of an attempt without an answer and records
 // the failure.
 func (c *call) classifyFailure(ctx context.Context, choice *pick.Choice, err error) outcome {
@@ -185,18 +194,25 @@
 // can be reused.
 func (c *call) drainBody(answer *wire.Answer) {
 	const maxRefusalBytes = 4 << 10
+	answer.SetDeadline(time.Now().Add(refusalDrainTime))
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRefusalBytes))
 }
 
 // forwardPlain reads the complete answer before it forwards it. If the answer is
 // truncated, the request can then still be retried or answered with an error.
 func (c *call) forwardPlain(ctx context.Context, choice *pick.Choice, answer *wire.Answer) outcome {
-	body, err := io.ReadAll(io.LimitReader(answer, maxPlainBodyBytes))
+	if silence, limited := c.attemptSilence(c.attempts()); limited && answer.ContentLength < 0 {
+		// Without a length, only the time tells that a body does not end.
+		answer.SetDeadline(time.Now().Add(silence))
+	}
+	buffer := c.entry.buffers.newBuffer(plainBuffer)
+	defer buffer.release()
+	body, err := buffer.readBody(answer)
 	if err != nil {
 		answer.Discard()
 		choice.RecordFailure(time.Now())
 		c.awaitCrashVerdict(ctx, c.entry.crashes.answerLost(&choice.Endpoint))
-		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "body truncated: " + err.Error()}}
+		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "body not complete: " + err.Error()}}
 	}
 	c.countUsage()
 	c.complete = true
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -71,6 +71,7 @@
 	replicaClient *replicaClient
 	crashes       *crashDetector
 	migrations    *migrations
+	buffers       bufferBudget
 	rateLimits    *rateLimits
 
 	active   atomic.Pointer[activeRules]
--- a/internal/gateway/entry/events.go
+++ b/internal/gateway/entry/events.go
@@ -14,43 +14,45 @@
 	maxEventBytes = 1 << 20
 )
 
-// errEventTooLong reports that an event exceeds maxEventBytes.
+// errEventTooLong reports that an event exceeds maxEventBytes, or what is left of the
+// memory for all events.
 var errEventTooLong = errors.New("stream event exceeds the size limit")
 
 // eventReader splits a stream of server-sent events at the ends of events, so
 // that a truncated event is never forwarded.
 type eventReader struct {
 	source  io.Reader
-	buffer  []byte
+	buffer  *buffer
 	pending int
 	// searched is the number of pending bytes, from the start, in which no event
 	// ends.
 	searched int
 }
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source, buffer: make([]byte, eventBuffer)}
+// newEventReader returns a reader with a buffer of the budget. The caller must call
+// close.
+func newEventReader(source io.Reader, budget *bufferBudget) *eventReader {
+	return &eventReader{source: source, buffer: budget.newBuffer(eventBuffer)}
 }
 
+func (e *eventReader) close() { e.buffer.release() }
+
 // next returns one or more complete events. The error is io.EOF at a regular end of
 // the stream, and io.ErrUnexpectedEOF if the stream ended inside an event: without a
 // length that is the only sign that it was broken off.
 func (e *eventReader) next() (events []byte, err error) {
 	for {
-		if end := lastEventEnd(e.buffer[:e.pending], e.searched); end > 0 {
+		if end := lastEventEnd(e.buffer.data[:e.pending], e.searched); end > 0 {
 			return e.take(end), nil
 		}
 		e.searched = max(e.pending-len(eventEndCRLF), 0)
-		if e.pending == len(e.buffer) {
-			if len(e.buffer) >= maxEventBytes {
-				return nil, errEventTooLong
-			}
-			e.buffer = append(e.buffer, make([]byte, len(e.buffer))...)
+		if e.pending == len(e.buffer.data) && !e.buffer.grow(maxEventBytes) {
+			return nil, errEventTooLong
 		}
-		n, err := e.source.Read(e.buffer[e.pending:])
+		n, err := e.source.Read(e.buffer.data[e.pending:])
 		e.pending += n
 		if n == 0 && err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.buffer[:e.pending])) > 0 {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.buffer.data[:e.pending])) > 0 {
 				return nil, io.ErrUnexpectedEOF
 			}
 			return nil, err
@@ -61,8 +63,8 @@
 // take removes the first end bytes from the buffer and returns them.
 func (e *eventReader) take(end int) []byte {
 	events := make([]byte, end)
-	copy(events, e.buffer)
-	copy(e.buffer, e.buffer[end:e.pending])
+	copy(events, e.buffer.data)
+	copy(e.buffer.data, e.buffer.data[end:e.pending])
 	e.pending -= end
 	e.searched = 0
 	return events
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -24,7 +24,8 @@
 // forwardStream forwards events to the caller as they arrive. If the stream breaks
 // off, another endpoint can continue it after the last event that was forwarded.
 func (c *call) forwardStream(ctx context.Context, choice *pick.Choice, answer *wire.Answer) outcome {
-	events := newEventReader(answer)
+	events := newEventReader(answer, &c.entry.buffers)
+	defer events.close()
 	resuming := c.responseStarted
 	if resuming {
 		c.entry.metrics.resumed.Inc()
