--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -19,6 +19,8 @@
 const (
 	// maxErrorBodyBytes limits how much is read of an error response.
 	maxErrorBodyBytes = 64 << 10
+	// maxAnswerBytes limits how much is read of a response that is not a stream.
+	maxAnswerBytes = 1 << 20
 	// unsentRetries is how often a request is retried when the peer had closed
 	// the pooled connection before any byte was written.
 	unsentRetries = 1
@@ -91,14 +93,14 @@
 		return err
 	}
 	defer r.body.Close()
-	if answer == nil {
-		_, _ = io.Copy(io.Discard, r.body)
-		return nil
-	}
-	if err := json.NewDecoder(r.body).Decode(answer); err != nil {
-		return &port.TransportError{Sent: true, Err: err}
+	// Closing a body that was not read to its end closes the connection.
+	limited := io.LimitReader(r.body, maxAnswerBytes)
+	if answer != nil {
+		if err := json.NewDecoder(limited).Decode(answer); err != nil {
+			return &port.TransportError{Sent: true, Err: err}
+		}
 	}
-	_, _ = io.Copy(io.Discard, r.body)
+	_, _ = io.Copy(io.Discard, limited)
 	return nil
 }
 
--- a/internal/adapter/httpconn/transport.go
+++ b/internal/adapter/httpconn/transport.go
@@ -33,6 +33,10 @@
 	// are not closed after a burst of requests and dialled again for the next burst.
 	defaultMaxIdlePerHost = 1024
 
+	// maxHeadBytes limits the status line and header of a response. An endpoint may
+	// send a head without end.
+	maxHeadBytes = 64 << 10
+
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
 )
@@ -70,5 +74,7 @@
 		MaxIdleConnsPerHost: options.MaxIdlePerHost,
 		IdleConnTimeout:     options.IdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
