Probe endpoints again a quarter of a second after the last probe

Cause: after a lost answer an endpoint was probed once a second at most, so that a crash within that second was not recorded. Endpoints that reset some answers hid crashes. Up to 16 prompt parts of a request can be suspect, 8 before.

--- a/internal/gateway/entry/crash.go
+++ b/internal/gateway/entry/crash.go
@@ -23,8 +23,9 @@
 	// probeTimeout limits the probe that distinguishes a crash of the endpoint from
 	// a lost connection.
 	probeTimeout = 250 * time.Millisecond
-	// minProbeInterval is the minimum time between two probes of an endpoint.
-	minProbeInterval = time.Second
+	// minProbeInterval is the minimum time between two probes of an endpoint. A crash
+	// within this time after a probe is not recognized.
+	minProbeInterval = 250 * time.Millisecond
 )
 
 // crashDetector finds requests and prompt parts that crash the endpoints that run
--- a/internal/gateway/entry/prompt_parts.go
+++ b/internal/gateway/entry/prompt_parts.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxSuspectParts bounds the prompt parts of a request that can be suspect.
-	maxSuspectParts = 8
+	maxSuspectParts = 16
 	// survivalTime is how long a stream must have been written until its prompt
 	// parts no longer count as suspects of a crash.
 	survivalTime = 500 * time.Millisecond
