--- a/internal/core/suspect/exchange.go
+++ b/internal/core/suspect/exchange.go
@@ -1,10 +1,10 @@
 package suspect
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/boragelead/boragelead/internal/core/changes"
 	"github.com/boragelead/boragelead/internal/core/payload"
 )
 
@@ -73,33 +73,21 @@
 func (t *Tracker) Changes(version uint64, ownOnly bool, now time.Time) (data []byte, next uint64, err error) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	type change struct {
-		version uint64
-		record  recordMessage
-	}
-	var changes []change
+	var changed []changes.Change[recordMessage]
 	for f, r := range t.records {
 		changedAt := r.version
 		if ownOnly {
 			changedAt = r.ownVersion
 		}
 		if changedAt > version {
-			changes = append(changes, change{changedAt, r.message(f, now)})
+			changed = append(changed, changes.Change[recordMessage]{Version: changedAt, Value: r.message(f, now)})
 		}
 	}
-	if len(changes) == 0 {
+	if len(changed) == 0 {
 		return nil, t.version, nil
 	}
-	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.version, b.version) })
-	next = t.version
-	if len(changes) > maxMessageRecords {
-		changes = changes[:maxMessageRecords]
-		next = changes[maxMessageRecords-1].version
-	}
 	var m message
-	for i := range changes {
-		m.Records = append(m.Records, changes[i].record)
-	}
+	m.Records, next = changes.Oldest(changed, maxMessageRecords, t.version)
 	m.Waves = t.waveCrashesOf(m.Records)
 	data, err = payload.Encode(&m)
 	return data, next, err
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,18 +16,9 @@
 )
 
 const (
-	// defaultMaxBody limits request bodies if the document sets no limit, in bytes.
-	defaultMaxBody = 4 << 20
 	// deadlineGrace is the time after the deadline in which the endpoint's own
 	// timeout answer can still arrive.
 	deadlineGrace = 60 * time.Millisecond
-	// maxWaitShare is the part of the route's target latency that a request may
-	// wait for an endpoint with free capacity.
-	maxWaitShare = 0.12
-	// maxRetryWait limits the wait for an endpoint before a retry.
-	maxRetryWait = time.Second
-	// choiceInterval is the time between two tries to choose an endpoint.
-	choiceInterval = 15 * time.Millisecond
 	// minAttemptTime is the least time before the deadline with which a retry is
 	// still started.
 	minAttemptTime = 20 * time.Millisecond
@@ -119,110 +107,6 @@
 	c.finish(err)
 }
 
-// prepare matches the route, authorizes the caller, reads the body and charges
-// the quota. The error is a *Refusal.
-func (c *call) prepare() error {
-	e := c.entry
-	c.active = e.active.Load()
-	if c.active == nil {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNotReady, RetryAfter: defaultRetryAfter}
-	}
-	table := c.active.table
-	c.route = table.Match(c.r.Host, rawPath(c.r))
-	if c.route == nil {
-		return &Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute}
-	}
-	c.deadline = c.receivedAt.Add(c.route.Timeout)
-	if c.meta.Deadline > 0 {
-		c.deadline = c.receivedAt.Add(min(c.route.Timeout, c.meta.Deadline))
-	}
-	c.priority = c.route.Priority
-	workspace, err := c.authorize(table)
-	if err != nil {
-		return err
-	}
-	if err := c.readBody(); err != nil {
-		return err
-	}
-	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body)
-	c.service = table.Service(c.route.Pick(rand.Float64()))
-	c.parts = c.suspectParts()
-	return c.chargeQuota(workspace)
-}
-
-// rawPath returns the path as the caller sent it, without the query.
-func rawPath(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	return path
-}
-
-func (c *call) authorize(table *rules.Table) (*rules.Workspace, error) {
-	if !table.RequiresKey() {
-		return nil, nil
-	}
-	workspace := table.WorkspaceOf(c.meta.Key)
-	if workspace == nil {
-		if c.route.Anonymous {
-			return nil, nil
-		}
-		return nil, &Refusal{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
-	}
-	c.workspace = workspace.Name
-	if workspace.Priority != nil {
-		c.priority = *workspace.Priority
-	}
-	return workspace, nil
-}
-
-func (c *call) readBody() error {
-	limit := c.active.table.Document.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if c.r.ContentLength > limit {
-		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge}
-	}
-	if c.r.ContentLength == 0 {
-		return nil
-	}
-	controller := http.NewResponseController(c.w)
-	_ = controller.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{})
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: err}
-		}
-		return &Refusal{Status: http.StatusRequestTimeout, Reason: ReasonUnreadable, Err: err}
-	}
-	c.body = body
-	return nil
-}
-
-// chargeQuota charges the request to the quota of the workspace.
-func (c *call) chargeQuota(w *rules.Workspace) error {
-	if w == nil {
-		return nil
-	}
-	cost := 1.0
-	if w.CountTokens {
-		cost = float64(w.DefaultTokens)
-		if c.meta.HasTokenCounts {
-			cost = float64(c.meta.PromptTokens + c.meta.MaxOutputTokens)
-		}
-	}
-	decision := c.entry.quotas.Take(w.Name, cost, time.Now())
-	if decision.AskCommon {
-		decision = c.entry.replicaClient.spend(c.r.Context(), w.Name, cost, decision)
-	}
-	if !decision.Granted {
-		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, RetryAfter: c.retryAfter(decision.Wait)}
-	}
-	c.cost = cost
-	return nil
-}
-
 // retryAfter limits a wait to the part of the remaining time that callers accept
 // as Retry-After.
 func (c *call) retryAfter(wait time.Duration) time.Duration {
@@ -235,6 +119,7 @@
 func (c *call) run() error {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline.Add(deadlineGrace))
 	defer cancel()
+	c.entry.rateLimits.countDemand(c.service.Name, time.Now())
 	connectFailures := 0
 	var choice *pick.Choice
 	for {
@@ -305,62 +190,6 @@
 // and does not count.
 func (c *call) attempts() int { return len(c.tried) - c.misdirected - c.moves }
 
-func (c *call) pickRequest() *pick.Request {
-	return &pick.Request{
-		Service: c.service.Name, Domain: c.entry.options.Settings.FailureDomain, Prefix: c.meta.Prefix,
-		PromptTokens: c.meta.PromptTokens, Avoid: c.tried, MaxConnections: c.entry.connectionShare(c.service),
-	}
-}
-
-// nextEndpoint chooses the endpoint of the next attempt, if the request may run.
-func (c *call) nextEndpoint(ctx context.Context) (*pick.Choice, error) {
-	if err := c.checkParts(ctx); err != nil {
-		return nil, err
-	}
-	if len(c.tried) == 0 {
-		c.entry.rateLimits.countDemand(c.service.Name, time.Now())
-	}
-	return c.choose(ctx)
-}
-
-// choose picks an endpoint. If none is available, it waits for one for a limited time.
-func (c *call) choose(ctx context.Context) (*pick.Choice, error) {
-	request := c.pickRequest()
-	wait := time.Duration(maxWaitShare * float64(c.route.Target))
-	if c.possiblyRan {
-		// A request that may have run can no longer be refused: a late answer is
-		// better than an error.
-		wait = min(time.Until(c.deadline)/2, maxRetryWait)
-	}
-	waitEnd := time.Now().Add(wait)
-	for {
-		request.Now = time.Now()
-		choice, err := c.entry.board.Choose(request)
-		if err == nil {
-			return choice, nil
-		}
-		availableAt := availableAt(err)
-		if request.Now.After(waitEnd) || availableAt.After(waitEnd) {
-			retryAfter := max(availableAt.Sub(request.Now), defaultRetryAfter)
-			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: c.retryAfter(retryAfter), Err: err}
-		}
-		select {
-		case <-time.After(choiceInterval):
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-// availableAt returns when an endpoint will be available, or zero if that is unknown.
-func availableAt(err error) time.Time {
-	var none *pick.NoEndpointError
-	if errors.As(err, &none) {
-		return none.AvailableAt
-	}
-	return time.Time{}
-}
-
 // finalError converts the last failure into the *Refusal for the caller.
 func (c *call) finalError(ctx context.Context, err error) error {
 	switch {
--- /dev/null
+++ b/internal/gateway/entry/choose.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/boragelead/boragelead/internal/gateway/pick"
+)
+
+const (
+	// maxWaitShare is the part of the route's target latency that a request may
+	// wait for an endpoint with free capacity.
+	maxWaitShare = 0.12
+	// maxRetryWait limits the wait for an endpoint before a retry.
+	maxRetryWait = time.Second
+	// choiceInterval is the time between two tries to choose an endpoint.
+	choiceInterval = 15 * time.Millisecond
+)
+
+func (c *call) pickRequest() *pick.Request {
+	return &pick.Request{
+		Service: c.service.Name, Domain: c.entry.options.Settings.FailureDomain, Prefix: c.meta.Prefix,
+		PromptTokens: c.meta.PromptTokens, Avoid: c.tried, MaxConnections: c.entry.connectionShare(c.service),
+	}
+}
+
+// nextEndpoint chooses the endpoint of the next attempt, if the request may run.
+func (c *call) nextEndpoint(ctx context.Context) (*pick.Choice, error) {
+	if err := c.checkParts(ctx); err != nil {
+		return nil, err
+	}
+	return c.choose(ctx)
+}
+
+// choose picks an endpoint. If none is available, it waits for one for a limited time.
+func (c *call) choose(ctx context.Context) (*pick.Choice, error) {
+	request := c.pickRequest()
+	wait := time.Duration(maxWaitShare * float64(c.route.Target))
+	if c.possiblyRan {
+		// A request that may have run can no longer be refused: a late answer is
+		// better than an error.
+		wait = min(time.Until(c.deadline)/2, maxRetryWait)
+	}
+	waitEnd := time.Now().Add(wait)
+	for {
+		request.Now = time.Now()
+		choice, err := c.entry.board.Choose(request)
+		if err == nil {
+			return choice, nil
+		}
+		availableAt := availableAt(err)
+		if request.Now.After(waitEnd) || availableAt.After(waitEnd) {
+			retryAfter := max(availableAt.Sub(request.Now), defaultRetryAfter)
+			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: c.retryAfter(retryAfter), Err: err}
+		}
+		select {
+		case <-time.After(choiceInterval):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// availableAt returns when an endpoint will be available, or zero if that is unknown.
+func availableAt(err error) time.Time {
+	var none *pick.NoEndpointError
+	if errors.As(err, &none) {
+		return none.AvailableAt
+	}
+	return time.Time{}
+}
--- a/internal/gateway/ratelimit/table.go
+++ b/internal/gateway/ratelimit/table.go
@@ -4,10 +4,10 @@
 package ratelimit
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
+
+	"github.com/boragelead/boragelead/internal/core/changes"
 )
 
 const (
@@ -130,30 +130,17 @@
 func (t *Table) Changes(version uint64, ownOnly bool, now time.Time) (reports []Report, next uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	type change struct {
-		version uint64
-		report  Report
-	}
-	var changes []change
+	var changed []changes.Change[Report]
 	for endpoint, r := range t.records {
 		changedAt := r.version
 		if ownOnly {
 			changedAt = r.ownVersion
 		}
 		if changedAt > version {
-			changes = append(changes, change{changedAt, Report{endpoint, r.born, r.limit, now.Sub(r.observedAt).Milliseconds()}})
+			changed = append(changed, changes.Change[Report]{Version: changedAt, Value: Report{endpoint, r.born, r.limit, now.Sub(r.observedAt).Milliseconds()}})
 		}
 	}
-	next = t.version
-	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.version, b.version) })
-	if len(changes) > maxReports {
-		changes = changes[:maxReports]
-		next = changes[maxReports-1].version
-	}
-	for i := range changes {
-		reports = append(reports, changes[i].report)
-	}
-	return reports, next
+	return changes.Oldest(changed, maxReports, t.version)
 }
 
 // Limits returns the limits in force in requests per second, by endpoint, and the
