Pass crashes on to all entries at once

What callers saw: while records of crashes waited for the next polls of their observer and of the others (0.5 to 0.9 s), further requests with the deadly part crashed endpoints. Cause: a poll that waits is answered at once for documents and endpoints, but not for crash records, and an entry sent its own ones with its next poll.

--- a/internal/core/suspect/exchange.go
+++ b/internal/core/suspect/exchange.go
@@ -66,6 +66,13 @@
 	return payload.Encode(&m)
 }
 
+// Version returns the number of the last change of a record.
+func (t *Tracker) Version() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.version
+}
+
 // Changes encodes the records that changed after a version and returns the version
 // to pass to the next call. data is nil if no record changed. ownOnly limits the
 // records to changes that this tracker observed itself, for a peer that receives
--- a/internal/gateway/entry/crash.go
+++ b/internal/gateway/entry/crash.go
@@ -11,6 +11,7 @@
 
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/core/suspect"
+	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 )
 
@@ -36,6 +37,8 @@
 	running *suspect.RunningRequests
 
 	mu sync.Mutex
+	// reported is the version of the own records that report has sent.
+	reported uint64
 	// probes holds the last probe of each endpoint.
 	probes map[string]*endpointProbe
 }
@@ -102,6 +105,22 @@
 	}
 	c.tracker.Crash(endpoint.ID, uint64(endpoint.Born), fingerprints, time.Now())
 	c.entry.log.Warn("Endpoint crashed.", zap.String("endpoint", endpoint.ID), zap.Int64("born", endpoint.Born), zap.Int("running", len(fingerprints)), zap.Error(err))
+	c.report(ctx)
+}
+
+// report sends the records that changed since the last report to the leader. The next
+// polls send them as well, to all replicas.
+func (c *crashDetector) report(ctx context.Context) {
+	c.mu.Lock()
+	data, next := c.ownRecords(c.reported)
+	c.reported = next
+	c.mu.Unlock()
+	if data == nil {
+		return
+	}
+	if err := c.entry.replicaClient.notifyLeader(ctx, link.MethodCrashes, &link.CrashRequest{Entry: c.entry.options.Settings.Name, Crashes: data}); err != nil {
+		c.entry.log.Warn("Crash not reported; the next polls report it.", zap.Error(err))
+	}
 }
 
 // showsCrash reports whether a failed connection shows that the process of the
--- a/internal/gateway/entry/leader.go
+++ b/internal/gateway/entry/leader.go
@@ -61,3 +61,16 @@
 	}
 	return link.Decode(data, reply)
 }
+
+// notifyLeader sends a message to the leading replica without waiting for an answer.
+func (c *replicaClient) notifyLeader(ctx context.Context, method string, message any) error {
+	leader := c.leader.Load()
+	if leader == nil {
+		return &UnknownLeaderError{}
+	}
+	params, err := link.Encode(message)
+	if err != nil {
+		return err
+	}
+	return eris.Wrapf(c.entry.options.Caller.Notify(ctx, *leader, method, params), "notify leader %s", *leader)
+}
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -20,6 +20,8 @@
 	MethodPoll = "gateway.poll"
 	// MethodSpend is called by entries on the leader.
 	MethodSpend = "gateway.spend"
+	// MethodCrashes notifies the leader of crashes that an entry has observed.
+	MethodCrashes = "gateway.crashes"
 	// MethodProbe is called by entries on the leader.
 	MethodProbe = "gateway.probe"
 	// MethodShare is called by state replicas on each other, to forward announcements
@@ -114,6 +116,13 @@
 	WaitMS  int64 `msgpack:"w,omitempty"`
 }
 
+// CrashRequest carries the records of a crash, so that other entries learn of it
+// before the next polls.
+type CrashRequest struct {
+	Entry   string `msgpack:"e"`
+	Crashes []byte `msgpack:"x"`
+}
+
 // ProbeRequest asks whether a request may run as a probe, although a part of its
 // prompt is quarantined. Part is the fingerprint of the part.
 type ProbeRequest struct {
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -87,13 +87,16 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
+		crashed, crashReported := s.crashNews.since(request.CrashVersion)
 		reply, changed, documentChanged, endpointsChanged := s.update(request)
-		if changed {
+		if changed || crashed {
 			return reply
 		}
 		select {
 		case <-documentChanged:
 		case <-endpointsChanged:
+		case <-crashReported:
+			waitFor(ctx, crashReplyDelay)
 		case <-timer.C:
 			return reply
 		case <-ctx.Done():
@@ -102,6 +105,13 @@
 	}
 }
 
+func waitFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // update returns the reply to a poll, whether it contains anything that the entry
 // does not have, and channels that are closed at the next change of the document
 // or the endpoints.
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -94,7 +94,8 @@
 	clock       *walltime.Clock
 	// suspects holds the requests that crashed endpoints, as observed by all
 	// entries.
-	suspects *suspect.Tracker
+	suspects  *suspect.Tracker
+	crashNews *crashNews
 	// rateLimits holds the request rates to which endpoints limit all entries.
 	rateLimits    *ratelimit.Table
 	documentCache documentCache
@@ -131,7 +132,7 @@
 		usage:    meter.NewLedger(),
 		entries:  newEntries(),
 		clock:    walltime.New(time.Now(), bootclock.Now()),
-		suspects: suspect.NewTracker(entry.Quarantine), rateLimits: ratelimit.NewTable(),
+		suspects: suspect.NewTracker(entry.Quarantine), crashNews: newCrashNews(), rateLimits: ratelimit.NewTable(),
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
@@ -152,6 +153,7 @@
 	options.RPC.Handle(link.MethodShare, st.handleShare)
 	options.RPC.Handle(link.MethodSpend, st.handleSpend)
 	options.RPC.Handle(link.MethodProbe, st.handleProbe)
+	options.RPC.Handle(link.MethodCrashes, st.handleCrashes)
 	return st, nil
 }
 
