--- a/internal/gateway/pick/bench_test.go
+++ b/internal/gateway/pick/bench_test.go
@@ -37,3 +37,24 @@
 		})
 	}
 }
+
+// BenchmarkSetRates measures what each answer of a replica costs while all endpoints
+// limit their rate.
+func BenchmarkSetRates(b *testing.B) {
+	for _, size := range []int{192, 2300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var endpoints []registry.Endpoint
+			rates := map[string]float64{}
+			for i := range size {
+				id := fmt.Sprint("i-", i)
+				endpoints = append(endpoints, registry.Endpoint{ID: id, Service: "llm", Address: fmt.Sprint("10.0.", i/250, ".", i%250, ":1"), Born: 1})
+				rates[id] = 0.3
+			}
+			board := NewBoard(rand.Float64)
+			board.Update(endpoints)
+			for b.Loop() {
+				board.SetRates(rates, time.Now())
+			}
+		})
+	}
+}
