Name the probes of prompt parts apart from those of endpoints

'Probe' stood for the connection that tells whether an endpoint crashed and for a request that runs despite a quarantine; the latter is now a part probe.

--- a/internal/core/suspect/part.go
+++ b/internal/core/suspect/part.go
@@ -1,8 +1,6 @@
 package suspect
 
-import (
-	"time"
-)
+import "time"
 
 // Survived records that a run whose prompt has these parts has not crashed its
 // endpoint. A deadly part crashes each endpoint, so that the crashes until now have
@@ -41,7 +39,7 @@
 		r.lastSeen = now
 		t.setChanged(r, true, now)
 	}
-	return r.quarantinedError(now, max(r.nextProbe().Sub(now), 0))
+	return r.quarantinedError(now, max(r.nextPartProbe().Sub(now), 0))
 }
 
 // isPartQuarantined reports whether a part has caused enough crashes. It must be
@@ -87,11 +85,11 @@
 	return !f.isPart() && g.isPart()
 }
 
-// nextProbe returns the earliest time of the next probe.
-func (r *record) nextProbe() time.Time {
-	interval := minProbeInterval
+// nextPartProbe returns the earliest time of the next probe.
+func (r *record) nextPartProbe() time.Time {
+	interval := minPartProbeInterval
 	for range r.probes {
-		interval = min(2*interval, maxProbeInterval)
+		interval = min(2*interval, maxPartProbeInterval)
 	}
 	last := r.lastCrash()
 	if r.probedAt.After(last) {
@@ -100,15 +98,15 @@
 	return last.Add(interval)
 }
 
-// TakeProbe reports whether a request with a quarantined part may run now as a
+// TakePartProbe reports whether a request with a quarantined part may run now as a
 // probe, and records the probe if so. The entries ask the tracker of one daemon, so
 // that there is one probe at a time in the whole deployment. Each entry also takes
 // the probe from its own tracker before, so that it does not ask for each request.
-func (t *Tracker) TakeProbe(part Fingerprint, now time.Time) bool {
+func (t *Tracker) TakePartProbe(part Fingerprint, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[part]
-	if r == nil || now.Before(r.nextProbe()) {
+	if r == nil || now.Before(r.nextPartProbe()) {
 		return false
 	}
 	r.probes++
--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -13,8 +13,9 @@
 // with several observers is counted once.
 type crashID uint64
 
-// record holds the crashes of a request or of a prompt part. Entries can merge records in any
-// order: the earliest time of each crash and the latest of all other times hold.
+// record holds the crashes of a request or of a prompt part. Entries can merge
+// records in any order: the earliest time of each crash and the latest of all other
+// times hold.
 type record struct {
 	// crashes holds the newest crashes, sorted by time.
 	crashes []crashEvent
--- a/internal/core/suspect/tracker.go
+++ b/internal/core/suspect/tracker.go
@@ -30,11 +30,11 @@
 	// refreshInterval is how often a refused request prolongs the quarantine of its
 	// part. Each prolongation is sent to all entries.
 	refreshInterval = 20 * time.Second
-	// minProbeInterval is the time after the last crash or probe until a request
+	// minPartProbeInterval is the time after the last crash or probe until a request
 	// with a quarantined part may run as a probe. Each probe doubles it, up to
-	// maxProbeInterval, since a probe of a deadly part costs an endpoint.
-	minProbeInterval = 15 * time.Second
-	maxProbeInterval = 10 * time.Minute
+	// maxPartProbeInterval, since a probe of a deadly part costs an endpoint.
+	minPartProbeInterval = 15 * time.Second
+	maxPartProbeInterval = 10 * time.Minute
 
 	defaultCrashes    = 2
 	defaultQuarantine = 10 * time.Minute
--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -34,7 +34,8 @@
 	return c.choose(ctx)
 }
 
-// choose picks an endpoint. If none is available, it waits for one for a limited time.
+// choose picks an endpoint. If none is available, it waits for one for a limited time,
+// or refuses the request at once if none can be available in that time.
 func (c *call) choose(ctx context.Context) (*pick.Choice, error) {
 	request := c.pickRequest()
 	wait := time.Duration(maxWaitShare * float64(c.route.Target))
@@ -50,9 +51,9 @@
 		if err == nil {
 			return choice, nil
 		}
-		availableAt := availableAt(err)
-		if request.Now.After(waitEnd) || availableAt.After(waitEnd) {
-			retryAfter := max(availableAt.Sub(request.Now), defaultRetryAfter)
+		at := availableAt(err)
+		if request.Now.After(waitEnd) || at.After(waitEnd) {
+			retryAfter := max(at.Sub(request.Now), defaultRetryAfter)
 			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: c.retryAfter(retryAfter), Err: err}
 		}
 		select {
--- a/internal/gateway/entry/prompt_parts.go
+++ b/internal/gateway/entry/prompt_parts.go
@@ -50,7 +50,7 @@
 func (c *call) checkParts(ctx context.Context) error {
 	for i, part := range c.parts {
 		err := c.entry.crashes.tracker.CheckPart(part, time.Now())
-		if err == nil || c.mayProbe(ctx, part) {
+		if err == nil || c.mayProbePart(ctx, part) {
 			continue
 		}
 		return c.suspectRefusal(&PartError{Part: c.meta.Prefix[i].ID, Err: err})
@@ -58,15 +58,15 @@
 	return nil
 }
 
-// mayProbe reports whether the request may run although a part is quarantined. The
+// mayProbePart reports whether the request may run although a part is quarantined. The
 // leading replica grants the probes, so that the whole deployment has one at a time.
-func (c *call) mayProbe(ctx context.Context, part suspect.Fingerprint) bool {
+func (c *call) mayProbePart(ctx context.Context, part suspect.Fingerprint) bool {
 	e := c.entry
-	if !e.crashes.tracker.TakeProbe(part, time.Now()) {
+	if !e.crashes.tracker.TakePartProbe(part, time.Now()) {
 		return false
 	}
-	reply := &link.ProbeReply{}
-	if err := e.replicaClient.callLeader(ctx, link.MethodProbe, &link.ProbeRequest{Part: part[:]}, reply); err != nil {
+	reply := &link.PartProbeReply{}
+	if err := e.replicaClient.callLeader(ctx, link.MethodPartProbe, &link.PartProbeRequest{Part: part[:]}, reply); err != nil {
 		e.log.Warn("Probe of a prompt part not granted.", zap.String("request", c.meta.AttemptID), zap.Error(err))
 		return false
 	}
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -22,8 +22,8 @@
 	MethodSpend = "gateway.spend"
 	// MethodCrashes notifies the leader of crashes that an entry has observed.
 	MethodCrashes = "gateway.crashes"
-	// MethodProbe is called by entries on the leader.
-	MethodProbe = "gateway.probe"
+	// MethodPartProbe is called by entries on the leader.
+	MethodPartProbe = "gateway.part_probe"
 	// MethodShare is called by state replicas on each other, to forward announcements
 	// of endpoints.
 	MethodShare = "gateway.share"
@@ -123,14 +123,14 @@
 	Crashes []byte `msgpack:"x"`
 }
 
-// ProbeRequest asks whether a request may run as a probe, although a part of its
+// PartProbeRequest asks whether a request may run as a probe, although a part of its
 // prompt is quarantined. Part is the fingerprint of the part.
-type ProbeRequest struct {
+type PartProbeRequest struct {
 	Part []byte `msgpack:"p"`
 }
 
-// ProbeReply answers a ProbeRequest.
-type ProbeReply struct {
+// PartProbeReply answers a PartProbeRequest.
+type PartProbeReply struct {
 	Granted bool `msgpack:"g"`
 }
 
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -59,18 +59,18 @@
 	return link.Encode(&link.SpendReply{Granted: ok, WaitMS: wait.Milliseconds()})
 }
 
-// handleProbe grants an entry the probe of a quarantined prompt part.
-func (s *State) handleProbe(_ context.Context, params []byte) ([]byte, error) {
-	request := &link.ProbeRequest{}
+// handlePartProbe grants an entry the probe of a quarantined prompt part.
+func (s *State) handlePartProbe(_ context.Context, params []byte) ([]byte, error) {
+	request := &link.PartProbeRequest{}
 	if err := link.Decode(params, request); err != nil {
 		return nil, err
 	}
 	if !s.isLeader() {
 		return nil, &NotLeaderError{}
 	}
-	reply := &link.ProbeReply{}
+	reply := &link.PartProbeReply{}
 	if len(request.Part) == len(suspect.Fingerprint{}) {
-		reply.Granted = s.suspects.TakeProbe(suspect.Fingerprint(request.Part), time.Now())
+		reply.Granted = s.suspects.TakePartProbe(suspect.Fingerprint(request.Part), time.Now())
 	}
 	return link.Encode(reply)
 }
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -152,7 +152,7 @@
 	options.RPC.Handle(link.MethodPoll, st.handlePoll)
 	options.RPC.Handle(link.MethodShare, st.handleShare)
 	options.RPC.Handle(link.MethodSpend, st.handleSpend)
-	options.RPC.Handle(link.MethodProbe, st.handleProbe)
+	options.RPC.Handle(link.MethodPartProbe, st.handlePartProbe)
 	options.RPC.Handle(link.MethodCrashes, st.handleCrashes)
 	return st, nil
 }
