--- a/internal/gateway/ratelimit/table_test.go
+++ b/internal/gateway/ratelimit/table_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -103,3 +104,15 @@
 	}
 	g.Expect(total).To(Equal(maxRecords))
 }
+
+// Guards against reports that take more than the 9 KB/s of an entry while as many
+// endpoints as there are daemons limit their rate.
+func TestReportSize(t *testing.T) {
+	const limited, polledReplicas, budgetPerS = 370, 4, 9000
+	g := NewWithT(t)
+	report := Report{Endpoint: "i-884db85018", Born: 1789865635215, Limit: named(3.8), AgeMS: 1500}
+	data, err := msgpack.Marshal(&report)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(float64(len(data)*limited*polledReplicas) / refreshInterval.Seconds()).To(BeNumerically("<", budgetPerS))
+	t.Logf("a report takes %d bytes", len(data))
+}
