--- a/internal/core/admit/admit_suite_test.go
+++ b/internal/core/admit/admit_suite_test.go
@@ -1,9 +1,7 @@
 package admit
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,18 +9,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/core/rapidtest"
 )
 
-// TestMain sets a fixed seed for rapid, so that all runs check the same cases,
-// and disables its fail files.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 func TestAdmit(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/internal/core/limit/limit_suite_test.go
+++ b/internal/core/limit/limit_suite_test.go
@@ -1,25 +1,16 @@
 package limit
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/boragelead/boragelead/internal/core/rapidtest"
 )
 
-// TestMain fixes the seed of rapid, so that each run tests the same cases, and
-// prevents rapid from writing failure files.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 func TestLimit(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/internal/core/route/route_suite_test.go
+++ b/internal/core/route/route_suite_test.go
@@ -1,10 +1,8 @@
 package route
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -13,18 +11,10 @@
 
 	"github.com/boragelead/boragelead/api/endpoint"
 	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/core/rapidtest"
 )
 
-// TestMain fixes the seed of rapid, so that each run gives the same result, and
-// prevents rapid from writing fail files.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 func TestRoute(t *testing.T) {
 	RegisterFailHandler(Fail)
