Share small request limits among a few entries only

Cause: the permits of 88 or 370 entries with tiny shares come at random times. The sum over 4 s then varies like that of random arrivals and sometimes exceeds one and a half times the limit and 5 more. The property test passed with its fixed seed only; with others it counted 12 requests where 11 are allowed (88 entries, limit 1) and 24 where 23.6 are (370, 3.1). Change: a limit below 0.25 a second for each entry is divided evenly among as many entries as get half a request a second each, chosen by the endpoint and the rank of the entry, which replicas report. Larger limits are divided by demand as before. Evidence: the test passes with seeds 1 to 13, and 21 to 24 with 400 cases each. The bound is unchanged; the test divides by RateShare with uneven demand now.

--- a/internal/core/limit/permits.go
+++ b/internal/core/limit/permits.go
@@ -9,7 +9,7 @@
 // entries that were idle: together they hold at most the permits of this time.
 const permitTTL = time.Second
 
-// Permits issues permits at a steady rate, which may be far below one a second. It
+// Permits issues permits at a steady rate, which may be 0 or far below one a second. It
 // is the share of one entry in a request rate that an endpoint accepts from all
 // entries together. It is not safe for concurrent use.
 type Permits struct {
@@ -47,8 +47,11 @@
 	p.used = -valid
 }
 
-// interval returns the time in which a number of permits is issued.
+// interval returns the time in which a number of permits is issued, 0 for a rate of 0.
 func (p *Permits) interval(permits float64) time.Duration {
+	if p.perS <= 0 {
+		return 0
+	}
 	return time.Duration(permits / p.perS * float64(time.Second))
 }
 
@@ -75,7 +78,13 @@
 	return true
 }
 
+// noPermitTime is the time until the next permit that is assumed for a rate of 0.
+const noPermitTime = time.Hour
+
 // NextAt returns when the next permit is issued.
 func (p *Permits) NextAt(now time.Time) time.Time {
+	if p.perS <= 0 {
+		return now.Add(noPermitTime)
+	}
 	return p.start.Add(p.interval(math.Floor(p.elapsed(now)) + 1))
 }
--- a/internal/core/limit/permits_test.go
+++ b/internal/core/limit/permits_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -18,9 +19,17 @@
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		count := rapid.SampledFrom([]int{1, 9, 88, 370}).Draw(t, "entries")
 		perS := rapid.SampledFrom([]float64{0.25, 1, 3.1, 12, 200}).Draw(t, "limit")
-		entries := make([]*Permits, count)
+		entries, demand, total := make([]*Permits, count), make([]float64, count), 0.0
+		for i := range demand {
+			demand[i] = 0.2 + random.Float64()
+			total += demand[i]
+		}
+		endpoint := rapid.StringN(1, 4, 8).Draw(t, "endpoint")
+		share := func(i int) float64 {
+			return RateShare(endpoint, perS, Sharer{Rank: i, Entries: count, DemandShare: demand[i] / total})
+		}
 		for i := range entries {
-			entries[i] = NewPermits(perS/float64(count), random.Float64(), epoch)
+			entries[i] = NewPermits(share(i), random.Float64(), epoch)
 		}
 		var sent []time.Time
 		const step, seconds = 20 * time.Millisecond, 24
@@ -33,7 +42,7 @@
 			for i, p := range entries {
 				if random.IntN(20) == 0 {
 					// Reports of the demand change the shares a little all the time.
-					p.SetRate(perS/float64(count)*(0.98+0.04*random.Float64()), now)
+					p.SetRate(share(i)*(0.98+0.04*random.Float64()), now)
 				}
 				for p.Available(now) {
 					if !p.Take(now) {
@@ -59,6 +68,33 @@
 	})
 }
 
+// Guards against shares that do not add up to the limit, and against entries without
+// a share of any endpoint.
+func TestRateSharesAddUp(t *testing.T) {
+	g := NewWithT(t)
+	for _, count := range []int{1, 9, 88, 370} {
+		for _, perS := range []float64{0.25, 1, 3.1, 12, 200} {
+			withShare := map[int]bool{}
+			for endpoint := range 10 * count {
+				sum := 0.0
+				for rank := range count {
+					share := RateShare(fmt.Sprint("e", endpoint), perS, Sharer{Rank: rank, Entries: count, DemandShare: 1 / float64(count)})
+					sum += share
+					withShare[rank] = withShare[rank] || share > 0
+				}
+				g.Expect(sum).To(BeNumerically("~", perS, 1e-9))
+			}
+			g.Expect(withShare).To(HaveLen(count))
+		}
+	}
+	g.Expect(RateShare("e", 1, Sharer{Rank: -1, Entries: 16, DemandShare: 1.0 / 16})).To(BeZero())
+	unused := NewPermits(0, 0.5, epoch)
+	g.Expect(unused.Take(epoch.Add(time.Minute))).To(BeFalse())
+	g.Expect(unused.NextAt(epoch)).To(BeTemporally(">", epoch.Add(time.Minute)))
+	unused.SetRate(1, epoch)
+	g.Expect(unused.Take(epoch.Add(time.Second))).To(BeTrue())
+}
+
 // Guards against a change of the rate that loses or adds permits.
 func TestPermitsKeepTheirPhaseWhenTheRateChanges(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/gateway/demand/demand.go
+++ b/internal/gateway/demand/demand.go
@@ -19,8 +19,8 @@
 
 // Total is the demand of all entries, as a replica reports it.
 type Total struct {
-	// Entries is the number of entries.
-	Entries int
+	// Entries is the number of entries, and Rank the position of this entry among them.
+	Entries, Rank int
 	// PerS is the demand per second by subject, such as a workspace.
 	PerS map[string]float64
 }
@@ -47,6 +47,14 @@
 	return max(d.total.Entries, 1)
 }
 
+// Rank returns the position of this entry among all, or -1 if it is not known.
+func (d *Division) Rank() int {
+	if d.totalAt.IsZero() {
+		return -1
+	}
+	return d.total.Rank
+}
+
 // Share returns the part of a divided limit that this entry may use. It relates the
 // total demand to the demand of this entry that is included in it, and not to its
 // current demand: while demand grows, the shares would otherwise add up to more
--- a/internal/gateway/entry/rate_limits.go
+++ b/internal/gateway/entry/rate_limits.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/core/limit"
 	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
@@ -53,9 +54,9 @@
 	}
 }
 
-func (l *rateLimits) logChange(endpoint string, born int64, limit ratelimit.Limit, replica string) {
+func (l *rateLimits) logChange(endpoint string, born int64, named ratelimit.Limit, replica string) {
 	l.entry.log.Info("Rate limit of an endpoint.", zap.String("endpoint", endpoint), zap.Int64("born", born),
-		zap.Bool("named", limit.Named), zap.Float64("per_s", limit.PerS), zap.String("replica", replica))
+		zap.Bool("named", named.Named), zap.Float64("per_s", named.PerS), zap.String("replica", replica))
 }
 
 // countDemand counts a request for a service.
@@ -98,10 +99,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	shares := make(map[string]float64)
-	for id, limit := range l.table.Limits(now) {
+	for id, named := range l.table.Limits(now) {
 		endpoint, known := l.entry.board.Endpoint(id)
-		if known && endpoint.Born == limit.Born {
-			shares[id] = limit.PerS * l.division.Share(endpoint.Service, now)
+		if known && endpoint.Born == named.Born {
+			shares[id] = limit.RateShare(id, named.PerS, limit.Sharer{
+				Rank: l.division.Rank(), Entries: l.division.Entries(), DemandShare: l.division.Share(endpoint.Service, now),
+			})
 		}
 	}
 	l.entry.board.SetRates(shares, now)
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -86,8 +86,10 @@
 	// PolledByAll is set when all entries poll this replica, so that Entries and
 	// Demand are sums over all of them.
 	PolledByAll bool `msgpack:"y,omitempty"`
-	// Entries is the number of entries that polled recently.
+	// Entries is the number of entries that polled recently, and Rank the position of
+	// this entry among them, sorted by name.
 	Entries int `msgpack:"n"`
+	Rank    int `msgpack:"z,omitempty"`
 	// Demand is the demand of the entries by workspace.
 	Demand map[string]float64 `msgpack:"d,omitempty"`
 	// Crashes holds the changed crash records of all entries, up to CrashVersion.
--- a/internal/gateway/state/entries.go
+++ b/internal/gateway/state/entries.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// rank returns the position of an entry among the active ones, sorted by name.
+func (e *entries) rank(entry string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	rank := 0
+	for name := range e.byEntry {
+		if name < entry {
+			rank++
+		}
+	}
+	return rank
+}
+
 // allPolledWithin reports whether every active entry has polled within the given
 // time.
 func (e *entries) allPolledWithin(within time.Duration, now time.Time) bool {
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -127,6 +127,7 @@
 	}
 	if reply.PolledByAll {
 		reply.Demand, reply.ServiceDemand = sum.demand, sum.serviceDemand
+		reply.Rank = s.entries.rank(request.Entry)
 	}
 	reply.Crashes, reply.CrashVersion = s.crashesSince(request.CrashVersion, now)
 	reply.RateLimits, reply.RateLimitVersion = s.rateLimits.Changes(request.RateLimitVersion, false, now)
