Read request limits only in answers that belong to the request

Cause: the limit was read before an answer was checked, so that a 421 of the endpoint that has an address now set the limit of the one that had it, and a late answer to another request could set or end one. TestRateLimitsOfOtherResponsesAreIgnored failed before (one change logged).

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -102,7 +102,6 @@
 	now := time.Now()
 	meta := e.options.Dialect.ParseAnswer(answer.StatusCode, answer.Header)
 	choice.RecordAnswer(meta.Load, now)
-	e.rateLimits.observe(&choice.Endpoint, &meta, now)
 	switch {
 	case meta.Misdirected:
 		choice.RecordDraining()
@@ -110,6 +109,7 @@
 		c.drainBody(answer)
 		return outcome{sent: true, notRun: true, err: &AnswerError{choice.Endpoint.ID, "address now belongs to another endpoint"}}
 	case meta.NotRun:
+		e.rateLimits.observe(&choice.Endpoint, &meta, now)
 		if meta.NoCapacity {
 			choice.RecordFull(meta.Load, now)
 		}
@@ -120,6 +120,7 @@
 		choice.RecordFailure(now)
 		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "answer is not from the endpoint or belongs to another request"}}
 	}
+	e.rateLimits.observe(&choice.Endpoint, &meta, now)
 	c.endpoint = choice.Endpoint.ID
 	if c.responseStarted && answer.StatusCode != http.StatusOK {
 		// The caller already received a part of the stream, and an answer with this
