Refuse at once only where rate limits, not pauses, leave no endpoint

A pause is no knowledge: the next success ends it. TestRateLimitedEndpointGetsItsShareOnly holds that a pause gives no time now.

--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -33,8 +33,8 @@
 	// filter that dropped the last of them.
 	Known     int
 	DroppedBy string
-	// AvailableAt is when the first endpoint can receive the request, as far as
-	// pauses and rate limits tell; zero if that is unknown.
+	// AvailableAt is when the first endpoint can receive the request, if only rate
+	// limits prevent it; zero if that is unknown.
 	AvailableAt time.Time
 }
 
@@ -148,30 +148,21 @@
 	return views
 }
 
-// availableAt returns when the first of the endpoints can receive the request, or
-// zero if that depends on more than pauses and rate limits.
+// availableAt returns when the first of the endpoints can receive the request, if all
+// that could receive it limit their rate. Otherwise it returns zero: a pause ends with
+// the next success, and a connection may become free at any moment.
 func (b *Board) availableAt(r *Request, members []*stats) time.Time {
-	later := *r
-	later.ignorePauses = true
+	despitePauses := *r
+	despitePauses.ignorePauses = true
 	var first time.Time
 	for _, s := range members {
-		at := r.Now
-		if at.Before(s.pausedUntil) {
-			at = s.pausedUntil
-		}
-		switch b.droppedBy(&later, &View{stats: s}) {
-		case "":
+		switch b.droppedBy(&despitePauses, &View{stats: s}) {
 		case RateFilter{}.Name():
-			if next := s.permits.NextAt(r.Now); at.Before(next) {
-				at = next
+			if next := s.permits.NextAt(r.Now); first.IsZero() || next.Before(first) {
+				first = next
 			}
-		case ConnectionFilter{}.Name():
+		case "", ConnectionFilter{}.Name():
 			return time.Time{}
-		default:
-			continue
-		}
-		if first.IsZero() || at.Before(first) {
-			first = at
 		}
 	}
 	return first
--- a/internal/gateway/pick/pick_test.go
+++ b/internal/gateway/pick/pick_test.go
@@ -243,8 +243,14 @@
 	g.Expect(c.Endpoint.ID).To(Equal("two"))
 	c.RecordFailure(now)
 	c.RecordFailure(now)
-	_, err := b.Choose(newRequest(now))
 	var none *NoEndpointError
+	_, err := b.Choose(newRequest(now))
+	g.Expect(errors.As(err, &none)).To(BeTrue())
+	// The pause of the other endpoint ends with its next success.
+	g.Expect(none.AvailableAt).To(BeZero())
+	r := newRequest(now)
+	r.Avoid = []string{"two"}
+	_, err = b.Choose(r)
 	g.Expect(errors.As(err, &none)).To(BeTrue())
 	g.Expect(none.AvailableAt).To(Equal(start.Add(time.Second)))
 	b.SetRates(nil, now)
