--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -166,11 +166,12 @@
 }
 
 // apply puts a document in force, unless its generation is not newer than that
-// of the current one.
-func (e *Entry) apply(generation uint64, data []byte) {
+// of the current one. replica is the address of the replica that sent it.
+func (e *Entry) apply(generation uint64, data []byte, replica string) {
 	if current := e.active.Load(); current != nil && current.generation >= generation {
 		return
 	}
+	start := time.Now()
 	document, err := e.options.Decode(data)
 	if err != nil {
 		e.log.Error("Document cannot be decoded and is ignored.", zap.Uint64("generation", generation), zap.Error(err))
@@ -180,7 +181,7 @@
 	e.quotas.Configure(document.Workspaces, now)
 	e.active.Store(&activeRules{table: rules.NewTable(document), generation: generation, receivedAt: now})
 	e.log.Info("Document in force.", zap.Uint64("generation", generation), zap.Uint64("version", document.Version),
-		zap.Int("routes", len(document.Routes)))
+		zap.Int("routes", len(document.Routes)), zap.Int("bytes", len(data)), zap.Int64("decode_ms", time.Since(start).Milliseconds()), zap.String("replica", replica))
 }
 
 // setEntryCount sets the number of entries that share the retry allowance.
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -58,8 +58,9 @@
 			return
 		}
 		if err != nil {
+			e.metrics.pollsFailed.Inc()
 			if connected {
-				e.log.Warn("State replica lost.", zap.String("replica", address), zap.Error(err))
+				e.log.Warn("State replica lost.", zap.String("replica", address), zap.Int64("ms", time.Since(now).Milliseconds()), zap.Error(err))
 			}
 			connected = false
 			c.noteFailure(address)
@@ -106,6 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.metrics.pollBytes.Add(int64(len(data)))
 	reply := &link.PollReply{}
 	if err := link.Decode(data, reply); err != nil {
 		return nil, err
@@ -129,7 +131,7 @@
 	e := c.entry
 	now := time.Now()
 	if reply.Generation > 0 {
-		e.apply(reply.Generation, reply.Document)
+		e.apply(reply.Generation, reply.Document, address)
 	}
 	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
 	if reply.PolledByAll {
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -34,7 +34,19 @@
 		}
 	}
 	s.rateLimits.Merge(request.RateLimits, now)
-	return link.Encode(s.awaitUpdate(ctx, request))
+	reply := s.awaitUpdate(ctx, request)
+	data, err := link.Encode(reply)
+	s.countReply(reply, len(data))
+	return data, err
+}
+
+// countReply counts the bytes of an answer to a poll, those of documents apart.
+func (s *State) countReply(reply *link.PollReply, size int) {
+	if len(reply.Document) > 0 {
+		s.options.Metrics.Counter("state_document_replies").Inc()
+		s.options.Metrics.Counter("state_document_bytes").Add(int64(len(reply.Document)))
+	}
+	s.options.Metrics.Counter("state_poll_bytes").Add(int64(size))
 }
 
 // handleSpend grants a request of an entry from the common quota, the part of a
