Fetch documents in chunks from one replica instead of with each poll

What callers saw: for seconds after a document of 1,400 more routes was acknowledged, requests were routed by the old one and reached endpoints that had said that they leave; a third were refused or failed, and replicas ended because of their memory. Cause: every answer of a poll carried the whole document, from four replicas, encoded for each entry three times. 2.4 MB did not pass a link of 0.9 MB/s within the 1.8 s of a poll, so each poll failed and began anew, and changes of endpoints waited in the same answers. Class: costs that grow with the document times entries times replicas, and urgent facts behind bulk data. Ruled out: entries that are too slow (1 to 5% of a core); a longer time limit, rarer polls or more memory, which only move the size at which it happens. Change: polls name the generation. An entry fetches the chunks that it lacks from one replica, one call at a time, compressed once for all, and keeps them if the transfer fails. Full updates of endpoints arrive in parts of 256.

--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -73,6 +73,7 @@
 	migrations    *migrations
 	buffers       bufferBudget
 	rateLimits    *rateLimits
+	documents     *documents
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -114,6 +115,7 @@
 	e.crashes = newCrashDetector(e)
 	e.migrations = newMigrations(e)
 	e.rateLimits = newRateLimits(e)
+	e.documents = newDocuments(e)
 	return e
 }
 
@@ -121,6 +123,7 @@
 func (e *Entry) Start() {
 	e.replicaClient.start()
 	e.group.Go(e.housekeep)
+	e.group.Go(e.documents.loop)
 }
 
 // Close stops the background goroutines, waits for them and closes idle
@@ -166,8 +169,8 @@
 }
 
 // apply puts a document in force, unless its generation is not newer than that
-// of the current one. replica is the address of the replica that sent it.
-func (e *Entry) apply(generation uint64, data []byte, replica string) {
+// of the current one.
+func (e *Entry) apply(generation uint64, data []byte, arrival transfer) {
 	if current := e.active.Load(); current != nil && current.generation >= generation {
 		return
 	}
@@ -181,7 +184,8 @@
 	e.quotas.Configure(document.Workspaces, now)
 	e.active.Store(&activeRules{table: rules.NewTable(document), generation: generation, receivedAt: now})
 	e.log.Info("Document in force.", zap.Uint64("generation", generation), zap.Uint64("version", document.Version),
-		zap.Int("routes", len(document.Routes)), zap.Int("bytes", len(data)), zap.Int64("decode_ms", time.Since(start).Milliseconds()), zap.String("replica", replica))
+		zap.Int("routes", len(document.Routes)), zap.Int("bytes", len(data)), zap.Int64("decode_ms", time.Since(start).Milliseconds()),
+		zap.String("replica", arrival.replica), zap.Int("transferred", arrival.bytes), zap.Int64("transfer_ms", arrival.time.Milliseconds()))
 }
 
 // setEntryCount sets the number of entries that share the retry allowance.
--- a/internal/gateway/entry/follow.go
+++ b/internal/gateway/entry/follow.go
@@ -170,15 +170,15 @@
 		return rank
 	}
 	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(p.spreadHash(a), p.spreadHash(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(spreadHash(p.name, a), spreadHash(p.name, b)), cmp.Compare(a, b))
 	})
 	return list
 }
 
-// spreadHash returns a hash of the entry and the replica, so that entries prefer
+// spreadHash returns a hash of an entry and a replica, so that entries prefer
 // different replicas.
-func (p *followPlan) spreadHash(address string) uint64 {
+func spreadHash(entry, replica string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(p.name + "\x00" + address))
+	_, _ = h.Write([]byte(entry + "\x00" + replica))
 	return h.Sum64()
 }
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -7,7 +7,7 @@
 	requests, answered, refused, failed, callersGone *telemetry.Counter
 	attempts, retries, resumed, answerLost           *telemetry.Counter
 	moves, movesFailed                               *telemetry.Counter
-	pollBytes, pollsFailed                           *telemetry.Counter
+	pollBytes, pollsFailed, documentBytes            *telemetry.Counter
 	firstByte, total                                 *telemetry.Latency
 	inFlight                                         *telemetry.Gauge
 	registry                                         *telemetry.Registry
@@ -24,7 +24,7 @@
 		attempts: r.Counter("gateway_attempts"), retries: r.Counter("gateway_repeats"),
 		resumed: r.Counter("gateway_resumed"), answerLost: r.Counter("gateway_answers_lost"),
 		moves: r.Counter("gateway_moves"), movesFailed: r.Counter("gateway_moves_failed"),
-		pollBytes: r.Counter("gateway_poll_bytes"), pollsFailed: r.Counter("gateway_polls_failed"),
+		pollBytes: r.Counter("gateway_poll_bytes"), pollsFailed: r.Counter("gateway_polls_failed"), documentBytes: r.Counter("gateway_document_bytes"),
 		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
 		inFlight: r.Gauge("gateway_in_flight"), registry: r,
 	}
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -10,6 +10,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/registry"
 )
 
 // ownDemand is the demand of this entry that a poll reports.
@@ -20,6 +21,8 @@
 	// replicaRun identifies the run of the replica's process; the versions are those
 	// of its registry, its crash records and its rate limits.
 	replicaRun, registryVersion, crashVersion, rateLimitVersion uint64
+	// generation is that of the newest document that the replica offered.
+	generation uint64
 	// ackedCrashes and ackedRateLimits are the versions of this entry's crash records
 	// and of the limits that it read, as far as the replica acknowledged them.
 	ackedCrashes, ackedRateLimits uint64
@@ -94,8 +97,9 @@
 	request.Crashes, ackedCrashes = e.crashes.ownRecords(state.ackedCrashes)
 	var ackedRateLimits uint64
 	request.RateLimits, ackedRateLimits = e.rateLimits.table.Changes(state.ackedRateLimits, true, time.Now())
+	request.Generation = state.generation
 	if active := e.active.Load(); active != nil {
-		request.Generation = active.generation
+		request.Generation = max(state.generation, active.generation)
 	}
 	params, err := link.Encode(request)
 	if err != nil {
@@ -115,7 +119,9 @@
 	if state.replicaRun != 0 && state.replicaRun != reply.ReplicaRun {
 		// The replica restarted and lost what it had acknowledged.
 		ackedCrashes, ackedRateLimits, ackedCounts = 0, 0, nil
+		state.generation = 0
 	}
+	state.generation = max(state.generation, reply.Generation)
 	state.replicaRun, state.registryVersion = reply.ReplicaRun, reply.RegistryVersion
 	state.crashVersion, state.rateLimitVersion = reply.CrashVersion, reply.RateLimitVersion
 	state.ackedCrashes, state.ackedRateLimits, state.ackedCounts = ackedCrashes, ackedRateLimits, ackedCounts
@@ -131,7 +137,7 @@
 	e := c.entry
 	now := time.Now()
 	if reply.Generation > 0 {
-		e.apply(reply.Generation, reply.Document, address)
+		e.documents.offer(address, reply.Generation)
 	}
 	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
 	if reply.PolledByAll {
@@ -145,15 +151,12 @@
 	// The shares are set after the endpoints, so that a new endpoint has its limit.
 	defer e.rateLimits.apply(now)
 	c.noteReplicas(address, reply)
-	if !reply.FullUpdate && len(reply.Endpoints) == 0 {
-		return
-	}
 	c.mu.Lock()
-	if c.cancelPolls[address] == nil {
+	part := registry.Part{Views: reply.Endpoints, Full: reply.FullUpdate, More: reply.EndpointsFollow}
+	if c.cancelPolls[address] == nil || !c.directory.Apply(address, part) {
 		c.mu.Unlock()
 		return
 	}
-	c.directory.Apply(address, reply.Endpoints, reply.FullUpdate)
 	list := c.directory.Endpoints()
 	unusedAddresses := e.board.Update(list)
 	c.mu.Unlock()
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/boragelead/boragelead/internal/gateway/docsync"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
@@ -27,6 +28,8 @@
 	// MethodShare is called by state replicas on each other, to forward announcements
 	// of endpoints.
 	MethodShare = "gateway.share"
+	// MethodDocument is called by entries on state replicas, to fetch a document.
+	MethodDocument = "gateway.document"
 )
 
 // MaxFollowed is the number of state replicas that an entry polls while there is a
@@ -69,18 +72,22 @@
 type PollReply struct {
 	// ReplicaRun identifies this run of the replica's process.
 	ReplicaRun uint64 `msgpack:"r"`
-	// Generation and Document are set when they are newer than the entry's.
+	// Generation is that of the newest document, if it is newer than the entry's. The
+	// document itself is fetched with MethodDocument, so that it does not delay what
+	// else has changed.
 	Generation uint64 `msgpack:"g,omitempty"`
-	Document   []byte `msgpack:"b,omitempty"`
 	// IsLeader is set when the replica is the leader.
 	IsLeader bool `msgpack:"a,omitempty"`
 	// Leader is the address of the leader that this replica knows; "" if it knows
 	// none.
 	Leader string `msgpack:"h,omitempty"`
 	// FullUpdate is set when Endpoints replaces all endpoints that were sent before.
-	FullUpdate      bool            `msgpack:"w,omitempty"`
-	Endpoints       []registry.View `msgpack:"e,omitempty"`
-	RegistryVersion uint64          `msgpack:"c"`
+	FullUpdate bool            `msgpack:"w,omitempty"`
+	Endpoints  []registry.View `msgpack:"e,omitempty"`
+	// RegistryVersion is the version that Endpoints reaches. EndpointsFollow is set if
+	// it is not the newest one, because not all changes fit into one answer.
+	RegistryVersion uint64 `msgpack:"c"`
+	EndpointsFollow bool   `msgpack:"p,omitempty"`
 	// Replicas are the addresses of all replicas.
 	Replicas []string `msgpack:"m,omitempty"`
 	// PolledByAll is set when all entries poll this replica, so that Entries and
@@ -104,6 +111,24 @@
 	TimeNS int64 `msgpack:"t"`
 }
 
+// DocumentRequest asks for the manifest of the newest document, or for some of its
+// chunks.
+type DocumentRequest struct {
+	// Chunks holds the IDs of the wanted chunks; without any, the manifest is wanted.
+	Chunks []docsync.ID `msgpack:"c,omitempty"`
+}
+
+// DocumentReply carries the manifest, or chunks in the order in which they were asked
+// for. If it has fewer chunks, the rest has to be asked for again.
+type DocumentReply struct {
+	// Generation is that of the newest document; 0 without one.
+	Generation uint64            `msgpack:"g"`
+	Manifest   *docsync.Manifest `msgpack:"m,omitempty"`
+	// Chunks holds compressed chunks. It is empty if the newest document does not have
+	// one of those that were asked for.
+	Chunks [][]byte `msgpack:"c,omitempty"`
+}
+
 // SpendRequest asks for quota from the common part, which is not divided among
 // entries.
 type SpendRequest struct {
--- a/internal/gateway/registry/merge.go
+++ b/internal/gateway/registry/merge.go
@@ -3,23 +3,51 @@
 // Directory merges the endpoints that several replicas report to an entry. It is
 // not safe for concurrent use.
 type Directory struct {
-	views map[string]map[string]View
+	views map[string]*replicaView
+}
+
+// replicaView holds the endpoints that one replica reported, by ID.
+type replicaView struct {
+	current map[string]View
+	// incoming collects a full update of which not all parts have arrived; nil without
+	// one.
+	incoming map[string]View
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory { return &Directory{views: make(map[string]map[string]View)} }
+func NewDirectory() *Directory { return &Directory{views: make(map[string]*replicaView)} }
+
+// Part is a part of what a replica reports.
+type Part struct {
+	Views []View
+	// Full is set in the first part of an update that replaces everything that the
+	// replica sent before. More is set in all parts of an update but the last.
+	Full, More bool
+}
 
-// Apply stores the changes that a replica sent. If full is set, they replace
-// everything that the replica sent before.
-func (d *Directory) Apply(replica string, list []View, full bool) {
+// Apply stores what a replica sent. It holds at once, but endpoints that a full update
+// does not name are dropped only with its last part. It reports whether the view of
+// the replica may have changed.
+func (d *Directory) Apply(replica string, part Part) (changed bool) {
 	view := d.views[replica]
-	if view == nil || full {
-		view = make(map[string]View, len(list))
+	if view == nil {
+		view = &replicaView{current: make(map[string]View, len(part.Views))}
 		d.views[replica] = view
 	}
-	for _, reported := range list {
-		view[reported.Endpoint.ID] = reported
+	if part.Full {
+		view.incoming = make(map[string]View, len(part.Views))
+	}
+	for _, reported := range part.Views {
+		view.current[reported.Endpoint.ID] = reported
+		if view.incoming != nil {
+			view.incoming[reported.Endpoint.ID] = reported
+		}
+	}
+	complete := view.incoming != nil && !part.More
+	if complete {
+		view.current, view.incoming = view.incoming, nil
 	}
+	return complete || len(part.Views) > 0
 }
 
 // Forget drops the view of a replica that left the group. The last view is kept:
@@ -36,7 +64,7 @@
 func (d *Directory) Endpoints() []Endpoint {
 	merged := make(map[string]View)
 	for _, view := range d.views {
-		for id, current := range view {
+		for id, current := range view.current {
 			old, known := merged[id]
 			if !known || current.Endpoint.supersedes(&old.Endpoint) {
 				current.Expired = current.Expired && (!known || old.Expired || current.Endpoint.Born != old.Endpoint.Born)
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -6,6 +6,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/boragelead/boragelead/internal/core/changes"
 )
 
 // State is the state of an endpoint.
@@ -182,20 +184,32 @@
 	Expired bool `msgpack:"x,omitempty"`
 }
 
-// Since returns the endpoints that changed after a version of the registry, the
-// current version, and a channel that is closed at the next change.
-func (r *Registry) Since(version uint64) ([]View, uint64, <-chan struct{}) {
+// Update holds the endpoints that changed after a version of the registry.
+type Update struct {
+	Views []View
+	// Version is the version that Views reaches.
+	Version uint64
+	// More is set if further endpoints changed after Version.
+	More bool
+}
+
+// Since returns the endpoints that changed after a version of the registry, those that
+// changed first if there are more than limit, and a channel that is closed at the next
+// change.
+func (r *Registry) Since(version uint64, limit int) (Update, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list []View
-	if version < r.version {
-		for _, rec := range r.records {
-			if rec.version > version {
-				list = append(list, View{rec.endpoint, rec.expired})
-			}
+	if version >= r.version {
+		return Update{Version: r.version}, r.notify
+	}
+	var changed []changes.Change[View]
+	for _, rec := range r.records {
+		if rec.version > version {
+			changed = append(changed, changes.Change[View]{Version: rec.version, Value: View{rec.endpoint, rec.expired}})
 		}
 	}
-	return list, r.version, r.notify
+	views, reached := changes.Oldest(changed, limit, r.version)
+	return Update{Views: views, Version: reached, More: reached < r.version}, r.notify
 }
 
 // RecentLocal returns the announcements that arrived at this replica within the
--- a/internal/gateway/registry/registry_test.go
+++ b/internal/gateway/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,14 +53,14 @@
 	g := NewWithT(t)
 	r := New(5 * time.Second)
 	r.Announce(Endpoint{ID: "i", State: Ready, Born: 1, Seq: 1}, at(0))
-	_, before, changed := r.Since(0)
+	before, changed := r.Since(0, 10)
 	r.Expire(at(4))
 	g.Expect(r.Live()).To(HaveLen(1))
 	r.Expire(at(6))
 	g.Expect(r.Live()).To(BeEmpty())
 	g.Expect(changed).To(BeClosed())
-	list, _, _ := r.Since(before)
-	g.Expect(list).To(ConsistOf(View{Endpoint: Endpoint{ID: "i", State: Ready, Born: 1, Seq: 1}, Expired: true}))
+	list, _ := r.Since(before.Version, 10)
+	g.Expect(list.Views).To(ConsistOf(View{Endpoint: Endpoint{ID: "i", State: Ready, Born: 1, Seq: 1}, Expired: true}))
 	r.Announce(Endpoint{ID: "i", State: Ready, Born: 1, Seq: 2}, at(7))
 	g.Expect(r.Live()).To(HaveLen(1))
 }
@@ -92,11 +93,37 @@
 	g := NewWithT(t)
 	d := NewDirectory()
 	alive := Endpoint{ID: "i", State: Ready, Born: 1, Seq: 5}
-	d.Apply("r1", []View{{Endpoint: alive}}, true)
-	d.Apply("r2", []View{{Endpoint: Endpoint{ID: "i", State: Ready, Born: 1, Seq: 3}, Expired: true}}, true)
+	d.Apply("r1", Part{Views: []View{{Endpoint: alive}}, Full: true})
+	d.Apply("r2", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Ready, Born: 1, Seq: 3}, Expired: true}}, Full: true})
 	g.Expect(d.Endpoints()).To(ConsistOf(alive))
-	d.Apply("r2", []View{{Endpoint: Endpoint{ID: "i", State: Draining, Born: 1, Seq: 4}}}, false)
+	d.Apply("r2", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Draining, Born: 1, Seq: 4}}}})
 	g.Expect(d.Endpoints()[0].State).To(Equal(Draining))
-	d.Apply("r1", []View{{Endpoint: Endpoint{ID: "i", State: Gone, Born: 1, Seq: 5}}}, false)
+	d.Apply("r1", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Gone, Born: 1, Seq: 5}}}})
 	g.Expect(d.Endpoints()).To(BeEmpty())
 }
+
+// Guards against an entry that loses endpoints while a full update arrives in parts, or
+// keeps those that the update does not name, and against a part that is left out.
+func TestFullUpdateArrivesInParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		count, limit := rapid.IntRange(0, 40).Draw(t, "endpoints"), rapid.IntRange(1, 12).Draw(t, "limit")
+		r := New(time.Hour)
+		for i := range count {
+			r.Announce(Endpoint{ID: fmt.Sprint(i), State: Ready, Born: 1, Seq: 1}, at(0))
+		}
+		d := NewDirectory()
+		d.Apply("r", Part{Views: []View{{Endpoint: Endpoint{ID: "old", State: Ready, Born: 1}}}, Full: true})
+		version, full := uint64(0), true
+		for more := true; more; full = false {
+			update, _ := r.Since(version, limit)
+			g.Expect(len(update.Views)).To(BeNumerically("<=", limit))
+			version, more = update.Version, update.More
+			d.Apply("r", Part{Views: update.Views, Full: full, More: more})
+			if more {
+				g.Expect(len(d.Endpoints())).To(BeNumerically(">", len(update.Views)))
+			}
+		}
+		g.Expect(d.Endpoints()).To(HaveLen(count))
+	})
+}
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -11,8 +11,13 @@
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 )
 
-// maxPollWait bounds how long a poll waits for changes.
-const maxPollWait = 5 * time.Second
+const (
+	// maxPollWait bounds how long a poll waits for changes.
+	maxPollWait = 5 * time.Second
+	// maxReplyEndpoints limits the endpoints in one answer. A fresh entry asks for the
+	// others at once.
+	maxReplyEndpoints = 256
+)
 
 // handlePoll records what an entry reports and replies with the changes since its
 // last poll. Without a change it replies when one occurs or when the wait that the
@@ -34,21 +39,11 @@
 		}
 	}
 	s.rateLimits.Merge(request.RateLimits, now)
-	reply := s.awaitUpdate(ctx, request)
-	data, err := link.Encode(reply)
-	s.countReply(reply, len(data))
+	data, err := link.Encode(s.awaitUpdate(ctx, request))
+	s.options.Metrics.Counter("state_poll_bytes").Add(int64(len(data)))
 	return data, err
 }
 
-// countReply counts the bytes of an answer to a poll, those of documents apart.
-func (s *State) countReply(reply *link.PollReply, size int) {
-	if len(reply.Document) > 0 {
-		s.options.Metrics.Counter("state_document_replies").Inc()
-		s.options.Metrics.Counter("state_document_bytes").Add(int64(len(reply.Document)))
-	}
-	s.options.Metrics.Counter("state_poll_bytes").Add(int64(size))
-}
-
 // handleSpend grants a request of an entry from the common quota, the part of a
 // quota that is not divided among the entries.
 func (s *State) handleSpend(_ context.Context, params []byte) ([]byte, error) {
@@ -129,11 +124,12 @@
 // or the endpoints.
 func (s *State) update(request *link.PollRequest) (reply *link.PollReply, changed bool, documentChanged, endpointsChanged <-chan struct{}) {
 	generation, documentChanged := s.replica.NewestGeneration()
-	list, registryVersion, endpointsChanged := s.registry.Since(request.RegistryVersion)
+	endpoints, endpointsChanged := s.registry.Since(request.RegistryVersion, maxReplyEndpoints)
 	now := time.Now()
 	sum := s.entries.totals(now)
 	reply = &link.PollReply{
-		ReplicaRun: s.runID, FullUpdate: request.ReplicaRun != s.runID, Endpoints: list, RegistryVersion: registryVersion,
+		ReplicaRun: s.runID, FullUpdate: request.ReplicaRun != s.runID,
+		Endpoints: endpoints.Views, RegistryVersion: endpoints.Version, EndpointsFollow: endpoints.More,
 		IsLeader: s.isLeader(), Leader: s.leaderAddress(), Replicas: s.members(),
 		PolledByAll: s.isPolledByAll(), Entries: sum.entries, TimeNS: s.clock.Now().UnixNano(),
 	}
@@ -145,9 +141,8 @@
 	reply.RateLimits, reply.RateLimitVersion = s.rateLimits.Changes(request.RateLimitVersion, false, now)
 	if generation.Number > request.Generation {
 		reply.Generation = generation.Number
-		reply.Document = generation.Document
 	}
-	return reply, reply.Generation > 0 || reply.FullUpdate || len(list) > 0, documentChanged, endpointsChanged
+	return reply, reply.Generation > 0 || reply.FullUpdate || len(endpoints.Views) > 0, documentChanged, endpointsChanged
 }
 
 // crashesSince returns the encoded crash records that changed after a version, and
--- a/internal/gateway/state/restore.go
+++ b/internal/gateway/state/restore.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"math"
 	"os"
 	"path/filepath"
 	"time"
@@ -42,15 +43,15 @@
 // synced to disk: after a power failure, an incomplete file is detected by its
 // checksum.
 func (s *State) saveEndpoints(now time.Time) {
-	list, version, _ := s.registry.Since(0)
-	if version == s.savedVersion {
+	all, _ := s.registry.Since(0, math.MaxInt)
+	if all.Version == s.savedVersion {
 		return
 	}
-	s.savedVersion = version
+	s.savedVersion = all.Version
 	request := &link.ShareRequest{}
-	for i := range list {
-		if !list[i].Expired {
-			request.Announcements = append(request.Announcements, registry.ReceivedAnnouncement{Endpoint: list[i].Endpoint})
+	for i := range all.Views {
+		if !all.Views[i].Expired {
+			request.Announcements = append(request.Announcements, registry.ReceivedAnnouncement{Endpoint: all.Views[i].Endpoint})
 		}
 	}
 	data, err := link.Encode(request)
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -97,8 +97,9 @@
 	suspects  *suspect.Tracker
 	crashNews *crashNews
 	// rateLimits holds the request rates to which endpoints limit all entries.
-	rateLimits    *ratelimit.Table
-	documentCache documentCache
+	rateLimits     *ratelimit.Table
+	documentCache  documentCache
+	documentSource documentSource
 	// savedVersion is the registry version that was last written to disk.
 	savedVersion uint64
 
@@ -150,6 +151,7 @@
 	}
 	st.restoreEndpoints()
 	options.RPC.Handle(link.MethodPoll, st.handlePoll)
+	options.RPC.Handle(link.MethodDocument, st.handleDocument)
 	options.RPC.Handle(link.MethodShare, st.handleShare)
 	options.RPC.Handle(link.MethodSpend, st.handleSpend)
 	options.RPC.Handle(link.MethodPartProbe, st.handlePartProbe)
