Bound the memory of documents in the replicated log

At the document of the incident (450 KB) 500 entries are 225 MB of a VM's 280. Change: the history holds at most 8 MB beside the newest document, the tail of the log 4 MB, a send is closed at 1 MB. Evidence: before, ten documents of 3 MB stay in the history (now 2), and 40 entries of 450 KB go out in one send of 18 MB (now under 2 MB). The tail had no bound to test. Not done: uncommitted proposals may still hold 64 MB; eight orders of an operator are at most 24 MB.

--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -92,6 +92,18 @@
 		Expect(l.History(2)[1].Number).To(BeEquivalentTo(99))
 	})
 
+	// Guards against large documents that fill the memory of a replica as history.
+	It("limits the history by the size of the documents", func() {
+		l := newTestLedger()
+		document := bytes.Repeat([]byte("x"), 3<<20)
+		for i := range 10 {
+			l.apply(ledger.Command{Promote: &port.PromoteRequest{OperationID: fmt.Sprint(i), Expect: uint64(i), Document: document}})
+		}
+		Expect(l.History(0)).To(HaveLen(2))
+		Expect(l.Current().Number).To(BeEquivalentTo(10))
+		Expect(len(l.Snapshot())).To(BeNumerically("<", 9<<20))
+	})
+
 	// Guards against a call that runs a second time because its claim was removed while
 	// a resend can still arrive, and against ended claims that are kept forever.
 	It("keeps ended claims for the retention period and running claims without a time limit", func() {
--- a/internal/core/ledger/promote.go
+++ b/internal/core/ledger/promote.go
@@ -68,12 +68,26 @@
 
 func (s *State) addGeneration(g port.Generation) {
 	s.generations = append(s.generations, g)
-	if extra := len(s.generations) - maxGenerations; extra > 0 {
+	if extra := s.excessGenerations(); extra > 0 {
 		// The slice is copied because a frozen view may share the old one.
 		s.generations = append([]port.Generation(nil), s.generations[extra:]...)
 	}
 }
 
+// excessGenerations returns how many of the oldest generations exceed the bounds of
+// the history.
+func (s *State) excessGenerations() int {
+	kept, size := 0, 0
+	for kept < min(len(s.generations), maxGenerations) {
+		size += len(s.generations[len(s.generations)-1-kept].Document)
+		if size > maxHistoryBytes && kept > 0 {
+			break
+		}
+		kept++
+	}
+	return len(s.generations) - kept
+}
+
 func (s *State) rememberOperation(op *operation) {
 	s.operations[op.ID] = op
 	s.operationOrder = append(s.operationOrder, op.ID)
--- a/internal/core/ledger/state.go
+++ b/internal/core/ledger/state.go
@@ -10,6 +10,9 @@
 	// maxGenerations bounds the history. A rollback goes back a few generations.
 	// At 2,900 changes a day, 64 generations cover half an hour of constant changes.
 	maxGenerations = 64
+	// maxHistoryBytes bounds the documents of the history. The newest one is kept
+	// whatever its size.
+	maxHistoryBytes = 8 << 20
 	// maxOperations bounds the remembered operation IDs. They cover 22 days at
 	// 2,900 changes a day. A later resend is still checked by the compare-and-set.
 	maxOperations = 65536
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -279,6 +279,20 @@
 	}
 }
 
+// TailStart returns the index before the newest applied entries up to an index: at most
+// maxEntries of them, and at most maxBytes.
+func (r *Raft) TailStart(index, maxEntries uint64, maxBytes int) uint64 {
+	start, size := index, 0
+	for start > r.log.offset && index-start < maxEntries {
+		size += r.log.entries[start-r.log.offset-1].size()
+		if size > maxBytes {
+			break
+		}
+		start--
+	}
+	return start
+}
+
 // FirstIndex returns the index of the oldest entry that the log still contains.
 func (r *Raft) FirstIndex() uint64 { return r.log.offset + 1 }
 
--- a/internal/core/raft/rules_test.go
+++ b/internal/core/raft/rules_test.go
@@ -126,3 +126,18 @@
 	g.Expect(rd.EarlyMessages).To(gomega.BeEmpty())
 	g.Expect(rd.Messages).NotTo(gomega.BeEmpty())
 }
+
+// Guards against a log in memory that keeps hundreds of large entries for members that
+// lag behind.
+func TestKeptTailIsBoundedInBytes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entries := []raft.Entry{}
+	for index := uint64(2); index <= 21; index++ {
+		entries = append(entries, raft.Entry{Index: index, Term: 1, Data: make([]byte, 100)})
+	}
+	r := newThreeVoterNode(g, 1, entries...)
+	g.Expect(r.TailStart(20, 5, 1<<20)).To(gomega.BeEquivalentTo(15))
+	g.Expect(r.TailStart(20, 500, 450)).To(gomega.BeEquivalentTo(17))
+	g.Expect(r.TailStart(20, 500, 50)).To(gomega.BeEquivalentTo(20))
+	g.Expect(r.TailStart(20, 500, 1<<20)).To(gomega.BeEquivalentTo(1))
+}
--- a/internal/core/raft/types.go
+++ b/internal/core/raft/types.go
@@ -27,6 +27,15 @@
 
 func (e *Entry) size() int { return len(e.Data) + entryOverhead }
 
+// Bytes returns the size of the entries of a message, in bytes.
+func (m *Message) Bytes() int {
+	size := 0
+	for i := range m.Entries {
+		size += m.Entries[i].size()
+	}
+	return size
+}
+
 // HardState is the state that a node must persist besides its log. Term and Vote
 // must be synced before any message of the term is sent. Commit is only a hint.
 type HardState struct {
--- a/internal/replica/network.go
+++ b/internal/replica/network.go
@@ -21,8 +21,11 @@
 	snapshotChunkTimeout = 10 * time.Second
 	// maxSnapshotBytes is the largest snapshot that a receiver accepts.
 	maxSnapshotBytes = 1 << 30
-	// maxMessagesPerSend is the maximum number of raft messages in one send.
+	// maxMessagesPerSend is the maximum number of raft messages in one send. No further
+	// message is added to a send of maxBytesPerSend: each byte is held several times
+	// while it is encoded, and for each member.
 	maxMessagesPerSend = 64
+	maxBytesPerSend    = maxAppendBytes
 )
 
 // network sends and receives raft messages. One goroutine per member keeps the messages
@@ -132,8 +135,11 @@
 		case <-n.replica.ctx.Done():
 			return
 		}
-		for len(queue) > 0 && len(batch) < maxMessagesPerSend {
-			batch = append(batch, <-queue)
+		size := batch[0].Bytes()
+		for len(queue) > 0 && len(batch) < maxMessagesPerSend && size < maxBytesPerSend {
+			m := <-queue
+			size += m.Bytes()
+			batch = append(batch, m)
 		}
 		n.sendBatch(id, batch)
 	}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -46,6 +46,9 @@
 	maxInflight         = 64
 	maxUncommittedBytes = 64 << 20
 	queueLength         = 4096
+	// maxKeptBytes bounds the entries that stay in memory after a snapshot, since a few
+	// hundred large documents would exceed the memory of a small VM.
+	maxKeptBytes = 4 << 20
 )
 
 // Options configure a replica.
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -123,9 +123,7 @@
 		// The next write to the log returns the error and stops the replica.
 		return
 	}
-	if index > r.opts.KeepEntries {
-		r.raft.Compact(index - r.opts.KeepEntries)
-	}
+	r.raft.Compact(r.raft.TailStart(index, r.opts.KeepEntries, maxKeptBytes))
 	if err := r.wal.Compact(index); err != nil {
 		r.log.Error("Removal of old log segments failed. The segments stay on disk.", zap.Error(err))
 	}
