Bound the results of calls that are being sent

Results above 4 KB now count against 16 MB; beyond it a call fails and its caller tries another replica. Small results are always sent, so that heartbeats and grants go on.

--- a/internal/adapter/peerrpc/meter.go
+++ b/internal/adapter/peerrpc/meter.go
@@ -20,9 +20,12 @@
 	Calls uint64 `json:"calls"`
 	// Served counts the handler runs for other daemons.
 	Served uint64 `json:"served"`
-	// Refused counts the incoming calls refused by the limit of calls in flight.
+	// Refused counts the incoming calls refused by the limits of calls and results in
+	// flight.
 	Refused uint64 `json:"refused"`
-	Dials   uint64 `json:"dials"`
+	// ReplyBytes is the size of the results that are being sent.
+	ReplyBytes int64  `json:"reply_bytes"`
+	Dials      uint64 `json:"dials"`
 	// Silent counts the connections closed because a probe was not answered in time.
 	Silent uint64 `json:"silent"`
 }
--- a/internal/adapter/peerrpc/node.go
+++ b/internal/adapter/peerrpc/node.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/boragelead/boragelead/internal/port"
@@ -16,6 +17,9 @@
 	// DefaultMaxInFlight bounds the calls in flight per address and, on the
 	// serving side, per connection.
 	DefaultMaxInFlight = 256
+	// DefaultMaxReplyBytes bounds the results that are being sent. Each byte is held
+	// about four times while a result is encoded and written.
+	DefaultMaxReplyBytes = 16 << 20
 )
 
 // Options configure a node.
@@ -29,6 +33,9 @@
 	MaxInFlight int
 	// Timeout is the deadline of calls whose context has none; 0 means DefaultTimeout.
 	Timeout time.Duration
+	// MaxReplyBytes bounds the results that are being sent; 0 means
+	// DefaultMaxReplyBytes. A larger result is sent if no other one is.
+	MaxReplyBytes int64
 }
 
 // Node calls methods of other daemons and serves methods to them.
@@ -38,6 +45,8 @@
 	handlers map[string]port.PeerHandler
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// replyBytes is the size of the results that are being sent.
+	replyBytes atomic.Int64
 
 	mu          sync.Mutex
 	peers       map[string]*peer
@@ -58,6 +67,9 @@
 	if options.Timeout <= 0 {
 		options.Timeout = DefaultTimeout
 	}
+	if options.MaxReplyBytes <= 0 {
+		options.MaxReplyBytes = DefaultMaxReplyBytes
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		options:  options,
@@ -77,7 +89,11 @@
 func (n *Node) Handle(method string, handler port.PeerHandler) { n.handlers[method] = handler }
 
 // Stats returns the counters since the start.
-func (n *Node) Stats() Stats { return n.meter.stats() }
+func (n *Node) Stats() Stats {
+	s := n.meter.stats()
+	s.ReplyBytes = n.replyBytes.Load()
+	return s
+}
 
 // Close closes all connections and listeners. Calls in flight fail.
 func (n *Node) Close() {
--- a/internal/adapter/peerrpc/server.go
+++ b/internal/adapter/peerrpc/server.go
@@ -120,10 +120,35 @@
 	go func() {
 		defer h.inFlight.Add(-1)
 		result, err := h.run(ctx, req)
+		size, ok := h.node.reserveReply(len(result))
+		if !ok {
+			h.node.meter.refused.Add(1)
+			result, err = nil, &jsonrpc2.Error{Code: codeFailed, Message: "too many bytes of results in flight"}
+		}
+		defer h.node.replyBytes.Add(-size)
 		h.reply(ctx, conn, req, result, err)
 	}()
 }
 
+// smallReplyBytes is the size up to which results are always sent and not counted, so
+// that large ones do not keep back heartbeats and grants.
+const smallReplyBytes = 4 << 10
+
+// reserveReply reports whether a result may be sent, and returns the size to subtract
+// from replyBytes once it is sent.
+func (n *Node) reserveReply(result int) (size int64, ok bool) {
+	if result <= smallReplyBytes {
+		return 0, true
+	}
+	size = int64(result)
+	inFlight := n.replyBytes.Add(size)
+	if inFlight <= n.options.MaxReplyBytes || inFlight == size {
+		return size, true
+	}
+	n.replyBytes.Add(-size)
+	return 0, false
+}
+
 func (h *connHandler) run(ctx context.Context, req *jsonrpc2.Request) ([]byte, *jsonrpc2.Error) {
 	handler := h.node.handlers[req.Method]
 	if handler == nil {
