Decode and log the software version of endpoints, and the attempt that a take-up continues

The logs cannot tell streams that a caller took up at another entry from those that went on within one answer, nor at which version an endpoint ran. Both are decoded in the adapter and logged; no decision uses them yet.

--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -77,6 +77,9 @@
 		fields = append(fields, zap.String("route", c.route.Name), zap.Uint64("generation", c.active.generation),
 			zap.Int64("left_ms", time.Until(c.deadline).Milliseconds()))
 	}
+	if c.meta.ResumeAfter != "" {
+		fields = append(fields, zap.String("first_attempt", c.meta.FirstAttempt), zap.String("resume_after", c.meta.ResumeAfter))
+	}
 	if refusal == nil {
 		c.entry.log.Info(message, fields...)
 		return
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -168,6 +168,6 @@
 	for i := range reply.Endpoints {
 		view := &reply.Endpoints[i]
 		e.log.Info("Endpoint changed.", zap.String("endpoint", view.Endpoint.ID), zap.String("service", view.Endpoint.Service),
-			zap.Uint8("state", uint8(view.Endpoint.State)), zap.Bool("expired", view.Expired), zap.Uint64("seq", view.Endpoint.Seq), zap.String("replica", address))
+			zap.Uint8("state", uint8(view.Endpoint.State)), zap.Bool("expired", view.Expired), zap.String("software_version", view.Endpoint.SoftwareVersion), zap.Uint64("seq", view.Endpoint.Seq), zap.String("replica", address))
 	}
 }
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -36,6 +36,9 @@
 	Seq uint64 `msgpack:"q"`
 	// Reclaimable is set if the VM of the endpoint may be reclaimed at short notice.
 	Reclaimable bool `msgpack:"r,omitempty"`
+	// SoftwareVersion is the version of the program of this incarnation; empty if it is
+	// not announced. What two versions write into a stream does not fit together.
+	SoftwareVersion string `msgpack:"v,omitempty"`
 	// TimeLeftMS is the time that a draining endpoint had left when it sent the
 	// announcement, in milliseconds; 0 means unknown.
 	TimeLeftMS int64 `msgpack:"l,omitempty"`
--- a/internal/gateway/state/announce.go
+++ b/internal/gateway/state/announce.go
@@ -38,7 +38,7 @@
 	changed := s.registry.Announce(e, now)
 	if changed {
 		s.log.Info("Endpoint announced.", zap.String("endpoint", e.ID), zap.String("service", e.Service),
-			zap.String("address", e.Address), zap.Uint8("state", uint8(e.State)), zap.Uint64("seq", e.Seq), zap.Int64("born", e.Born))
+			zap.String("address", e.Address), zap.Uint8("state", uint8(e.State)), zap.String("software_version", e.SoftwareVersion), zap.Uint64("seq", e.Seq), zap.Int64("born", e.Born))
 	}
 	if e.State == registry.Ready {
 		return nil
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -28,6 +28,9 @@
 	Prefix          []PromptPart
 	// ResumeAfter is the ID of the last event that the caller received.
 	ResumeAfter string
+	// FirstAttempt is the ID of the attempt that received the first event of the
+	// stream that the request continues; empty if the request does not name it.
+	FirstAttempt string
 }
 
 // Dispatch is the information that the gateway adds to a request for an
