Start quotas by an assumed number of entries also if one is already reported

Found by TestRefusals, which fails since: a document now arrives after the first answer of a poll, so that the shares of a start follow the entries that this answer counts. Entries that start together are counted one after the other, and their full buckets add up to more than the limit. TestRefusals failed and passes.

--- a/internal/gateway/demand/demand.go
+++ b/internal/gateway/demand/demand.go
@@ -47,6 +47,10 @@
 	return max(d.total.Entries, 1)
 }
 
+// EntriesAtStart returns the number of entries by which an entry that has just started
+// divides limits. The first report may count only those entries that were faster.
+func (d *Division) EntriesAtStart() int { return max(d.Entries(), assumedEntries) }
+
 // Rank returns the position of this entry among all, or -1 if it is not known.
 func (d *Division) Rank() int {
 	if d.totalAt.IsZero() {
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -119,6 +119,8 @@
 	mu         sync.Mutex
 	workspaces map[string]*workspace
 	division   demand.Division
+	// configured is set once a document was applied.
+	configured bool
 	// commonLost is set while no leader holds the common part.
 	commonLost bool
 }
@@ -154,6 +156,9 @@
 			// the first second after a loss of all entries would be refused.
 			w.limits = limitsOf(config, l.tolerance)
 			w.level = l.capacity(config.Name, w, now)
+			if !l.configured {
+				w.level = w.capacity(1/float64(l.division.EntriesAtStart()), l.division.EntriesAtStart())
+			}
 		}
 		w.limits = limitsOf(config, l.tolerance)
 		w.level = min(w.level, l.capacity(config.Name, w, now))
@@ -164,6 +169,7 @@
 			delete(l.workspaces, name)
 		}
 	}
+	l.configured = true
 }
 
 // SetTotal sets the demand of all entries, and the demand of this entry that is
@@ -247,5 +253,10 @@
 
 // capacity returns how much of its share this entry may spend at once.
 func (l *Limiter) capacity(name string, w *workspace, now time.Time) float64 {
-	return w.burst*(1-commonPart)*l.division.Share(name, now) + w.extraTokens*dividedTokenShare/float64(l.division.Entries())
+	return w.capacity(l.division.Share(name, now), l.division.Entries())
+}
+
+// capacity returns how much an entry with a share of the limit may spend at once.
+func (w *workspace) capacity(share float64, entries int) float64 {
+	return w.burst*(1-commonPart)*share + w.extraTokens*dividedTokenShare/float64(entries)
 }
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -214,3 +214,20 @@
 		})
 	}
 }
+
+// Guards against entries that start together, learn of few others before they have a
+// document, and so begin with shares that add up to more than the limit.
+func TestSharesAtAStartDoNotExceedTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	workspace := rules.Workspace{Name: "w", RatePerS: 100, Burst: 100}
+	granted := 0
+	for started := range 9 {
+		limiter := New(Tolerance{})
+		limiter.SetTotal(demand.Total{Entries: started + 1}, nil, time.Unix(0, 0))
+		limiter.Configure([]rules.Workspace{workspace}, time.Unix(0, 0))
+		for limiter.Take("w", 1, time.Unix(0, 0)).Granted {
+			granted++
+		}
+	}
+	g.Expect(granted).To(BeNumerically("<=", 60))
+}
