Let streams go on only at the software version that began them

What callers saw: streams that hold events of two software versions of an endpoint, within one answer and after take-ups at other entries, with nothing in the answer to show it. Cause: the entry knew no versions, and for a take-up nobody did: the entry that passed the stream on may be gone. Class: a property of the run that began a stream is lost with the process that saw it. Change: after the first event a request is bound to the version of its endpoint, moves and take-ups included. The version is kept at two state replicas, selected by a hash of the stream. A take-up that nobody knows goes on only if no other version serves or served lately, as a replica tells that answered just now and has recorded versions for 30 s; otherwise, and if no ready endpoint has the version, it is refused at once. An endpoint that refused a connection may return with another version, so it is left out for 8 s. Ruled out: one replica for all streams of an entry (a take-up would have to ask all replicas), and recording before the first event is passed on (a round trip before every first event).

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -181,6 +181,9 @@
 	if c.r.Context().Err() == nil {
 		choice.RecordFailure(time.Now())
 	}
+	if showsCrash(err) {
+		c.entry.board.RecordRefused(choice.Endpoint.ID, choice.Endpoint.Born, time.Now())
+	}
 	return outcome{sent: sent, err: err}
 }
 
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -65,6 +65,9 @@
 	moves int
 	// kvHandle names the copied KV cache from which the next attempt continues.
 	kvHandle string
+	// softwareVersion is the version at which the stream began: every further attempt
+	// goes to an endpoint of this version. It is nil before the first event.
+	softwareVersion *string
 	// usageCounted is set once the request is counted in the usage of its workspace.
 	usageCounted bool
 	// complete is set once the answer was read to its end.
@@ -120,6 +123,9 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline.Add(deadlineGrace))
 	defer cancel()
 	c.entry.rateLimits.countDemand(c.service.Name, time.Now())
+	if err := c.placeTakeUp(ctx); err != nil {
+		return err
+	}
 	connectFailures := 0
 	var choice *pick.Choice
 	for {
--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -23,6 +23,7 @@
 	return &pick.Request{
 		Service: c.service.Name, Domain: c.entry.options.Settings.FailureDomain, Prefix: c.meta.Prefix,
 		PromptTokens: c.meta.PromptTokens, Avoid: c.tried, MaxConnections: c.entry.connectionShare(c.service),
+		SoftwareVersion: c.softwareVersion,
 	}
 }
 
@@ -51,8 +52,8 @@
 		if err == nil {
 			return choice, nil
 		}
-		at := availableAt(err)
-		if request.Now.After(waitEnd) || at.After(waitEnd) {
+		at, hopeless := availability(err)
+		if hopeless || request.Now.After(waitEnd) || at.After(waitEnd) {
 			retryAfter := max(at.Sub(request.Now), defaultRetryAfter)
 			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: c.retryAfter(retryAfter), Err: err}
 		}
@@ -64,11 +65,12 @@
 	}
 }
 
-// availableAt returns when an endpoint will be available, or zero if that is unknown.
-func availableAt(err error) time.Time {
+// availability returns when an endpoint will be available, or zero if that is unknown,
+// and whether none will be.
+func availability(err error) (at time.Time, hopeless bool) {
 	var none *pick.NoEndpointError
 	if errors.As(err, &none) {
-		return none.AvailableAt
+		return none.AvailableAt, none.VersionGone
 	}
-	return time.Time{}
+	return time.Time{}, false
 }
--- a/internal/gateway/entry/crash.go
+++ b/internal/gateway/entry/crash.go
@@ -103,6 +103,7 @@
 		c.entry.log.Warn("Endpoint not reached.", zap.String("endpoint", endpoint.ID), zap.Int("running", len(fingerprints)), zap.Error(err))
 		return
 	}
+	c.entry.board.RecordRefused(endpoint.ID, endpoint.Born, time.Now())
 	c.tracker.Crash(endpoint.ID, uint64(endpoint.Born), fingerprints, time.Now())
 	c.entry.log.Warn("Endpoint crashed.", zap.String("endpoint", endpoint.ID), zap.Int64("born", endpoint.Born), zap.Int("running", len(fingerprints)), zap.Error(err))
 	c.report(ctx)
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -74,6 +74,7 @@
 	buffers       bufferBudget
 	rateLimits    *rateLimits
 	documents     *documents
+	origins       *streamOrigins
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -116,6 +117,7 @@
 	e.migrations = newMigrations(e)
 	e.rateLimits = newRateLimits(e)
 	e.documents = newDocuments(e)
+	e.origins = newStreamOrigins(e)
 	return e
 }
 
@@ -124,6 +126,7 @@
 	e.replicaClient.start()
 	e.group.Go(e.housekeep)
 	e.group.Go(e.documents.loop)
+	e.group.Go(e.origins.loop)
 }
 
 // Close stops the background goroutines, waits for them and closes idle
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -11,20 +11,23 @@
 
 // Reasons of refusals and failures.
 const (
-	ReasonNotReady     Reason = "not_ready"
-	ReasonNoRoute      Reason = "no_route"
-	ReasonUnknownKey   Reason = "unknown_key"
-	ReasonTooLarge     Reason = "body_too_large"
-	ReasonUnreadable   Reason = "body_unreadable"
-	ReasonQuota        Reason = "over_quota"
-	ReasonNoEndpoint   Reason = "no_endpoint"
-	ReasonFull         Reason = "endpoints_full"
-	ReasonTimeout      Reason = "timeout"
-	ReasonLostAnswer   Reason = "answer_lost"
-	ReasonQuarantined  Reason = "quarantined"
-	ReasonOverload     Reason = "entry_overloaded"
-	ReasonCallerGone   Reason = "caller_gone"
-	ReasonStreamBroken Reason = "stream_broken"
+	ReasonNotReady   Reason = "not_ready"
+	ReasonNoRoute    Reason = "no_route"
+	ReasonUnknownKey Reason = "unknown_key"
+	ReasonTooLarge   Reason = "body_too_large"
+	ReasonUnreadable Reason = "body_unreadable"
+	ReasonQuota      Reason = "over_quota"
+	ReasonNoEndpoint Reason = "no_endpoint"
+	// ReasonUnknownOrigin is that of a take-up of a stream of which nobody knows the
+	// software version at which it began.
+	ReasonUnknownOrigin Reason = "unknown_origin"
+	ReasonFull          Reason = "endpoints_full"
+	ReasonTimeout       Reason = "timeout"
+	ReasonLostAnswer    Reason = "answer_lost"
+	ReasonQuarantined   Reason = "quarantined"
+	ReasonOverload      Reason = "entry_overloaded"
+	ReasonCallerGone    Reason = "caller_gone"
+	ReasonStreamBroken  Reason = "stream_broken"
 )
 
 // Refusal is the answer of the gateway itself to a request that no endpoint answered.
--- a/internal/gateway/entry/follow.go
+++ b/internal/gateway/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 )
@@ -31,6 +32,10 @@
 	followed       bool
 }
 
+func (c *candidate) failedLately(now time.Time) bool {
+	return !c.lastFailed.IsZero() && now.Sub(c.lastFailed) < failureBackoff
+}
+
 // followPlan chooses the replicas that an entry polls: the leader, which knows the
 // sums over all entries, and a few others, so that the loss of some replicas does
 // not delay changes. It does no I/O and is not safe for concurrent use.
@@ -151,14 +156,11 @@
 // leader precedes the others, and followed ones precede those that are not. Ties
 // are broken by spreadHash.
 func (p *followPlan) preferenceOrder(now time.Time) []string {
-	list := make([]string, 0, len(p.candidates))
-	for address := range p.candidates {
-		list = append(list, address)
-	}
+	list := slices.Collect(maps.Keys(p.candidates))
 	rank := func(address string) int {
 		c := p.candidates[address]
 		rank := 0
-		if !c.lastFailed.IsZero() && now.Sub(c.lastFailed) < failureBackoff {
+		if c.failedLately(now) {
 			rank += 4
 		}
 		if address != p.leader {
@@ -175,10 +177,27 @@
 	return list
 }
 
-// spreadHash returns a hash of an entry and a replica, so that entries prefer
-// different replicas.
-func spreadHash(entry, replica string) uint64 {
+// orderFor sorts the replicas by their hash with a key. Those that failed recently come
+// last.
+func (p *followPlan) orderFor(key string, now time.Time) []string {
+	list := slices.Collect(maps.Keys(p.candidates))
+	slices.SortFunc(list, func(a, b string) int {
+		failedA, failedB := p.candidates[a].failedLately(now), p.candidates[b].failedLately(now)
+		if failedA != failedB {
+			if failedA {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(spreadHash(key, a), spreadHash(key, b)), cmp.Compare(a, b))
+	})
+	return list
+}
+
+// spreadHash returns a hash of a name, for example of an entry, and a replica, so that
+// different names prefer different replicas.
+func spreadHash(name, replica string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(entry + "\x00" + replica))
+	_, _ = h.Write([]byte(name + "\x00" + replica))
 	return h.Sum64()
 }
--- a/internal/gateway/entry/follow_test.go
+++ b/internal/gateway/entry/follow_test.go
@@ -123,3 +123,25 @@
 		}
 	})
 }
+
+// Guards against origins of streams that all go to the same replicas, and against
+// entries that look for them at other replicas than those that got them.
+func TestOrderForSpreadsKeys(t *testing.T) {
+	g := NewWithT(t)
+	seeds := []string{"10.0.0.1:99", "10.0.0.2:99", "10.0.0.3:99", "10.0.0.4:99", "10.0.0.5:99"}
+	first, second := newFollowPlan("a", 4, seeds), newFollowPlan("b", 4, seeds)
+	counts := map[string]int{}
+	const keys = 5000
+	for i := range keys {
+		key := fmt.Sprint(i)
+		order := first.orderFor(key, noon)
+		g.Expect(second.orderFor(key, noon)).To(Equal(order))
+		counts[order[0]]++
+		counts[order[1]]++
+	}
+	for _, seed := range seeds {
+		g.Expect(counts[seed]).To(BeNumerically("~", 2*keys/len(seeds), keys/10))
+	}
+	first.noteFailure(seeds[0], noon)
+	g.Expect(first.orderFor("key", noon)[4]).To(Equal(seeds[0]))
+}
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -151,9 +151,13 @@
 	// The shares are set after the endpoints, so that a new endpoint has its limit.
 	defer e.rateLimits.apply(now)
 	c.noteReplicas(address, reply)
+	e.origins.noteRun(address, reply.ReplicaRun)
 	c.mu.Lock()
-	part := registry.Part{Views: reply.Endpoints, Full: reply.FullUpdate, More: reply.EndpointsFollow}
-	if c.cancelPolls[address] == nil || !c.directory.Apply(address, part) {
+	part := registry.Part{
+		Views: reply.Endpoints, Full: reply.FullUpdate, More: reply.EndpointsFollow,
+		Past: reply.PastVersions, Recorded: time.Duration(reply.RecordedMS) * time.Millisecond,
+	}
+	if c.cancelPolls[address] == nil || !c.directory.Apply(address, part, now) {
 		c.mu.Unlock()
 		return
 	}
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -110,6 +110,29 @@
 	}
 }
 
+// preferredReplicas returns the known replicas, the leader first.
+func (c *replicaClient) preferredReplicas() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plan.preferenceOrder(time.Now())
+}
+
+// orderFor returns the known replicas in an order that depends on a key and is the same
+// at all entries, but for replicas that failed lately: they come last.
+func (c *replicaClient) orderFor(key string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plan.orderFor(key, time.Now())
+}
+
+// soleVersion returns the software version of the endpoints of a service, if no other
+// one serves or served lately.
+func (c *replicaClient) soleVersion(service string) (version string, sole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.directory.SoleVersion(service, time.Now())
+}
+
 func (c *replicaClient) noteFailure(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -70,7 +70,7 @@
 		if resuming {
 			block = c.dropSeenEvents(block)
 		}
-		if err := c.forward(answer, block); err != nil {
+		if err := c.forward(choice, answer, block); err != nil {
 			answer.Discard()
 			return outcome{done: true, sent: true, err: err}
 		}
@@ -129,11 +129,12 @@
 }
 
 // forward writes complete events to the caller and records the last event ID.
-func (c *call) forward(answer *wire.Answer, block []byte) error {
+func (c *call) forward(choice *pick.Choice, answer *wire.Answer, block []byte) error {
 	if len(block) == 0 {
 		return nil
 	}
 	if !c.responseStarted {
+		c.bindVersion(choice.Endpoint.SoftwareVersion)
 		c.startStream(answer)
 	}
 	controller := http.NewResponseController(c.w)
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -13,6 +13,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/meter"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/streams"
 )
 
 // Methods of calls between daemons.
@@ -28,6 +29,10 @@
 	// MethodShare is called by state replicas on each other, to forward announcements
 	// of endpoints.
 	MethodShare = "gateway.share"
+	// MethodOrigins notifies state replicas of the software versions at which streams
+	// began, and MethodOrigin asks for that of one stream. Both are called by entries.
+	MethodOrigins = "gateway.origins"
+	MethodOrigin  = "gateway.origin"
 	// MethodDocument is called by entries on state replicas, to fetch a document.
 	MethodDocument = "gateway.document"
 )
@@ -88,6 +93,11 @@
 	// it is not the newest one, because not all changes fit into one answer.
 	RegistryVersion uint64 `msgpack:"c"`
 	EndpointsFollow bool   `msgpack:"p,omitempty"`
+	// PastVersions lists the software versions of endpoints that left or were replaced
+	// lately. It is set with FullUpdate. RecordedMS is how long the replica has
+	// recorded them, in milliseconds.
+	PastVersions []registry.ServiceVersion `msgpack:"f,omitempty"`
+	RecordedMS   int64                     `msgpack:"b,omitempty"`
 	// Replicas are the addresses of all replicas.
 	Replicas []string `msgpack:"m,omitempty"`
 	// PolledByAll is set when all entries poll this replica, so that Entries and
@@ -129,6 +139,23 @@
 	Chunks [][]byte `msgpack:"c,omitempty"`
 }
 
+// OriginsNotice reports the software versions at which streams began.
+type OriginsNotice struct {
+	Origins []streams.Origins `msgpack:"o"`
+}
+
+// OriginRequest asks for the software version at which a stream began.
+type OriginRequest struct {
+	Key streams.Key `msgpack:"k"`
+}
+
+// OriginReply answers an OriginRequest.
+type OriginReply struct {
+	// Known is set if the replica knows the stream.
+	Known   bool   `msgpack:"k,omitempty"`
+	Version string `msgpack:"v,omitempty"`
+}
+
 // SpendRequest asks for quota from the common part, which is not divided among
 // entries.
 type SpendRequest struct {
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -51,6 +51,9 @@
 	// permits is this entry's share of the request rate that the endpoint limits; nil
 	// if the endpoint names no limit.
 	permits *limit.Permits
+	// refusedAt is when the endpoint last refused a connection: its process had ended,
+	// and the next one may have another software version.
+	refusedAt time.Time
 	// idHash is the hash of the endpoint's ID, for rendezvous hashing.
 	idHash uint64
 }
@@ -76,7 +79,7 @@
 func NewBoard(random func() float64) *Board {
 	return &Board{
 		random:        random,
-		filters:       []Filter{ReadyFilter{}, AvoidFilter{}, PauseFilter{}, ConnectionFilter{}, RateFilter{}},
+		filters:       []Filter{ReadyFilter{}, VersionFilter{}, AvoidFilter{}, PauseFilter{}, ConnectionFilter{}, RateFilter{}},
 		scorers:       []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}},
 		picker:        LowestScorePicker{Random: random},
 		endpoints:     make(map[string]*stats),
@@ -112,6 +115,24 @@
 	return unused
 }
 
+// restartDoubt is how long the announcement of a restarted endpoint may be late.
+const restartDoubt = 8 * time.Second
+
+// mayHaveRestarted reports whether the process of the endpoint may be another one than
+// that which announced itself.
+func (s *stats) mayHaveRestarted(now time.Time) bool {
+	return !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < restartDoubt
+}
+
+// RecordRefused records that an endpoint refused a connection.
+func (b *Board) RecordRefused(id string, born int64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.endpoints[id]; s != nil && s.endpoint.Born == born {
+		s.refusedAt = now
+	}
+}
+
 // SetRates sets this entry's shares of the request rates that endpoints limit, in
 // requests per second by endpoint ID. Other endpoints are not limited.
 func (b *Board) SetRates(perS map[string]float64, now time.Time) {
--- a/internal/gateway/pick/filters.go
+++ b/internal/gateway/pick/filters.go
@@ -15,6 +15,26 @@
 // Keep implements Filter.
 func (ReadyFilter) Keep(_ *Request, v *View) bool { return v.endpoint.State == registry.Ready }
 
+// VersionFilter drops endpoints of other software versions than that at which the
+// stream of the request began.
+type VersionFilter struct{}
+
+// Name implements Filter.
+func (VersionFilter) Name() string { return "software_version" }
+
+// Keep implements Filter.
+func (VersionFilter) Keep(r *Request, v *View) bool {
+	return r.SoftwareVersion == nil || v.endpoint.SoftwareVersion == *r.SoftwareVersion && !v.mayHaveRestarted(r.Now)
+}
+
+// versionGone reports whether the request needs a software version at which no ready
+// endpoint is known.
+func versionGone(r *Request, members []*stats) bool {
+	return r.SoftwareVersion != nil && !slices.ContainsFunc(members, func(s *stats) bool {
+		return s.endpoint.State == registry.Ready && s.endpoint.SoftwareVersion == *r.SoftwareVersion
+	})
+}
+
 // AvoidFilter drops endpoints that earlier attempts were sent to.
 type AvoidFilter struct{}
 
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -21,7 +21,9 @@
 	// MaxConnections limits the connections of this entry to one endpoint; 0 means
 	// no limit.
 	MaxConnections int
-	Now            time.Time
+	// SoftwareVersion is the version at which the endpoint must be; nil means any.
+	SoftwareVersion *string
+	Now             time.Time
 	// ignorePauses admits paused endpoints.
 	ignorePauses bool
 }
@@ -36,6 +38,9 @@
 	// AvailableAt is when the first endpoint can receive the request, if only rate
 	// limits prevent it; zero if that is unknown.
 	AvailableAt time.Time
+	// VersionGone is set if the request needs a software version at which no ready
+	// endpoint is known, so that waiting is of no use.
+	VersionGone bool
 }
 
 // Error implements error.
@@ -97,7 +102,10 @@
 		views = b.pausedOnce(r, members)
 	}
 	if len(views) == 0 {
-		return nil, &NoEndpointError{Service: r.Service, Known: len(members), DroppedBy: dropped, AvailableAt: b.availableAt(r, members)}
+		return nil, &NoEndpointError{
+			Service: r.Service, Known: len(members), DroppedBy: dropped,
+			AvailableAt: b.availableAt(r, members), VersionGone: versionGone(r, members),
+		}
 	}
 	b.scores = append(b.scores[:0], make([]float64, len(views))...)
 	scores := b.scores
--- a/internal/gateway/registry/merge.go
+++ b/internal/gateway/registry/merge.go
@@ -1,9 +1,12 @@
 package registry
 
+import "time"
+
 // Directory merges the endpoints that several replicas report to an entry. It is
 // not safe for concurrent use.
 type Directory struct {
-	views map[string]*replicaView
+	views   map[string]*replicaView
+	history versionHistory
 }
 
 // replicaView holds the endpoints that one replica reported, by ID.
@@ -12,10 +15,15 @@
 	// incoming collects a full update of which not all parts have arrived; nil without
 	// one.
 	incoming map[string]View
+	// answeredAt is when the replica answered last, and recordedSince the time since
+	// which it has recorded software versions.
+	answeredAt, recordedSince time.Time
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory { return &Directory{views: make(map[string]*replicaView)} }
+func NewDirectory() *Directory {
+	return &Directory{views: make(map[string]*replicaView), history: make(versionHistory)}
+}
 
 // Part is a part of what a replica reports.
 type Part struct {
@@ -23,21 +31,30 @@
 	// Full is set in the first part of an update that replaces everything that the
 	// replica sent before. More is set in all parts of an update but the last.
 	Full, More bool
+	// Past lists the software versions of endpoints that left or were replaced lately.
+	Past []ServiceVersion
+	// Recorded is how long the replica has recorded software versions.
+	Recorded time.Duration
 }
 
 // Apply stores what a replica sent. It holds at once, but endpoints that a full update
 // does not name are dropped only with its last part. It reports whether the view of
 // the replica may have changed.
-func (d *Directory) Apply(replica string, part Part) (changed bool) {
+func (d *Directory) Apply(replica string, part Part, now time.Time) (changed bool) {
+	for _, past := range part.Past {
+		d.history[past] = now
+	}
 	view := d.views[replica]
 	if view == nil {
 		view = &replicaView{current: make(map[string]View, len(part.Views))}
 		d.views[replica] = view
 	}
+	view.answeredAt, view.recordedSince = now, now.Add(-part.Recorded)
 	if part.Full {
 		view.incoming = make(map[string]View, len(part.Views))
 	}
 	for _, reported := range part.Views {
+		d.noteVersions(view, &reported, now)
 		view.current[reported.Endpoint.ID] = reported
 		if view.incoming != nil {
 			view.incoming[reported.Endpoint.ID] = reported
@@ -45,6 +62,11 @@
 	}
 	complete := view.incoming != nil && !part.More
 	if complete {
+		for id, old := range view.current {
+			if _, kept := view.incoming[id]; !kept {
+				d.history.note(&old.Endpoint, now)
+			}
+		}
 		view.current, view.incoming = view.incoming, nil
 	}
 	return complete || len(part.Views) > 0
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -94,6 +94,7 @@
 
 	mu      sync.Mutex
 	records map[string]*record
+	history versionHistory
 	version uint64
 	notify  chan struct{}
 }
@@ -101,7 +102,7 @@
 // New returns an empty registry. An endpoint expires when no announcement has
 // arrived for the duration of the lease.
 func New(lease time.Duration) *Registry {
-	return &Registry{lease: lease, records: make(map[string]*record), notify: make(chan struct{})}
+	return &Registry{lease: lease, records: make(map[string]*record), history: make(versionHistory), notify: make(chan struct{})}
 }
 
 // Announce merges an announcement that arrived at this replica. It reports whether
@@ -117,6 +118,9 @@
 	defer r.mu.Unlock()
 	old := r.records[e.ID]
 	if old == nil {
+		if e.State == Gone {
+			r.history.note(&e, arrivedAt)
+		}
 		r.records[e.ID] = &record{endpoint: e, seenAt: arrivedAt, local: local}
 		r.markChanged(r.records[e.ID])
 		return true
@@ -124,6 +128,9 @@
 	if !e.supersedes(&old.endpoint) {
 		return false
 	}
+	if e.SoftwareVersion != old.endpoint.SoftwareVersion || e.State == Gone {
+		r.history.note(&old.endpoint, arrivedAt)
+	}
 	visible := old.expired || !e.isEquivalent(&old.endpoint)
 	old.endpoint = e
 	old.seenAt = arrivedAt
@@ -147,6 +154,7 @@
 		r.records[id] = old
 	}
 	if old.endpoint.State != Gone {
+		r.history.note(&old.endpoint, now)
 		old.endpoint.State = Gone
 		old.seenAt = now
 		r.markChanged(old)
@@ -166,6 +174,7 @@
 			delete(r.records, id)
 		case silent > r.lease && !rec.expired && rec.endpoint.State != Gone:
 			rec.expired = true
+			r.history.note(&rec.endpoint, now)
 			r.markChanged(rec)
 		}
 	}
@@ -215,6 +224,14 @@
 	return Update{Views: views, Version: reached, More: reached < r.version}, r.notify
 }
 
+// PastVersions returns the software versions of endpoints that left or were replaced
+// lately.
+func (r *Registry) PastVersions(now time.Time) []ServiceVersion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.recent(now)
+}
+
 // RecentLocal returns the announcements that arrived at this replica within the
 // given time before now.
 func (r *Registry) RecentLocal(now time.Time, within time.Duration) []ReceivedAnnouncement {
--- a/internal/gateway/registry/registry_test.go
+++ b/internal/gateway/registry/registry_test.go
@@ -93,12 +93,12 @@
 	g := NewWithT(t)
 	d := NewDirectory()
 	alive := Endpoint{ID: "i", State: Ready, Born: 1, Seq: 5}
-	d.Apply("r1", Part{Views: []View{{Endpoint: alive}}, Full: true})
-	d.Apply("r2", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Ready, Born: 1, Seq: 3}, Expired: true}}, Full: true})
+	d.Apply("r1", Part{Views: []View{{Endpoint: alive}}, Full: true}, at(0))
+	d.Apply("r2", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Ready, Born: 1, Seq: 3}, Expired: true}}, Full: true}, at(0))
 	g.Expect(d.Endpoints()).To(ConsistOf(alive))
-	d.Apply("r2", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Draining, Born: 1, Seq: 4}}}})
+	d.Apply("r2", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Draining, Born: 1, Seq: 4}}}}, at(0))
 	g.Expect(d.Endpoints()[0].State).To(Equal(Draining))
-	d.Apply("r1", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Gone, Born: 1, Seq: 5}}}})
+	d.Apply("r1", Part{Views: []View{{Endpoint: Endpoint{ID: "i", State: Gone, Born: 1, Seq: 5}}}}, at(0))
 	g.Expect(d.Endpoints()).To(BeEmpty())
 }
 
@@ -113,13 +113,13 @@
 			r.Announce(Endpoint{ID: fmt.Sprint(i), State: Ready, Born: 1, Seq: 1}, at(0))
 		}
 		d := NewDirectory()
-		d.Apply("r", Part{Views: []View{{Endpoint: Endpoint{ID: "old", State: Ready, Born: 1}}}, Full: true})
+		d.Apply("r", Part{Views: []View{{Endpoint: Endpoint{ID: "old", State: Ready, Born: 1}}}, Full: true}, at(0))
 		version, full := uint64(0), true
 		for more := true; more; full = false {
 			update, _ := r.Since(version, limit)
 			g.Expect(len(update.Views)).To(BeNumerically("<=", limit))
 			version, more = update.Version, update.More
-			d.Apply("r", Part{Views: update.Views, Full: full, More: more})
+			d.Apply("r", Part{Views: update.Views, Full: full, More: more}, at(0))
 			if more {
 				g.Expect(len(d.Endpoints())).To(BeNumerically(">", len(update.Views)))
 			}
@@ -127,3 +127,40 @@
 		g.Expect(d.Endpoints()).To(HaveLen(count))
 	})
 }
+
+// Guards against a version that counts as the only one because a replica is silent, has
+// started lately or has not sent its whole view, or because another version left lately.
+func TestSoleVersion(t *testing.T) {
+	v1, v2 := Endpoint{ID: "1", Service: "s", State: Ready, Born: 1, SoftwareVersion: "v1"}, Endpoint{ID: "2", Service: "s", State: Ready, Born: 1, SoftwareVersion: "v2"}
+	views := func(list ...Endpoint) (all []View) {
+		for _, e := range list {
+			all = append(all, View{Endpoint: e})
+		}
+		return all
+	}
+	for name, c := range map[string]struct {
+		parts []Part
+		at    time.Time
+		sole  bool
+	}{
+		"one version":          {[]Part{{Views: views(v1), Full: true, Recorded: minHistory}}, at(0), true},
+		"no endpoint":          {[]Part{{Full: true, Recorded: minHistory}}, at(0), false},
+		"two versions":         {[]Part{{Views: views(v1, v2), Full: true, Recorded: minHistory}}, at(0), false},
+		"silent replica":       {[]Part{{Views: views(v1), Full: true, Recorded: minHistory}}, at(0).Add(maxViewAge + 1), false},
+		"new replica":          {[]Part{{Views: views(v1), Full: true, Recorded: minHistory - 1}}, at(0), false},
+		"part of a view":       {[]Part{{Views: views(v1), Full: true, More: true, Recorded: minHistory}}, at(0), false},
+		"past version":         {[]Part{{Views: views(v1), Full: true, Recorded: minHistory, Past: []ServiceVersion{{"s", "v0"}}}}, at(0), false},
+		"past, other service":  {[]Part{{Views: views(v1), Full: true, Recorded: minHistory, Past: []ServiceVersion{{"t", "v0"}}}}, at(0), true},
+		"version left":         {[]Part{{Views: views(v1, v2), Full: true}, {Views: views(v1), Full: true, Recorded: minHistory}}, at(0), false},
+		"version was replaced": {[]Part{{Views: views(v1), Full: true}, {Views: views(Endpoint{ID: "1", Service: "s", State: Ready, Born: 2, SoftwareVersion: "v2"}), Recorded: minHistory}}, at(0), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory()
+			for _, part := range c.parts {
+				d.Apply("r", part, at(0))
+			}
+			_, sole := d.SoleVersion("s", c.at)
+			NewWithT(t).Expect(sole).To(Equal(c.sole))
+		})
+	}
+}
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -139,6 +139,10 @@
 	}
 	reply.Crashes, reply.CrashVersion = s.crashesSince(request.CrashVersion, now)
 	reply.RateLimits, reply.RateLimitVersion = s.rateLimits.Changes(request.RateLimitVersion, false, now)
+	reply.RecordedMS = now.Sub(s.recordedSince).Milliseconds()
+	if reply.FullUpdate {
+		reply.PastVersions = s.registry.PastVersions(now)
+	}
 	if generation.Number > request.Generation {
 		reply.Generation = generation.Number
 	}
--- a/internal/gateway/state/restore.go
+++ b/internal/gateway/state/restore.go
@@ -27,6 +27,9 @@
 	// intervals. It is shorter than missedHeartbeats, because the endpoint may have
 	// left while the replica was down.
 	restoredHeartbeats = 2
+	// restoredHistory is the time before the start for which the saved endpoints hold
+	// the software versions that served.
+	restoredHistory = time.Minute
 )
 
 // DamagedError reports that the checksum of a file does not match its content.
@@ -87,6 +90,8 @@
 	for i := range request.Announcements {
 		s.registry.Merge(request.Announcements[i].Endpoint, seenAt)
 	}
+	// The saved endpoints include those that left while the replica was down.
+	s.recordedSince = s.started.Add(-restoredHistory)
 	s.log.Info("Saved endpoints restored.", zap.Int("endpoints", len(request.Announcements)))
 }
 
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -20,6 +20,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/streams"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/replica"
@@ -81,23 +82,28 @@
 
 // State is a running state replica.
 type State struct {
-	options     Options
-	log         *zap.Logger
-	address     string
-	runID       uint64
-	started     time.Time
-	replica     *replica.Replica
-	registry    *registry.Registry
-	usage       *meter.Ledger
-	entries     *entries
-	commonQuota *quota.Common
-	clock       *walltime.Clock
+	options Options
+	log     *zap.Logger
+	address string
+	runID   uint64
+	started time.Time
+	// recordedSince is the time since which the registry holds the software versions
+	// of all endpoints.
+	recordedSince time.Time
+	replica       *replica.Replica
+	registry      *registry.Registry
+	usage         *meter.Ledger
+	entries       *entries
+	commonQuota   *quota.Common
+	clock         *walltime.Clock
 	// suspects holds the requests that crashed endpoints, as observed by all
 	// entries.
 	suspects  *suspect.Tracker
 	crashNews *crashNews
 	// rateLimits holds the request rates to which endpoints limit all entries.
-	rateLimits     *ratelimit.Table
+	rateLimits *ratelimit.Table
+	// origins holds the software versions at which streams began.
+	origins        *streams.Table
 	documentCache  documentCache
 	documentSource documentSource
 	// savedVersion is the registry version that was last written to disk.
@@ -133,7 +139,7 @@
 		usage:    meter.NewLedger(),
 		entries:  newEntries(),
 		clock:    walltime.New(time.Now(), bootclock.Now()),
-		suspects: suspect.NewTracker(entry.Quarantine), crashNews: newCrashNews(), rateLimits: ratelimit.NewTable(),
+		suspects: suspect.NewTracker(entry.Quarantine), crashNews: newCrashNews(), rateLimits: ratelimit.NewTable(), origins: streams.NewTable(),
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
@@ -149,8 +155,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "start state replica")
 	}
+	st.recordedSince = st.started
 	st.restoreEndpoints()
 	options.RPC.Handle(link.MethodPoll, st.handlePoll)
+	options.RPC.Handle(link.MethodOrigins, st.handleOrigins)
+	options.RPC.Handle(link.MethodOrigin, st.handleOrigin)
 	options.RPC.Handle(link.MethodDocument, st.handleDocument)
 	options.RPC.Handle(link.MethodShare, st.handleShare)
 	options.RPC.Handle(link.MethodSpend, st.handleSpend)
