Read refusals of endpoints only if they answer the request

What callers saw elsewhere: "not run, try again" for requests that an endpoint had run or was running, or a second run, after a faulty endpoint wrote an earlier refusal once more on a kept connection. Cause here: the ID of the answer was compared only for answers that were passed on; a refusal was believed whatever its ID. Class: a claim about a request read from bytes that do not belong to it. Change: the ID is compared first. An answer with another ID, or none, ends the connection, and the request may have run. Evidence: TestRepeatedRefusalIsNoPromise got 503 instead of 502 and passes.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -101,6 +101,12 @@
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	now := time.Now()
 	meta := e.options.Dialect.ParseAnswer(answer.StatusCode, answer.Header)
+	if meta.AttemptID != c.meta.AttemptID || !meta.NotRun && !meta.Sealed {
+		// Nothing in it is about this request, a refusal least of all.
+		answer.Discard()
+		choice.RecordFailure(now)
+		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "answer is not from the endpoint or belongs to another request"}}
+	}
 	choice.RecordAnswer(meta.Load, now)
 	switch {
 	case meta.Misdirected:
@@ -115,10 +121,6 @@
 		}
 		c.drainBody(answer)
 		return outcome{sent: true, notRun: true, err: &AnswerError{choice.Endpoint.ID, "request not run, status " + strconv.Itoa(answer.StatusCode)}}
-	case meta.AttemptID != c.meta.AttemptID || !meta.Sealed:
-		answer.Discard()
-		choice.RecordFailure(now)
-		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "answer is not from the endpoint or belongs to another request"}}
 	}
 	e.rateLimits.observe(&choice.Endpoint, &meta, now)
 	c.endpoint = choice.Endpoint.ID
