End a resumed stream at text that is not an event

What callers saw elsewhere: the text of an error, at times its whole head, in the middle of a stream that went on at another endpoint, or such a stream that ended as if it were complete. Such text has no event ID, and was passed on because only known IDs were dropped. Change: in a stream that goes on elsewhere, an event without an ID ends the attempt. The stream then goes on at a further endpoint or ends visibly broken.

--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -68,7 +68,11 @@
 			c.watch.survived()
 		}
 		if resuming {
-			block = c.dropSeenEvents(block)
+			if block, err = c.dropSeenEvents(block); err != nil {
+				answer.Discard()
+				choice.RecordFailure(time.Now())
+				return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, err.Error()}}
+			}
 		}
 		if err := c.forward(choice, answer, block); err != nil {
 			answer.Discard()
@@ -152,16 +156,24 @@
 	return nil
 }
 
+// errEventWithoutID reports text without an event ID in a stream that goes on at another
+// endpoint, for example an error message.
+var errEventWithoutID = errors.New("stream not resumed: event without an ID")
+
 // dropSeenEvents returns the events of a block that the caller has not received yet.
-func (c *call) dropSeenEvents(block []byte) []byte {
-	var unseen []byte
+// The error is errEventWithoutID.
+func (c *call) dropSeenEvents(block []byte) (unseen []byte, err error) {
 	splitEvents(block, func(event []byte) {
 		id := eventID(event)
-		if id != noID && id <= c.lastEventID {
+		switch {
+		case id == noID:
+			err = errEventWithoutID
+			return
+		case id <= c.lastEventID:
 			c.entry.log.Debug("Endpoint repeated an event; it is dropped.", zap.String("request", c.meta.AttemptID), zap.Int64("event", id))
 			return
 		}
 		unseen = append(unseen, event...)
 	})
-	return unseen
+	return unseen, err
 }
