Store documents compressed in the replicated log

The class of the large document elsewhere: every member sends, holds and writes each document in full, and the history and the tail of the log are bounded in bytes, so that large documents shorten both. Change: the replica that receives a document compresses it once; readers decompress it. Documents of earlier builds are read as they are; earlier builds do not read the compressed ones.

--- a/internal/gateway/docsync/assembly.go
+++ b/internal/gateway/docsync/assembly.go
@@ -8,8 +8,9 @@
 	"io"
 )
 
-// maxDocumentBytes limits the size of a document that a manifest names.
-const maxDocumentBytes = 8 << 20
+// MaxDocumentBytes limits the size of a document. A manifest that names a larger one is
+// corrupt.
+const MaxDocumentBytes = 8 << 20
 
 // CorruptError reports a manifest or chunk that does not fit the document.
 type CorruptError struct{ Reason string }
@@ -30,7 +31,7 @@
 // document, which may be nil, and those of an assembly that was not completed, which
 // may be nil as well, are used again.
 func NewAssembly(m Manifest, document []byte, earlier *Assembly) (*Assembly, error) {
-	if len(m.Digest) != sha256.Size || len(m.Chunks)%len(ID{}) != 0 || m.Size < 0 || m.Size > maxDocumentBytes {
+	if len(m.Digest) != sha256.Size || len(m.Chunks)%len(ID{}) != 0 || m.Size < 0 || m.Size > MaxDocumentBytes {
 		return nil, &CorruptError{Reason: "malformed manifest"}
 	}
 	a := &Assembly{manifest: m, ids: m.ids(), chunks: make(map[ID][]byte), reader: flate.NewReader(bytes.NewReader(nil))}
--- a/internal/gateway/docsync/docsync_test.go
+++ b/internal/gateway/docsync/docsync_test.go
@@ -113,7 +113,7 @@
 	}
 	_, err = assembly.Document()
 	g.Expect(errors.As(err, &corrupt)).To(BeTrue())
-	for _, m := range []Manifest{{}, {Digest: make([]byte, 32), Chunks: make([]byte, 5)}, {Digest: make([]byte, 32), Size: maxDocumentBytes + 1}} {
+	for _, m := range []Manifest{{}, {Digest: make([]byte, 32), Chunks: make([]byte, 5)}, {Digest: make([]byte, 32), Size: MaxDocumentBytes + 1}} {
 		_, err = NewAssembly(m, nil, nil)
 		g.Expect(errors.As(err, &corrupt)).To(BeTrue())
 	}
--- a/internal/gateway/state/document_source.go
+++ b/internal/gateway/state/document_source.go
@@ -28,7 +28,11 @@
 	if d.source != nil && d.generation >= generation.Number {
 		return d.source, d.generation, nil
 	}
-	source, err := docsync.NewSource(generation.Document, d.source)
+	document, err := decompressDocument(generation.Document)
+	if err != nil {
+		return nil, 0, err
+	}
+	source, err := docsync.NewSource(document, d.source)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/gateway/state/documents.go
+++ b/internal/gateway/state/documents.go
@@ -38,6 +38,10 @@
 	if err != nil {
 		return err
 	}
+	packed, err := compressDocument(data)
+	if err != nil {
+		return err
+	}
 	if err := s.awaitVoters(ctx); err != nil {
 		return err
 	}
@@ -55,7 +59,7 @@
 			return nil
 		}
 		generation, err := s.replica.Promote(ctx, port.PromoteRequest{
-			OperationID: newOperationID(), Expect: current.Number, Document: data, Operator: operator,
+			OperationID: newOperationID(), Expect: current.Number, Document: packed, Operator: operator,
 		})
 		var conflict *port.ConflictError
 		if errors.As(err, &conflict) {
@@ -128,7 +132,7 @@
 	if s.documentCache.generation == g.Number {
 		return s.documentCache.version, nil
 	}
-	document, err := s.options.Decode(g.Document)
+	document, err := s.decodeStored(g.Document)
 	if err != nil {
 		return 0, err
 	}
@@ -144,7 +148,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return current.Document, nil
+	return decompressDocument(current.Document)
+}
+
+// decodeStored decodes a document as the log stores it.
+func (s *State) decodeStored(stored []byte) (*rules.Document, error) {
+	data, err := decompressDocument(stored)
+	if err != nil {
+		return nil, err
+	}
+	return s.options.Decode(data)
 }
 
 // currentRules returns the rules of the newest document that this replica has
@@ -159,7 +172,7 @@
 	if s.documentCache.table != nil && s.documentCache.tableGeneration == generation.Number {
 		return s.documentCache.table
 	}
-	document, err := s.options.Decode(generation.Document)
+	document, err := s.decodeStored(generation.Document)
 	if err != nil {
 		s.log.Error("Stored document not decoded; no quota is granted and no endpoints are ordered.", zap.Uint64("generation", generation.Number), zap.Error(err))
 		return nil
