End the transfer of a document when the entry is closed

An entry that was stopped during a transfer chose the same replica again without a pause and never ended: it used its whole share of a core until it was killed. Found by reading the loop. Evidence: TestCloseEndsATransfer waited 2 s in vain and passes.

--- a/internal/gateway/entry/documents.go
+++ b/internal/gateway/entry/documents.go
@@ -73,7 +73,7 @@
 
 // loop fetches documents until the entry is closed.
 func (d *documents) loop() {
-	for {
+	for d.entry.ctx.Err() == nil {
 		replica, retryAt := d.nextReplica(time.Now())
 		if replica != "" {
 			d.fetchFrom(replica)
