Decode that an endpoint leaves or wants no request for a while

Endpoints say in their answers that they leave, and with status 503 for how long they want no request of an entry. No decision uses them yet.

--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -111,6 +111,14 @@
 	// InvalidRateLimit is the text of a limit that cannot be used; empty if there is
 	// none.
 	InvalidRateLimit string
+	// Leaving is set if the endpoint is about to shut down and wants no new requests.
+	Leaving bool
+	// Backoff is how long the endpoint wants no request of this entry; 0 if the answer
+	// does not say so.
+	Backoff time.Duration
+	// InvalidBackoff is the text of a back-off that cannot be used; empty if there is
+	// none.
+	InvalidBackoff string
 }
 
 // Dialect reads and writes the headers with which callers, gateway and
