Send nothing new to endpoints that say in an answer that they leave

What callers would see: requests at an endpoint that has told this entry that it leaves, until its announcement arrives, and again after a late announcement or while the entry is cut off. Change: an entry marks the incarnation as draining from the answer on, whatever the replicas list, and moves its streams as after an announcement. It reports the endpoint to one replica, which stores it with a majority as it does with announcements. A draining record stays alive while announcements still say that it is ready. Answers to other requests, and those of an endpoint that has the address now, say nothing. Not covered: an endpoint that starts again and leaves at once, before its announcement: the sign counts for the former incarnation, and the first answer after the announcement repeats it.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -101,6 +101,9 @@
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	now := time.Now()
 	meta := e.options.Dialect.ParseAnswer(answer.StatusCode, answer.Header)
+	if meta.AttemptID == c.meta.AttemptID && !meta.Misdirected {
+		e.departures.observe(&choice.Endpoint, &meta, now)
+	}
 	if meta.AttemptID != c.meta.AttemptID || !meta.NotRun && !meta.Sealed {
 		// Nothing in it is about this request, a refusal least of all.
 		answer.Discard()
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -75,6 +75,7 @@
 	rateLimits    *rateLimits
 	documents     *documents
 	origins       *streamOrigins
+	departures    *departures
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -118,6 +119,7 @@
 	e.rateLimits = newRateLimits(e)
 	e.documents = newDocuments(e)
 	e.origins = newStreamOrigins(e)
+	e.departures = newDepartures(e)
 	return e
 }
 
@@ -127,6 +129,7 @@
 	e.group.Go(e.housekeep)
 	e.group.Go(e.documents.loop)
 	e.group.Go(e.origins.loop)
+	e.group.Go(e.departures.loop)
 }
 
 // Close stops the background goroutines, waits for them and closes idle
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -8,7 +8,7 @@
 	attempts, retries, resumed, answerLost           *telemetry.Counter
 	moves, movesFailed                               *telemetry.Counter
 	pollBytes, pollsFailed, documentBytes            *telemetry.Counter
-	takeUpsUnknown                                   *telemetry.Counter
+	takeUpsUnknown, departures                       *telemetry.Counter
 	firstByte, total                                 *telemetry.Latency
 	inFlight                                         *telemetry.Gauge
 	registry                                         *telemetry.Registry
@@ -26,8 +26,8 @@
 		resumed: r.Counter("gateway_resumed"), answerLost: r.Counter("gateway_answers_lost"),
 		moves: r.Counter("gateway_moves"), movesFailed: r.Counter("gateway_moves_failed"),
 		pollBytes: r.Counter("gateway_poll_bytes"), pollsFailed: r.Counter("gateway_polls_failed"), documentBytes: r.Counter("gateway_document_bytes"),
-		takeUpsUnknown: r.Counter("gateway_take_ups_unknown"),
-		firstByte:      r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
+		takeUpsUnknown: r.Counter("gateway_take_ups_unknown"), departures: r.Counter("gateway_departures"),
+		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
 		inFlight: r.Gauge("gateway_in_flight"), registry: r,
 	}
 }
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -162,7 +162,7 @@
 		return
 	}
 	list := c.directory.Endpoints()
-	unusedAddresses := e.board.Update(list)
+	unusedAddresses := e.departures.updateBoard(list, now)
 	c.mu.Unlock()
 	e.migrations.moveFromDraining(list)
 	e.migrations.forgetUnknown(list)
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -33,6 +33,9 @@
 	// began, and MethodOrigin asks for that of one stream. Both are called by entries.
 	MethodOrigins = "gateway.origins"
 	MethodOrigin  = "gateway.origin"
+	// MethodDeparture is called by entries on state replicas, to announce an endpoint that
+	// said in an answer that it leaves.
+	MethodDeparture = "gateway.departure"
 	// MethodDocument is called by entries on state replicas, to fetch a document.
 	MethodDocument = "gateway.document"
 )
@@ -156,6 +159,17 @@
 	Version string `msgpack:"v,omitempty"`
 }
 
+// DepartureRequest announces endpoints that said in an answer that they leave, as the
+// entry knows them.
+type DepartureRequest struct {
+	Entry     string              `msgpack:"n"`
+	Endpoints []registry.Endpoint `msgpack:"e"`
+}
+
+// DepartureReply acknowledges that a majority of the replicas has stored that the
+// endpoints leave.
+type DepartureReply struct{}
+
 // SpendRequest asks for quota from the common part, which is not divided among
 // entries.
 type SpendRequest struct {
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// RecordDraining records that an incarnation of an endpoint must not get new requests.
+// It holds until the next update names the endpoint as ready.
+func (b *Board) RecordDraining(id string, born int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.endpoints[id]; s != nil && s.endpoint.Born == born && s.endpoint.State == registry.Ready {
+		s.endpoint.State = registry.Draining
+	}
+}
+
 // SetRates sets this entry's shares of the request rates that endpoints limit, in
 // requests per second by endpoint ID. Other endpoints are not limited.
 func (b *Board) SetRates(perS map[string]float64, now time.Time) {
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -301,13 +301,7 @@
 const fullPause = 50 * time.Millisecond
 
 // RecordDraining records that the endpoint must not get new requests.
-func (c *Choice) RecordDraining() {
-	c.board.mu.Lock()
-	defer c.board.mu.Unlock()
-	if c.stats.endpoint.State == registry.Ready {
-		c.stats.endpoint.State = registry.Draining
-	}
-}
+func (c *Choice) RecordDraining() { c.board.RecordDraining(c.Endpoint.ID, c.Endpoint.Born) }
 
 // End records the end of the attempt, whatever its outcome.
 func (c *Choice) End() {
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -126,6 +126,7 @@
 		return true
 	}
 	if !e.supersedes(&old.endpoint) {
+		old.refresh(&e, arrivedAt)
 		return false
 	}
 	if e.SoftwareVersion != old.endpoint.SoftwareVersion || e.State == Gone {
@@ -142,6 +143,14 @@
 	return visible
 }
 
+// refresh notes that a draining endpoint is alive, although its announcements still say
+// that it is ready: it may have said that it leaves in an answer only.
+func (rec *record) refresh(e *Endpoint, arrivedAt time.Time) {
+	if e.Born == rec.endpoint.Born && rec.endpoint.State == Draining && !rec.expired && arrivedAt.After(rec.seenAt) {
+		rec.seenAt = arrivedAt
+	}
+}
+
 // Withdraw marks the current incarnation of an endpoint as gone and returns the
 // announcement to forward to other replicas. For an unknown ID it stores a
 // tombstone with the given start time.
--- a/internal/gateway/state/announce.go
+++ b/internal/gateway/state/announce.go
@@ -55,6 +55,22 @@
 	return s.shareWithMajority(ctx, e)
 }
 
+// handleDeparture announces endpoints that said in an answer to an entry that they leave.
+func (s *State) handleDeparture(ctx context.Context, params []byte) ([]byte, error) {
+	request := &link.DepartureRequest{}
+	if err := link.Decode(params, request); err != nil {
+		return nil, err
+	}
+	for _, e := range request.Endpoints {
+		e.State = registry.Draining
+		s.log.Info("Entry reports that an endpoint leaves.", zap.String("entry", request.Entry), zap.String("endpoint", e.ID), zap.Int64("born", e.Born))
+		if err := s.Announce(ctx, e); err != nil {
+			return nil, err
+		}
+	}
+	return link.Encode(&link.DepartureReply{})
+}
+
 // shareWithMajority sends an announcement to all replicas and waits until a
 // majority, including this replica, has stored it.
 func (s *State) shareWithMajority(ctx context.Context, e registry.Endpoint) error {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -162,6 +162,7 @@
 	options.RPC.Handle(link.MethodOrigin, st.handleOrigin)
 	options.RPC.Handle(link.MethodDocument, st.handleDocument)
 	options.RPC.Handle(link.MethodShare, st.handleShare)
+	options.RPC.Handle(link.MethodDeparture, st.handleDeparture)
 	options.RPC.Handle(link.MethodSpend, st.handleSpend)
 	options.RPC.Handle(link.MethodPartProbe, st.handlePartProbe)
 	options.RPC.Handle(link.MethodCrashes, st.handleCrashes)
--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -315,6 +315,36 @@
 	gr.g.Expect(gr.nodes["127.0.0.2"].state.Announce(ctx, e)).To(BeAssignableToTypeOf(underReplicated))
 }
 
+// Guards against entries that go on using an endpoint that told another entry that it
+// leaves: those that run, one that starts later, and after announcements that still say
+// that the endpoint is ready.
+func TestDepartureReachesAllEntries(t *testing.T) {
+	gr := newGroup(t)
+	gr.eventuallyPut("127.0.0.1", document(1, "first"))
+	gr.awaitVoters()
+	e := registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
+	gr.g.Expect(gr.nodes["127.0.0.1"].state.Announce(t.Context(), e)).To(Succeed())
+	entries := gr.startEntries(3)
+	params, err := link.Encode(&link.DepartureRequest{Entry: "probe", Endpoints: []registry.Endpoint{e}})
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	caller := peerrpc.New(peerrpc.Options{})
+	defer caller.Close()
+	_, err = caller.Call(t.Context(), gr.nodes["127.0.0.2"].address, link.MethodDeparture, params)
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	for seq := uint64(2); seq < 5; seq++ {
+		e.Seq = seq
+		gr.g.Expect(gr.nodes["127.0.0.3"].state.Announce(t.Context(), e)).To(Succeed())
+	}
+	for _, linked := range append(entries, gr.startEntry("late")) {
+		gr.g.Eventually(func() bool { return linked.knowsDraining("i") }, applyBound, "10ms").Should(BeTrue())
+	}
+	for ip := range gr.nodes {
+		views := gr.poll(ip, &link.PollRequest{Entry: "probe"}).Endpoints
+		gr.g.Expect(views).To(HaveLen(1))
+		gr.g.Expect(views[0].Endpoint.State).To(Equal(registry.Draining))
+	}
+}
+
 // Guards against two replicas that grant from the common quota: a leader that is
 // partitioned, or wakes from a suspension, must not continue as the leader. In a
 // benchmark run (fresh day 54a1) this exceeded a quota: 1,759,658 of 1,754,730
