Keep the back-offs for which endpoints ask

What callers would see: requests that are turned away again and again by an endpoint which has said for how long it wants none, and attempts that are used up that way. Change: a 503 with Retry-After keeps all requests of this entry away from the incarnation until the end, prolonged at random by up to a tenth or 0.5 s; chosen requests are checked again once the connection stands. After the end one unanswered attempt is allowed, and each answer doubles the number up to 32. Answers to requests that were sent together name one back-off, so that the latest end holds. If all endpoints back off, callers are refused at once with a time that is spread over the ends and 0.5 s more.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -48,6 +48,9 @@
 	Body   []byte
 	// Fresh requests the use of a new connection.
 	Fresh bool
+	// BeforeSend is called once a connection is established; nil means not at all. If it
+	// fails, nothing is sent.
+	BeforeSend func() error
 }
 
 // Do sends a request to an address (IP:port) and returns its answer, of which only
@@ -58,6 +61,12 @@
 	if err != nil {
 		return nil, &port.TransportError{Err: err, Silent: isTimeout(err)}
 	}
+	if req.BeforeSend != nil {
+		if err := req.BeforeSend(); err != nil {
+			conn.abort()
+			return nil, &port.TransportError{Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, conn.abort)
 	answer, err := conn.roundTrip(req)
 	if err != nil {
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -147,3 +147,24 @@
 	g.Expect(request.Header.Get("X-Two")).To(BeEmpty())
 	g.Expect(request.Header.Get("Body")).To(HaveLen(40_000))
 }
+
+// Guards against a request that is sent although its endpoint must not get it any more
+// once the connection is established.
+func TestBeforeSendPreventsTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	received := make(chan int64, 1)
+	address := startPeer(t, func(_ net.Conn, reader *bufio.Reader) {
+		n, _ := io.Copy(io.Discard, reader)
+		received <- n
+	})
+	c := New(Options{IdleTimeout: time.Minute})
+	withdrawn := errors.New("withdrawn")
+	_, err := c.Do(context.Background(), address, &Request{
+		Method: "GET", Target: "/x", Host: "h", Header: http.Header{}, BeforeSend: func() error { return withdrawn },
+	})
+	var transport *port.TransportError
+	g.Expect(errors.As(err, &transport)).To(BeTrue())
+	g.Expect(transport.Sent).To(BeFalse())
+	g.Expect(err).To(MatchError(withdrawn))
+	g.Eventually(received, "2s").Should(Receive(BeZero()))
+}
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -74,6 +74,9 @@
 	if len(c.tried) == 0 {
 		e.retries.First(c.service.Name, time.Now())
 	}
+	if choice.Excluded != nil {
+		c.excluded = choice.Excluded
+	}
 	watch, err := e.crashes.beginAttempt(c.fingerprint, c.parts, choice.Endpoint.ID)
 	if err != nil {
 		return outcome{refusal: c.suspectRefusal(err)}
@@ -101,16 +104,18 @@
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	now := time.Now()
 	meta := e.options.Dialect.ParseAnswer(answer.StatusCode, answer.Header)
-	if meta.AttemptID == c.meta.AttemptID && !meta.Misdirected {
-		e.departures.observe(&choice.Endpoint, &meta, now)
-	}
-	if meta.AttemptID != c.meta.AttemptID || !meta.NotRun && !meta.Sealed {
+	if meta.AttemptID != c.meta.AttemptID {
 		// Nothing in it is about this request, a refusal least of all.
-		answer.Discard()
-		choice.RecordFailure(now)
-		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "answer is not from the endpoint or belongs to another request"}}
+		return c.rejectAnswer(choice, answer, "answer belongs to another request")
 	}
 	choice.RecordAnswer(meta.Load, now)
+	if !meta.Misdirected {
+		e.departures.observe(&choice.Endpoint, &meta, now)
+		c.observeBackoff(choice, &meta, now)
+	}
+	if !meta.NotRun && !meta.Sealed {
+		return c.rejectAnswer(choice, answer, "answer is not from the program of the endpoint")
+	}
 	switch {
 	case meta.Misdirected:
 		choice.RecordDraining()
@@ -123,7 +128,7 @@
 			choice.RecordFull(meta.Load, now)
 		}
 		c.drainBody(answer)
-		return outcome{sent: true, notRun: true, err: &AnswerError{choice.Endpoint.ID, "request not run, status " + strconv.Itoa(answer.StatusCode)}}
+		return outcome{sent: true, notRun: true, err: &AnswerError{choice.Endpoint.ID, "request not run, status " + strconv.Itoa(answer.StatusCode) + ", back-off " + meta.Backoff.String()}}
 	}
 	e.rateLimits.observe(&choice.Endpoint, &meta, now)
 	c.endpoint = choice.Endpoint.ID
@@ -140,6 +145,13 @@
 	return c.forwardPlain(ctx, choice, answer)
 }
 
+// rejectAnswer returns the outcome of an attempt whose answer cannot be used.
+func (c *call) rejectAnswer(choice *pick.Choice, answer *wire.Answer, problem string) outcome {
+	answer.Discard()
+	choice.RecordFailure(time.Now())
+	return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, problem}}
+}
+
 // send sends the request and waits for the header of the answer. For a repeatable
 // request with attempts left it stops waiting early, so that another endpoint can
 // still answer in time.
@@ -157,7 +169,10 @@
 	}
 	dispatch.KVHandle, c.kvHandle = c.kvHandle, ""
 	c.entry.options.Dialect.Dispatch(header, dispatch)
-	request := &wire.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body}
+	request := &wire.Request{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
+		BeforeSend: func() error { return checkChoice(choice) },
+	}
 	if silence, limited := c.attemptSilence(c.attempts() + 1); limited {
 		timer := time.AfterFunc(silence, cancel)
 		defer timer.Stop()
@@ -175,6 +190,10 @@
 // classifyFailure returns the outcome of an attempt without an answer and records
 // the failure.
 func (c *call) classifyFailure(ctx context.Context, choice *pick.Choice, err error) outcome {
+	var withdrawn *WithdrawnError
+	if errors.As(err, &withdrawn) {
+		return outcome{err: err}
+	}
 	var transport *port.TransportError
 	sent := !errors.As(err, &transport) || transport.Sent
 	if sent {
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -84,6 +84,8 @@
 	status int
 	// endpoint is the ID of the endpoint that answered last.
 	endpoint string
+	// excluded is the last back-off that excluded an endpoint from a choice, for the log.
+	excluded *pick.Backoff
 	// lastEventID is the ID of the last event that was sent to the caller, or noID.
 	lastEventID     int64
 	timeToFirstByte time.Duration
--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -52,9 +52,13 @@
 		if err == nil {
 			return choice, nil
 		}
-		at, hopeless := availability(err)
-		if hopeless || request.Now.After(waitEnd) || at.After(waitEnd) {
-			retryAfter := max(at.Sub(request.Now), defaultRetryAfter)
+		var none *pick.NoEndpointError
+		if !errors.As(err, &none) {
+			return nil, err
+		}
+		c.excluded = none.Backoff
+		if none.VersionGone || request.Now.After(waitEnd) || none.AvailableAt.After(waitEnd) {
+			retryAfter := max(none.ReturnAt.Sub(request.Now), defaultRetryAfter)
 			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: c.retryAfter(retryAfter), Err: err}
 		}
 		select {
@@ -64,13 +68,3 @@
 		}
 	}
 }
-
-// availability returns when an endpoint will be available, or zero if that is unknown,
-// and whether none will be.
-func availability(err error) (at time.Time, hopeless bool) {
-	var none *pick.NoEndpointError
-	if errors.As(err, &none) {
-		return none.AvailableAt, none.VersionGone
-	}
-	return time.Time{}, false
-}
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -166,6 +166,7 @@
 		case now := <-ticker.C:
 			e.client.Sweep(now)
 			e.crashes.tracker.Expire(now)
+			e.logEndedBackoffs(e.board.Expire(now))
 			e.rateLimits.table.Expire(now)
 			e.rateLimits.apply(now)
 		case <-e.ctx.Done():
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -61,6 +61,15 @@
 	return "answer of endpoint " + e.Endpoint + " not usable: " + e.Problem
 }
 
+// WithdrawnError reports that a chosen endpoint drains or wants no requests by the time
+// at which the request would be sent to it.
+type WithdrawnError struct{ Endpoint string }
+
+// Error implements error.
+func (e *WithdrawnError) Error() string {
+	return "endpoint " + e.Endpoint + " must not get the request any more"
+}
+
 // BudgetError reports that the retry budget of a service is exhausted.
 type BudgetError struct{ Service string }
 
--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -80,6 +80,9 @@
 	if c.meta.ResumeAfter != "" {
 		fields = append(fields, zap.String("first_attempt", c.meta.FirstAttempt), zap.String("resume_after", c.meta.ResumeAfter))
 	}
+	if c.excluded != nil {
+		fields = append(fields, zap.String("backoff_endpoint", c.excluded.Endpoint), zap.Int64("backoff_age_ms", c.excluded.Age.Milliseconds()))
+	}
 	if refusal == nil {
 		c.entry.log.Info(message, fields...)
 		return
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -4,14 +4,14 @@
 
 // metrics holds the metrics of an entry. Latencies are in seconds.
 type metrics struct {
-	requests, answered, refused, failed, callersGone *telemetry.Counter
-	attempts, retries, resumed, answerLost           *telemetry.Counter
-	moves, movesFailed                               *telemetry.Counter
-	pollBytes, pollsFailed, documentBytes            *telemetry.Counter
-	takeUpsUnknown, departures                       *telemetry.Counter
-	firstByte, total                                 *telemetry.Latency
-	inFlight                                         *telemetry.Gauge
-	registry                                         *telemetry.Registry
+	requests, answered, refused, failed, callersGone    *telemetry.Counter
+	attempts, retries, resumed, answerLost              *telemetry.Counter
+	moves, movesFailed                                  *telemetry.Counter
+	pollBytes, pollsFailed, documentBytes               *telemetry.Counter
+	takeUpsUnknown, departures, backoffs, backoffsEnded *telemetry.Counter
+	firstByte, total                                    *telemetry.Latency
+	inFlight                                            *telemetry.Gauge
+	registry                                            *telemetry.Registry
 }
 
 // countReason counts a refusal by its reason. The set of reasons is fixed, so that
@@ -27,6 +27,7 @@
 		moves: r.Counter("gateway_moves"), movesFailed: r.Counter("gateway_moves_failed"),
 		pollBytes: r.Counter("gateway_poll_bytes"), pollsFailed: r.Counter("gateway_polls_failed"), documentBytes: r.Counter("gateway_document_bytes"),
 		takeUpsUnknown: r.Counter("gateway_take_ups_unknown"), departures: r.Counter("gateway_departures"),
+		backoffs: r.Counter("gateway_backoffs"), backoffsEnded: r.Counter("gateway_backoffs_ended"),
 		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
 		inFlight: r.Gauge("gateway_in_flight"), registry: r,
 	}
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -51,6 +51,8 @@
 	// permits is this entry's share of the request rate that the endpoint limits; nil
 	// if the endpoint names no limit.
 	permits *limit.Permits
+	// backoff is the time in which the endpoint wants no requests.
+	backoff backoff
 	// refusedAt is when the endpoint last refused a connection: its process had ended,
 	// and the next one may have another software version.
 	refusedAt time.Time
@@ -69,6 +71,9 @@
 	endpoints     map[string]*stats
 	services      map[string][]*stats
 	meanFirstByte map[string]*average
+	// unlisted holds the endpoints that are not listed at present and that wanted no
+	// requests, in case that they are listed again meanwhile.
+	unlisted map[string]*stats
 	// views and scores are buffers that each choice reuses: with thousands of
 	// endpoints, allocating them would take most of its time.
 	views  []View
@@ -79,12 +84,13 @@
 func NewBoard(random func() float64) *Board {
 	return &Board{
 		random:        random,
-		filters:       []Filter{ReadyFilter{}, VersionFilter{}, AvoidFilter{}, PauseFilter{}, ConnectionFilter{}, RateFilter{}},
+		filters:       []Filter{ReadyFilter{}, VersionFilter{}, AvoidFilter{}, PauseFilter{}, BackoffFilter{}, ConnectionFilter{}, RateFilter{}},
 		scorers:       []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}},
 		picker:        LowestScorePicker{Random: random},
 		endpoints:     make(map[string]*stats),
 		services:      make(map[string][]*stats),
 		meanFirstByte: make(map[string]*average),
+		unlisted:      make(map[string]*stats),
 	}
 }
 
@@ -99,6 +105,10 @@
 	used := make(map[string]bool, len(list))
 	for _, e := range list {
 		s := old[e.ID]
+		if s == nil {
+			s = b.unlisted[e.ID]
+			delete(b.unlisted, e.ID)
+		}
 		if s == nil || s.endpoint.Born != e.Born || s.endpoint.Address != e.Address {
 			s = &stats{slowness: 1, residentParts: newPartCache(), idHash: hashID(e.ID)}
 		}
@@ -107,10 +117,13 @@
 		b.services[e.Service] = append(b.services[e.Service], s)
 		used[e.Address] = true
 	}
-	for _, s := range old {
+	for id, s := range old {
 		if !used[s.endpoint.Address] {
 			unused = append(unused, s.endpoint.Address)
 		}
+		if b.endpoints[id] == nil && !s.backoff.until.IsZero() {
+			b.unlisted[id] = s
+		}
 	}
 	return unused
 }
@@ -204,7 +217,7 @@
 
 // requests estimates the number of requests of all entries at an endpoint.
 func (s *stats) requests(now time.Time) int {
-	if now.Sub(s.reportedAt) > loadReportTTL {
+	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) > loadReportTTL {
 		return s.inFlight
 	}
 	return max(s.inFlight, s.reportedLoad.Running+s.reportedLoad.Waiting+s.sentSinceReport)
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -36,8 +36,12 @@
 	Known     int
 	DroppedBy string
 	// AvailableAt is when the first endpoint can receive the request, if only rate
-	// limits prevent it; zero if that is unknown.
+	// limits and back-offs prevent it; zero if that is unknown.
 	AvailableAt time.Time
+	// ReturnAt is when the caller should return; zero if AvailableAt is.
+	ReturnAt time.Time
+	// Backoff is a back-off that excluded an endpoint; nil if none did.
+	Backoff *Backoff
 	// VersionGone is set if the request needs a software version at which no ready
 	// endpoint is known, so that waiting is of no use.
 	VersionGone bool
@@ -45,7 +49,11 @@
 
 // Error implements error.
 func (e *NoEndpointError) Error() string {
-	return fmt.Sprintf("no endpoint of service %s available: %d known, last one dropped by filter %s", e.Service, e.Known, e.DroppedBy)
+	text := fmt.Sprintf("no endpoint of service %s available: %d known, last one dropped by filter %s", e.Service, e.Known, e.DroppedBy)
+	if e.Backoff != nil {
+		text += fmt.Sprintf(", endpoint %s backs off since %s for another %s", e.Backoff.Endpoint, e.Backoff.Age.Round(time.Millisecond), e.Backoff.Left.Round(time.Millisecond))
+	}
+	return text
 }
 
 // View is the state of an endpoint that filters and scorers use.
@@ -83,12 +91,16 @@
 	Cached int
 	// Candidates is the number of endpoints that passed the filters.
 	Candidates int
+	// Excluded is a back-off that excluded another endpoint; nil if none did.
+	Excluded *Backoff
 
 	board          *Board
 	stats          *stats
 	uncachedTokens int
 	startedAt      time.Time
 	awaitingAnswer bool
+	// ramped is set if the attempt counts against the ramp after a back-off.
+	ramped bool
 }
 
 // Choose picks the endpoint for an attempt and records the start of the attempt.
@@ -97,15 +109,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	members := b.services[r.Service]
-	views, dropped := b.applyFilters(r, members)
+	views, dropped, resting := b.applyFilters(r, members)
 	if len(views) == 0 {
 		views = b.pausedOnce(r, members)
 	}
 	if len(views) == 0 {
-		return nil, &NoEndpointError{
-			Service: r.Service, Known: len(members), DroppedBy: dropped,
-			AvailableAt: b.availableAt(r, members), VersionGone: versionGone(r, members),
+		none := &NoEndpointError{Service: r.Service, Known: len(members), DroppedBy: dropped, VersionGone: versionGone(r, members)}
+		none.AvailableAt, none.ReturnAt = b.availableAt(r, members)
+		if resting != nil {
+			none.Backoff = resting.describeBackoff(r.Now)
 		}
+		return nil, none
 	}
 	b.scores = append(b.scores[:0], make([]float64, len(views))...)
 	scores := b.scores
@@ -119,12 +133,17 @@
 		}
 	}
 	chosen := b.picker.Pick(scores)
-	return b.startAttempt(r, &views[chosen], scores[chosen], len(views)), nil
+	choice := b.startAttempt(r, &views[chosen], scores[chosen], len(views))
+	if resting != nil {
+		choice.Excluded = resting.describeBackoff(r.Now)
+	}
+	return choice, nil
 }
 
-// applyFilters returns the endpoints that pass the filters, and the name of the
-// filter that dropped the last of the others. The list is valid until the next call.
-func (b *Board) applyFilters(r *Request, members []*stats) (views []View, dropped string) {
+// applyFilters returns the endpoints that pass the filters, the name of the filter that
+// dropped the last of the others, and the last endpoint that a back-off dropped. The
+// list is valid until the next call.
+func (b *Board) applyFilters(r *Request, members []*stats) (views []View, dropped string, resting *stats) {
 	views = b.views[:0]
 	for _, s := range members {
 		views = append(views, View{stats: s})
@@ -132,12 +151,15 @@
 		if name := b.droppedBy(r, view); name != "" {
 			dropped = name
 			views = views[:len(views)-1]
+			if s.backoff.active(r.Now) {
+				resting = s
+			}
 			continue
 		}
 		view.uncachedTokens = max(r.PromptTokens-s.residentParts.cached(r.Prefix), 0)
 	}
 	b.views = views
-	return views, dropped
+	return views, dropped, resting
 }
 
 // pausedOnce returns the endpoints that are paused after a single failure. They are
@@ -156,24 +178,42 @@
 	return views
 }
 
-// availableAt returns when the first of the endpoints can receive the request, if all
-// that could receive it limit their rate. Otherwise it returns zero: a pause ends with
-// the next success, and a connection may become free at any moment.
-func (b *Board) availableAt(r *Request, members []*stats) time.Time {
+// availableAt returns when the first of the endpoints can receive the request and when
+// its caller should return, if all that could receive it limit their rate or back off.
+// Otherwise it returns zero: a pause ends with the next success, and a connection may
+// become free at any moment, as may an attempt after a back-off.
+func (b *Board) availableAt(r *Request, members []*stats) (first, returnAt time.Time) {
 	despitePauses := *r
 	despitePauses.ignorePauses = true
-	var first time.Time
+	var nextPermit, firstEnd, lastEnd time.Time
 	for _, s := range members {
 		switch b.droppedBy(&despitePauses, &View{stats: s}) {
 		case RateFilter{}.Name():
-			if next := s.permits.NextAt(r.Now); first.IsZero() || next.Before(first) {
-				first = next
+			nextPermit = earlier(nextPermit, s.permits.NextAt(r.Now))
+		case BackoffFilter{}.Name():
+			if !s.backoff.active(r.Now) {
+				return time.Time{}, time.Time{}
+			}
+			firstEnd = earlier(firstEnd, s.backoff.until)
+			if s.backoff.until.After(lastEnd) {
+				lastEnd = s.backoff.until
 			}
 		case "", ConnectionFilter{}.Name():
-			return time.Time{}
+			return time.Time{}, time.Time{}
 		}
 	}
-	return first
+	if firstEnd.IsZero() {
+		return nextPermit, nextPermit
+	}
+	return earlier(nextPermit, firstEnd), earlier(nextPermit, b.returnTime(firstEnd, lastEnd))
+}
+
+// earlier returns the earlier of two times; zero means none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // droppedBy returns the name of the first filter that drops the endpoint, or "".
@@ -196,6 +236,10 @@
 	if s.permits != nil {
 		s.permits.Take(r.Now)
 	}
+	if s.backoff.ramp > 0 {
+		c.ramped = true
+		s.backoff.unanswered++
+	}
 	s.inFlight++
 	if s.silentSince.IsZero() {
 		s.silentSince = r.Now
@@ -213,6 +257,9 @@
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
 	s := c.stats
+	if c.ramped {
+		s.backoff.answered()
+	}
 	c.endWait()
 	s.silentSince = time.Time{}
 	if load != nil {
@@ -321,6 +368,10 @@
 		return
 	}
 	c.awaitingAnswer = false
+	if c.ramped {
+		c.ramped = false
+		c.stats.backoff.unanswered--
+	}
 	c.stats.pending--
 	c.stats.prefillTokens -= c.uncachedTokens
 }
