Keep back-offs that an endpoint asks for before it is announced again

It had started again under its ID 0.5 s before it asked, and its announcement arrived afterwards, so that the back-off ended with the former incarnation. Class: an answer is attributed to the incarnation that is announced, not to the one that wrote it. Change: the new incarnation inherits the back-off if it had started when it was asked for, by the agreed time of day. A clock that is off costs at most the rest of one back-off, or one more refusal.

--- a/internal/gateway/entry/backoff.go
+++ b/internal/gateway/entry/backoff.go
@@ -21,7 +21,7 @@
 		return
 	}
 	e.metrics.backoffs.Inc()
-	if started := choice.RecordBackoff(meta.Backoff, now); started != nil {
+	if started := choice.RecordBackoff(meta.Backoff, now, e.clock.Now()); started != nil {
 		e.log.Info("Endpoint backs off.", zap.String("endpoint", started.Endpoint), zap.Int64("born", choice.Endpoint.Born),
 			zap.Int64("wanted_ms", meta.Backoff.Milliseconds()), zap.Int64("left_ms", started.Left.Milliseconds()), zap.String("request", meta.AttemptID))
 	}
--- a/internal/gateway/pick/backoff.go
+++ b/internal/gateway/pick/backoff.go
@@ -30,6 +30,8 @@
 type backoff struct {
 	// since is when the endpoint asked first, and until the end; zero without a back-off.
 	since, until time.Time
+	// askedAt is the time of day at which the endpoint asked last, in Unix milliseconds.
+	askedAt int64
 	// ramp limits the attempts without an answer after the end; 0 means no limit.
 	ramp int
 	// unanswered counts those attempts.
@@ -61,6 +63,16 @@
 	}
 }
 
+// inheritBackoff applies the back-off of the former incarnation of an endpoint if the new
+// one had already started when it was asked for: the announcement of the new one arrives
+// later than its first answers.
+func (s *stats) inheritBackoff(former *stats) {
+	if former.backoff.askedAt >= s.endpoint.Born {
+		s.backoff = former.backoff
+		s.backoff.unanswered = 0
+	}
+}
+
 // admits reports whether the endpoint may get a request.
 func (b *backoff) admits(now time.Time) bool {
 	return b.ramp == 0 || !b.active(now) && b.unanswered < b.ramp
@@ -89,14 +101,16 @@
 	return &Backoff{Endpoint: s.endpoint.ID, Age: now.Sub(s.backoff.since), Left: s.backoff.until.Sub(now)}
 }
 
-// RecordBackoff records that the endpoint wants no request of this entry for a time. It
-// returns the back-off if its start is to be logged.
-func (c *Choice) RecordBackoff(wanted time.Duration, now time.Time) (started *Backoff) {
+// RecordBackoff records that the endpoint wants no request of this entry for a time.
+// timeOfDay is the agreed time of day. It returns the back-off if its start is to be
+// logged.
+func (c *Choice) RecordBackoff(wanted time.Duration, now, timeOfDay time.Time) (started *Backoff) {
 	b := c.board
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.stats
 	begins := !s.backoff.active(now)
+	s.backoff.askedAt = timeOfDay.UnixMilli()
 	wanted = min(wanted, maxBackoff)
 	spread := min(time.Duration(backoffSpread*float64(wanted)), maxBackoffSpread)
 	s.backoff.extend(now.Add(wanted+time.Duration(b.random()*float64(spread))), now)
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -109,10 +109,14 @@
 			s = b.unlisted[e.ID]
 			delete(b.unlisted, e.ID)
 		}
+		former := s
 		if s == nil || s.endpoint.Born != e.Born || s.endpoint.Address != e.Address {
 			s = &stats{slowness: 1, residentParts: newPartCache(), idHash: hashID(e.ID)}
 		}
 		s.endpoint = e
+		if former != nil && former != s {
+			s.inheritBackoff(former)
+		}
 		b.endpoints[e.ID] = s
 		b.services[e.Service] = append(b.services[e.Service], s)
 		used[e.Address] = true
