Do not take streams of restarted endpoints for streams of the announced version

An endpoint that starts again under its ID, at another software version, answers before its announcement arrives. A stream that began there was bound to the announced version, within the answer and in the record for take-ups, so that it could go on at the old version. Class: what an incarnation does is attributed to the announced one, as with back-offs. Change: while an endpoint may have started again, because it refused a connection within 8 s and was not announced since, a stream that begins there is recorded as of unknown version. It ends visibly with its attempt, and take-ups are refused at once, also if only one version is announced. Remains: an endpoint that is back before any entry noticed that it was gone is not doubted.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -68,6 +68,9 @@
 	// softwareVersion is the version at which the stream began: every further attempt
 	// goes to an endpoint of this version. It is nil before the first event.
 	softwareVersion *string
+	// originUnknown is set if the stream began at an endpoint whose software version is
+	// not known.
+	originUnknown bool
 	// usageCounted is set once the request is counted in the usage of its workspace.
 	usageCounted bool
 	// complete is set once the answer was read to its end.
@@ -179,7 +182,7 @@
 	if c.possiblyRan && !c.route.Repeatable() {
 		return false
 	}
-	return !c.responseStarted || c.lastEventID != noID
+	return !c.responseStarted || c.lastEventID != noID && !c.originUnknown
 }
 
 // mayRetry reports whether a further attempt is allowed after one that was sent.
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -78,7 +78,7 @@
 			answer.Discard()
 			return outcome{done: true, sent: true, err: err}
 		}
-		if run == nil && c.lastEventID != noID && c.service.Engine != nil && c.service.Engine.Migrates {
+		if run == nil && c.lastEventID != noID && !c.originUnknown && c.service.Engine != nil && c.service.Engine.Migrates {
 			run = c.entry.migrations.trackRun(c, choice.Endpoint.ID)
 		}
 	}
@@ -138,7 +138,7 @@
 		return nil
 	}
 	if !c.responseStarted {
-		c.bindVersion(choice.Endpoint.SoftwareVersion)
+		c.bindVersion(choice)
 		c.startStream(answer)
 	}
 	controller := http.NewResponseController(c.w)
--- a/internal/gateway/entry/take_up.go
+++ b/internal/gateway/entry/take_up.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/gateway/streams"
 )
@@ -21,13 +23,13 @@
 		first = c.meta.AttemptID
 	}
 	version, known := c.entry.origins.find(ctx, streams.NewKey(c.workspace, first))
-	sole := false
+	sole, doubtful := false, version == streams.UnknownVersion
 	if !known {
 		version, sole = c.entry.replicaClient.soleVersion(c.service.Name)
 	}
 	c.entry.log.Info("Stream taken up.", zap.String("request", c.meta.AttemptID), zap.String("first_attempt", first),
-		zap.Bool("known", known), zap.Bool("sole_version", sole), zap.String("software_version", version))
-	if !known && !sole {
+		zap.Bool("known", known), zap.Bool("sole_version", sole), zap.Bool("doubtful", doubtful), zap.String("software_version", version))
+	if doubtful || !known && !sole {
 		c.entry.metrics.takeUpsUnknown.Inc()
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonUnknownOrigin, RetryAfter: c.retryAfter(defaultRetryAfter)}
 	}
@@ -36,10 +38,17 @@
 }
 
 // bindVersion binds the further attempts to the software version of the endpoint that
-// writes the first event, and records it for take-ups.
-func (c *call) bindVersion(endpointVersion string) {
+// writes the first event, and records it for take-ups. While the version is doubtful, the
+// stream can only end with the attempt.
+func (c *call) bindVersion(choice *pick.Choice) {
 	if c.softwareVersion == nil {
-		c.softwareVersion = &endpointVersion
+		version := choice.Endpoint.SoftwareVersion
+		if choice.VersionIsDoubtful(time.Now()) {
+			version = streams.UnknownVersion
+			c.originUnknown = true
+			c.entry.log.Info("Stream begins at an unknown software version.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", choice.Endpoint.ID))
+		}
+		c.softwareVersion = &version
 	}
 	if c.route.Resumable {
 		c.entry.origins.record(streams.NewKey(c.workspace, c.meta.AttemptID), *c.softwareVersion)
--- a/internal/gateway/streams/table.go
+++ b/internal/gateway/streams/table.go
@@ -20,6 +20,10 @@
 	maxVersions = 1024
 )
 
+// UnknownVersion is the version of streams whose endpoint may have started again at a
+// version that was not announced yet. No endpoint announces it.
+const UnknownVersion = "\x00"
+
 // Key identifies a stream by the workspace of its caller and the attempt that received
 // its first event.
 type Key [16]byte
