Split the files of choices, answers and the tests of the entry

pick.go keeps how an endpoint is chosen, and choice.go has what an attempt records. answer.go has what an entry does with the head and body of an answer, taken out of attempt.go; the two ends of a refused attempt share refusedBy. Evidence: the tests of platform, pick and entry pass with -race.

--- /dev/null
+++ b/internal/gateway/entry/answer.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	wire "github.com/boragelead/boragelead/internal/adapter/exchange"
+	"github.com/boragelead/boragelead/internal/adapter/httpconn"
+	"github.com/boragelead/boragelead/internal/gateway/pick"
+	"github.com/boragelead/boragelead/internal/gateway/rules"
+)
+
+const (
+	// maxPlainBodyBytes limits the body of an answer that is read completely before
+	// it is forwarded, and plainBuffer is the initial size of its buffer.
+	maxPlainBodyBytes = 8 << 20
+	plainBuffer       = 2 << 10
+	// refusalDrainTime limits how long the body of a refusal is read. A new
+	// connection costs less than a longer wait.
+	refusalDrainTime = 50 * time.Millisecond
+)
+
+// handleAnswer records what the head of an answer says, and forwards the answer unless the
+// request has to be sent again.
+func (c *call) handleAnswer(ctx context.Context, choice *pick.Choice, answer *wire.Answer) outcome {
+	e := c.entry
+	now := time.Now()
+	meta := e.options.Dialect.ParseAnswer(answer.StatusCode, answer.Header)
+	if meta.AttemptID != c.meta.AttemptID {
+		// Nothing in it is about this request, a refusal least of all.
+		return c.rejectAnswer(choice, answer, "answer belongs to another request")
+	}
+	choice.RecordAnswer(meta.Load, now)
+	if meta.Misdirected {
+		choice.RecordDraining()
+		c.misdirected++
+		return c.refusedBy(choice, answer, "address now belongs to another endpoint")
+	}
+	e.departures.observe(&choice.Endpoint, &meta, now)
+	c.observeBackoff(choice, &meta, now)
+	if !meta.NotRun && !meta.Sealed {
+		return c.rejectAnswer(choice, answer, "answer is not from the program of the endpoint")
+	}
+	e.rateLimits.observe(&choice.Endpoint, &meta, now)
+	if meta.NoCapacity {
+		choice.RecordFull(meta.Load, now)
+	}
+	if meta.NotRun {
+		return c.refusedBy(choice, answer, fmt.Sprintf("request not run, status %d, back-off %s", answer.StatusCode, meta.Backoff))
+	}
+	c.endpoint = choice.Endpoint.ID
+	if c.responseStarted && answer.StatusCode != http.StatusOK {
+		// The caller already received a part of the stream, and an answer with this
+		// status does not continue it.
+		answer.Discard()
+		choice.RecordError(now)
+		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "stream not resumed, status " + strconv.Itoa(answer.StatusCode)}}
+	}
+	if c.route.Kind == rules.Streaming && answer.StatusCode == http.StatusOK {
+		return c.forwardStream(ctx, choice, answer)
+	}
+	return c.forwardPlain(ctx, choice, answer)
+}
+
+// refusedBy returns the outcome of an attempt that the endpoint proved not to have run.
+func (c *call) refusedBy(choice *pick.Choice, answer *wire.Answer, problem string) outcome {
+	c.drainBody(answer)
+	return outcome{sent: true, notRun: true, err: &AnswerError{choice.Endpoint.ID, problem}}
+}
+
+// rejectAnswer returns the outcome of an attempt whose answer cannot be used.
+func (c *call) rejectAnswer(choice *pick.Choice, answer *wire.Answer, problem string) outcome {
+	answer.Discard()
+	choice.RecordFailure(time.Now())
+	return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, problem}}
+}
+
+// drainBody reads the body of a short refusal to its end, so that the connection
+// can be reused.
+func (c *call) drainBody(answer *wire.Answer) {
+	const maxRefusalBytes = 4 << 10
+	answer.SetDeadline(time.Now().Add(refusalDrainTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRefusalBytes))
+}
+
+// forwardPlain reads the complete answer before it forwards it. If the answer is
+// truncated, the request can then still be retried or answered with an error.
+func (c *call) forwardPlain(ctx context.Context, choice *pick.Choice, answer *wire.Answer) outcome {
+	if silence, limited := c.attemptSilence(c.attempts()); limited && answer.ContentLength < 0 {
+		// Without a length, only the time tells that a body does not end.
+		answer.SetDeadline(time.Now().Add(silence))
+	}
+	buffer := c.entry.buffers.newBuffer(plainBuffer)
+	defer buffer.release()
+	body, err := buffer.readBody(answer)
+	if err != nil {
+		answer.Discard()
+		choice.RecordFailure(time.Now())
+		c.awaitCrashVerdict(ctx, c.entry.crashes.answerLost(&choice.Endpoint))
+		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "body not complete: " + err.Error()}}
+	}
+	c.countUsage()
+	c.complete = true
+	now := time.Now()
+	if answer.StatusCode >= http.StatusInternalServerError {
+		choice.RecordError(now)
+		c.possiblyRan = true
+		if answer.StatusCode != http.StatusGatewayTimeout && c.mayRetry() {
+			return outcome{sent: true, retryApproved: true, err: &AnswerError{choice.Endpoint.ID, "status " + strconv.Itoa(answer.StatusCode)}}
+		}
+	} else {
+		choice.RecordSuccess(now)
+		c.watch.survived()
+	}
+	header := c.w.Header()
+	copyHeader(header, answer.Header)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	c.startResponse(answer.StatusCode)
+	// A write fails only if the caller has disconnected; no other answer can reach it.
+	_, _ = c.w.Write(body)
+	return outcome{done: true, sent: true}
+}
+
+// startResponse writes the response header to the caller.
+func (c *call) startResponse(status int) {
+	c.responseStarted = true
+	c.status = status
+	c.timeToFirstByte = time.Since(c.receivedAt)
+	c.entry.metrics.firstByte.Record(c.timeToFirstByte)
+	c.w.WriteHeader(status)
+}
+
+// copyHeader copies the headers of an answer, except hop-by-hop ones.
+func copyHeader(dst, src http.Header) {
+	for name, values := range httpconn.WithoutHopByHop(src) {
+		dst[name] = values
+	}
+}
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -17,13 +15,6 @@
 )
 
 const (
-	// maxPlainBodyBytes limits the body of an answer that is read completely before
-	// it is forwarded, and plainBuffer is the initial size of its buffer.
-	maxPlainBodyBytes = 8 << 20
-	plainBuffer       = 2 << 10
-	// refusalDrainTime limits how long the body of a refusal is read. A new
-	// connection costs less than a longer wait.
-	refusalDrainTime = 50 * time.Millisecond
 	// connectionShareFactor is the ratio of the connections that an entry may
 	// open to an endpoint to an even share among entries. It exceeds 1 because
 	// callers spread unevenly over entries.
@@ -95,61 +86,13 @@
 
 // exchange sends the request to an endpoint and forwards the answer.
 func (c *call) exchange(ctx context.Context, cancel context.CancelFunc, choice *pick.Choice) outcome {
-	e := c.entry
 	answer, err := c.send(ctx, cancel, choice)
 	if err != nil {
 		return c.classifyFailure(ctx, choice, err)
 	}
 	defer answer.Close()
 	c.tried = append(c.tried, choice.Endpoint.ID)
-	now := time.Now()
-	meta := e.options.Dialect.ParseAnswer(answer.StatusCode, answer.Header)
-	if meta.AttemptID != c.meta.AttemptID {
-		// Nothing in it is about this request, a refusal least of all.
-		return c.rejectAnswer(choice, answer, "answer belongs to another request")
-	}
-	choice.RecordAnswer(meta.Load, now)
-	if !meta.Misdirected {
-		e.departures.observe(&choice.Endpoint, &meta, now)
-		c.observeBackoff(choice, &meta, now)
-	}
-	if !meta.NotRun && !meta.Sealed {
-		return c.rejectAnswer(choice, answer, "answer is not from the program of the endpoint")
-	}
-	switch {
-	case meta.Misdirected:
-		choice.RecordDraining()
-		c.misdirected++
-		c.drainBody(answer)
-		return outcome{sent: true, notRun: true, err: &AnswerError{choice.Endpoint.ID, "address now belongs to another endpoint"}}
-	case meta.NotRun:
-		e.rateLimits.observe(&choice.Endpoint, &meta, now)
-		if meta.NoCapacity {
-			choice.RecordFull(meta.Load, now)
-		}
-		c.drainBody(answer)
-		return outcome{sent: true, notRun: true, err: &AnswerError{choice.Endpoint.ID, "request not run, status " + strconv.Itoa(answer.StatusCode) + ", back-off " + meta.Backoff.String()}}
-	}
-	e.rateLimits.observe(&choice.Endpoint, &meta, now)
-	c.endpoint = choice.Endpoint.ID
-	if c.responseStarted && answer.StatusCode != http.StatusOK {
-		// The caller already received a part of the stream, and an answer with this
-		// status does not continue it.
-		answer.Discard()
-		choice.RecordError(now)
-		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "stream not resumed, status " + strconv.Itoa(answer.StatusCode)}}
-	}
-	if c.route.Kind == rules.Streaming && answer.StatusCode == http.StatusOK {
-		return c.forwardStream(ctx, choice, answer)
-	}
-	return c.forwardPlain(ctx, choice, answer)
-}
-
-// rejectAnswer returns the outcome of an attempt whose answer cannot be used.
-func (c *call) rejectAnswer(choice *pick.Choice, answer *wire.Answer, problem string) outcome {
-	answer.Discard()
-	choice.RecordFailure(time.Now())
-	return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, problem}}
+	return c.handleAnswer(ctx, choice, answer)
 }
 
 // send sends the request and waits for the header of the answer. For a repeatable
@@ -218,61 +161,6 @@
 	return errors.As(err, &transport) && transport.Silent
 }
 
-// drainBody reads the body of a short refusal to its end, so that the connection
-// can be reused.
-func (c *call) drainBody(answer *wire.Answer) {
-	const maxRefusalBytes = 4 << 10
-	answer.SetDeadline(time.Now().Add(refusalDrainTime))
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRefusalBytes))
-}
-
-// forwardPlain reads the complete answer before it forwards it. If the answer is
-// truncated, the request can then still be retried or answered with an error.
-func (c *call) forwardPlain(ctx context.Context, choice *pick.Choice, answer *wire.Answer) outcome {
-	if silence, limited := c.attemptSilence(c.attempts()); limited && answer.ContentLength < 0 {
-		// Without a length, only the time tells that a body does not end.
-		answer.SetDeadline(time.Now().Add(silence))
-	}
-	buffer := c.entry.buffers.newBuffer(plainBuffer)
-	defer buffer.release()
-	body, err := buffer.readBody(answer)
-	if err != nil {
-		answer.Discard()
-		choice.RecordFailure(time.Now())
-		c.awaitCrashVerdict(ctx, c.entry.crashes.answerLost(&choice.Endpoint))
-		return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "body not complete: " + err.Error()}}
-	}
-	c.countUsage()
-	c.complete = true
-	now := time.Now()
-	if answer.StatusCode >= http.StatusInternalServerError {
-		choice.RecordError(now)
-		c.possiblyRan = true
-		if answer.StatusCode != http.StatusGatewayTimeout && c.mayRetry() {
-			return outcome{sent: true, retryApproved: true, err: &AnswerError{choice.Endpoint.ID, "status " + strconv.Itoa(answer.StatusCode)}}
-		}
-	} else {
-		choice.RecordSuccess(now)
-		c.watch.survived()
-	}
-	header := c.w.Header()
-	copyHeader(header, answer.Header)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	c.startResponse(answer.StatusCode)
-	// A write fails only if the caller has disconnected; no other answer can reach it.
-	_, _ = c.w.Write(body)
-	return outcome{done: true, sent: true}
-}
-
-// startResponse writes the response header to the caller.
-func (c *call) startResponse(status int) {
-	c.responseStarted = true
-	c.status = status
-	c.timeToFirstByte = time.Since(c.receivedAt)
-	c.entry.metrics.firstByte.Record(c.timeToFirstByte)
-	c.w.WriteHeader(status)
-}
-
 // mayHaveRun reports whether a failed attempt was sent to an endpoint that did not
 // prove that it did not run the request.
 func (o *outcome) mayHaveRun() bool { return o.err != nil && o.sent && !o.notRun }
@@ -285,10 +173,3 @@
 	c.usageCounted = true
 	c.entry.counter.Add(c.workspace, c.entry.clock.Now())
 }
-
-// copyHeader copies the headers of an answer, except hop-by-hop ones.
-func copyHeader(dst, src http.Header) {
-	for name, values := range httpconn.WithoutHopByHop(src) {
-		dst[name] = values
-	}
-}
--- a/internal/gateway/pick/backoff.go
+++ b/internal/gateway/pick/backoff.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/boragelead/boragelead/internal/gateway/registry"
 )
 
 const (
@@ -121,14 +119,6 @@
 	return s.describeBackoff(now)
 }
 
-// Withdrawn reports whether the endpoint must not get the request any more, because it
-// drains or wants no requests since it was chosen.
-func (c *Choice) Withdrawn(now time.Time) bool {
-	c.board.mu.Lock()
-	defer c.board.mu.Unlock()
-	return c.stats.endpoint.State != registry.Ready || c.stats.backoff.active(now)
-}
-
 // Expire returns the back-offs that have ended and whose end is to be logged, and forgets
 // endpoints that are neither listed nor wait for the end of a back-off.
 func (b *Board) Expire(now time.Time) (ended []Backoff) {
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -141,14 +141,6 @@
 	return !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < restartDoubt
 }
 
-// VersionIsDoubtful reports whether the endpoint may have started again, at another software
-// version than the announced one, before the attempt.
-func (c *Choice) VersionIsDoubtful(now time.Time) bool {
-	c.board.mu.Lock()
-	defer c.board.mu.Unlock()
-	return c.stats.mayHaveRestarted(now)
-}
-
 // RecordRefused records that an endpoint refused a connection.
 func (b *Board) RecordRefused(id string, born int64, now time.Time) {
 	b.mu.Lock()
