Let streams go on by recent knowledge of software versions only

An entry that was suspended for a second let a stream go on at an endpoint that had started again meanwhile at another version; another one began a stream there and bound it to the old version. The announcements arrived 2 ms after it woke. Class: a decision by knowledge whose age is not checked. Change: versions count as known only if a replica answered in the last 0.7 s. Otherwise a bound stream waits for an answer within its usual wait, and one that begins is recorded as of unknown version. When the first event of a bound stream arrives, the endpoint must still be the incarnation that was chosen. Ruled out: asking a replica before each continuation, one more message that leaves the same gap of an incarnation that is not announced yet.

--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -48,14 +48,12 @@
 	waitEnd := time.Now().Add(wait)
 	for {
 		request.Now = time.Now()
-		choice, err := c.entry.board.Choose(request)
+		choice, err := c.chooseOnce(request)
 		if err == nil {
 			return choice, nil
 		}
-		var none *pick.NoEndpointError
-		if !errors.As(err, &none) {
-			return nil, err
-		}
+		none := &pick.NoEndpointError{}
+		errors.As(err, &none)
 		c.excluded = none.Backoff
 		if none.VersionGone || request.Now.After(waitEnd) || none.AvailableAt.After(waitEnd) {
 			retryAfter := max(none.ReturnAt.Sub(request.Now), defaultRetryAfter)
@@ -68,3 +66,12 @@
 		}
 	}
 }
+
+// chooseOnce picks an endpoint. For a stream that is bound to a software version it needs a
+// recent answer of a replica. The error is a *pick.NoEndpointError or a *StaleViewError.
+func (c *call) chooseOnce(request *pick.Request) (*pick.Choice, error) {
+	if request.SoftwareVersion != nil && !c.entry.replicaClient.knowsVersions(request.Now) {
+		return nil, &StaleViewError{Service: request.Service}
+	}
+	return c.entry.board.Choose(request)
+}
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -70,6 +70,15 @@
 	return "endpoint " + e.Endpoint + " must not get the request any more"
 }
 
+// StaleViewError reports that no state replica has answered lately, so that the software
+// versions of the endpoints of a service are not known.
+type StaleViewError struct{ Service string }
+
+// Error implements error.
+func (e *StaleViewError) Error() string {
+	return "software versions of service " + e.Service + " not known: no state replica answered lately"
+}
+
 // BudgetError reports that the retry budget of a service is exhausted.
 type BudgetError struct{ Service string }
 
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -31,6 +31,10 @@
 	// spendRetryPause is how long no common quota is requested after a failed
 	// request.
 	spendRetryPause = 500 * time.Millisecond
+	// maxVersionAge is how long ago a replica may have answered for the announced software
+	// versions to be those that serve. The leader answers each pollWait. After a freeze or
+	// a cut, an endpoint may have started again at another version meanwhile.
+	maxVersionAge = 700 * time.Millisecond
 	// maxDenialTime limits how long a denial of common quota is reused.
 	maxDenialTime = 300 * time.Millisecond
 )
@@ -133,6 +137,13 @@
 	return c.directory.SoleVersion(service, time.Now())
 }
 
+// knowsVersions reports whether the announced software versions are those that serve now.
+func (c *replicaClient) knowsVersions(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.directory.LastAnswer()) <= maxVersionAge
+}
+
 func (c *replicaClient) noteFailure(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -62,6 +62,9 @@
 		choice.RecordProgress()
 		if firstEventAt.IsZero() {
 			firstEventAt = time.Now()
+			if c.softwareVersion != nil && choice.VersionIsDoubtful(firstEventAt) {
+				return c.rejectAnswer(choice, answer, "software version of the endpoint is no longer known")
+			}
 			choice.RecordSuccess(firstEventAt)
 			c.countUsage()
 		} else if time.Since(firstEventAt) >= survivalTime {
--- a/internal/gateway/entry/take_up.go
+++ b/internal/gateway/entry/take_up.go
@@ -43,7 +43,7 @@
 func (c *call) bindVersion(choice *pick.Choice) {
 	if c.softwareVersion == nil {
 		version := choice.Endpoint.SoftwareVersion
-		if choice.VersionIsDoubtful(time.Now()) {
+		if now := time.Now(); choice.VersionIsDoubtful(now) || !c.entry.replicaClient.knowsVersions(now) {
 			version = streams.UnknownVersion
 			c.originUnknown = true
 			c.entry.log.Info("Stream begins at an unknown software version.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", choice.Endpoint.ID))
--- a/internal/gateway/pick/choice.go
+++ b/internal/gateway/pick/choice.go
@@ -165,9 +165,10 @@
 }
 
 // VersionIsDoubtful reports whether the endpoint may have started again, at another software
-// version than the announced one, before the attempt.
+// version than the announced one, before the attempt: it refused a connection lately, or
+// another incarnation was announced since the choice.
 func (c *Choice) VersionIsDoubtful(now time.Time) bool {
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
-	return c.stats.mayHaveRestarted(now)
+	return c.stats.mayHaveRestarted(now) || c.board.endpoints[c.Endpoint.ID] != c.stats
 }
--- a/internal/gateway/registry/merge.go
+++ b/internal/gateway/registry/merge.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// LastAnswer returns when a replica answered last; zero before the first answer.
+func (d *Directory) LastAnswer() time.Time {
+	var last time.Time
+	for _, view := range d.views {
+		if view.answeredAt.After(last) {
+			last = view.answeredAt
+		}
+	}
+	return last
+}
+
 // Endpoints returns the newest announcement of each endpoint that is neither gone
 // nor expired. An endpoint has not expired as long as one replica receives its
 // announcements.
