Count crashes at the same moment once for prompt parts that survived lately

Three of sixteen endpoints crashed within 0.1 s, the first prompt part, which all requests of the route share, got three crashes and was quarantined for 15 s or until its next survival was heard of; the take-ups came at that moment. With four endpoints the rule for waves would have halved the weights. Class: correlated evidence is counted as independent. Change: for a part that survived within 5 s before, crashes within 0.3 s count once. A deadly part never survives, so that it is found as fast as before; one that turns deadly is found by its later crashes. Evidence: TestSimultaneousCrashesDoNotQuarantineSoundParts fails before.

--- a/internal/core/suspect/part.go
+++ b/internal/core/suspect/part.go
@@ -66,13 +66,7 @@
 			explained[e.id] = true
 		}
 	}
-	unexplained := 0
-	for _, e := range r.uncleared() {
-		if !explained[e.id] {
-			unexplained += t.weight(e.id)
-		}
-	}
-	return unexplained
+	return t.scoreWithout(r, explained)
 }
 
 // isStronger reports whether, at equal scores, the first suspect more likely caused
--- a/internal/core/suspect/part_test.go
+++ b/internal/core/suspect/part_test.go
@@ -84,6 +84,29 @@
 	g.Expect(tracker.CheckPart(topic, epoch.Add(time.Second))).To(Succeed())
 }
 
+// Guards against a quarantine of a part that most requests share, by the loss of a few
+// endpoints at once, and against a deadly part that is not held back because its crashes
+// follow each other fast.
+func TestSimultaneousCrashesDoNotQuarantineSoundParts(t *testing.T) {
+	g := NewWithT(t)
+	tracker := NewTracker(partConfig)
+	tracker.Survived([]Fingerprint{firstPart}, epoch)
+	now := epoch.Add(recentSurvival)
+	for i := range waveCrashes - 1 {
+		tracker.Crash(fmt.Sprint("e", i), 1, []Fingerprint{firstPart}, now.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	now = now.Add(200 * time.Millisecond)
+	g.Expect(tracker.CheckPart(firstPart, now)).To(Succeed())
+	now = crashApart(tracker, 2, now, firstPart)
+	g.Expect(tracker.CheckPart(firstPart, now)).NotTo(Succeed(), "a part that turns deadly")
+
+	tracker = NewTracker(partConfig)
+	for i := range waveCrashes - 1 {
+		tracker.Crash(fmt.Sprint("e", i), 1, []Fingerprint{deadly}, epoch.Add(time.Duration(i)*50*time.Millisecond))
+	}
+	g.Expect(tracker.CheckPart(deadly, epoch.Add(time.Second))).NotTo(Succeed())
+}
+
 // Guards against a quarantine without a way back, and against more than one probe
 // at a time, each of which costs an endpoint.
 func TestProbesOfQuarantinedPart(t *testing.T) {
--- a/internal/core/suspect/tracker.go
+++ b/internal/core/suspect/tracker.go
@@ -23,6 +23,12 @@
 	// inside a wave.
 	fullCrashWeight = 2
 	waveCrashWeight = 1
+	// simultaneousWindow is the time within which several crashes count once for a part
+	// that survived at most recentSurvival before them. It exceeds the time in which
+	// entries notice a crash, and the survivals of a common part are less than a second
+	// apart.
+	simultaneousWindow = 300 * time.Millisecond
+	recentSurvival     = 5 * time.Second
 	// isolatedRunTimeout is the time after which another copy of a suspect
 	// request may run although End was not called for the last one.
 	isolatedRunTimeout = 10 * time.Minute
@@ -216,9 +222,24 @@
 
 // score returns the sum of the weights of the crashes after the last survival.
 func (t *Tracker) score(r *record) int {
+	return t.scoreWithout(r, nil)
+}
+
+// scoreWithout returns the score without the explained crashes. If a run survived shortly
+// before, crashes within simultaneousWindow count once: runs that began before the first
+// of them are one piece of evidence, and a few endpoints that are lost together would
+// otherwise put the blame on each part that most requests share.
+func (t *Tracker) scoreWithout(r *record, explained map[crashID]bool) int {
+	uncleared := r.uncleared()
+	together := len(uncleared) > 0 && uncleared[0].at.Sub(r.survivedAt) <= recentSurvival
 	score := 0
-	for _, e := range r.uncleared() {
+	var countedUntil time.Time
+	for _, e := range uncleared {
+		if explained[e.id] || together && !e.at.After(countedUntil) {
+			continue
+		}
 		score += t.weight(e.id)
+		countedUntil = e.at.Add(simultaneousWindow)
 	}
 	return score
 }
