Keep back-offs whose answer arrives after the next announcement

The answer to a request that was sent before the next incarnation was announced recorded its back-off with the former incarnation only. Evidence: the second half of TestBackoffHoldsForTheIncarnationThatAsked fails before.

--- a/internal/gateway/pick/backoff.go
+++ b/internal/gateway/pick/backoff.go
@@ -1,8 +1,6 @@
 package pick
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// maxBackoff limits the back-off that one answer can ask for.
@@ -112,6 +110,9 @@
 	wanted = min(wanted, maxBackoff)
 	spread := min(time.Duration(backoffSpread*float64(wanted)), maxBackoffSpread)
 	s.backoff.extend(now.Add(wanted+time.Duration(b.random()*float64(spread))), now)
+	if current := b.endpoints[c.Endpoint.ID]; current != nil && current != s {
+		current.inheritBackoff(s)
+	}
 	if !begins || now.Sub(s.backoff.loggedAt) < backoffLogInterval {
 		return nil
 	}
--- a/internal/gateway/pick/backoff_test.go
+++ b/internal/gateway/pick/backoff_test.go
@@ -67,6 +67,14 @@
 		_, err := b.Choose(newRequest(start.Add(time.Second)))
 		g.Expect(err != nil).To(Equal(held))
 		choose(g, b, newRequest(start.Add(2*time.Second)))
+
+		// The new incarnation is announced before the answer to an earlier request.
+		b = newBoard(newEngine("one", "a"))
+		sent := choose(g, b, newRequest(start))
+		b.Update([]registry.Endpoint{next})
+		answerBackoff(sent, 2*time.Second, start)
+		_, err = b.Choose(newRequest(start.Add(time.Second)))
+		g.Expect(err != nil).To(Equal(held))
 	}
 }
 
