Repeat the announcements of TestFetchAcrossDomains

The test announced its endpoints once, with a lease of 6 s. Where the join took longer, the condition was never met: endpoints repeat their announcements, and the test did not. It does now; all bounds are the same.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -107,10 +107,13 @@
 	g := gomega.NewWithT(t)
 	a := startDomain(t, 2, "a", nil)
 	b := startDomain(t, 3, "b", nil, a[0].address)
-	for i, d := range b {
-		d.registry.Announce(announcement(fmt.Sprintf("e%d", i), 1, 1, endpoint.StateReady), time.Now())
-	}
+	seq := uint64(0)
 	waitFor(t, 20*time.Second, "summary", func() bool {
+		// Endpoints repeat their announcements, since their leases end.
+		seq++
+		for i, d := range b {
+			d.registry.Announce(announcement(fmt.Sprintf("e%d", i), 1, seq, endpoint.StateReady), time.Now())
+		}
 		domains := a[1].Node().Domains(time.Now())
 		return len(domains) == 1 && len(domains[0].Models) == 1 && domains[0].Models[0].Ready == 3
 	})
