Report the last answer when the time limit ends a resend of a promotion

The pause before a resend and the time limit of the command can end together; the resend that was then begun failed with the time limit. Which code the command ends with was open. It is now that of the last answer, which tells more, however the two ends fall.

--- a/cmd/boragelead/promote.go
+++ b/cmd/boragelead/promote.go
@@ -150,11 +150,17 @@
 }
 
 // send sends the promotion. While the outcome is unknown, it resends with the same
-// operation ID. This is safe, because an operation takes effect at most once.
+// operation ID. This is safe, because an operation takes effect at most once. If the time
+// limit ends a resend, the error is that of the attempt before, which tells more.
 func (p *promotion) send(ctx context.Context, client *adminclient.Client, request adminclient.Promotion) (status.Config, error) {
 	unknown := false
+	var lastErr error
 	for {
 		config, err := client.Promote(ctx, request)
+		if err != nil && lastErr != nil && ctx.Err() != nil {
+			err = lastErr
+		}
+		lastErr = err
 		unknown = outcomeUnknown(err) || unknown && undecided(err)
 		if !unknown {
 			return config, err
