Use neutral names in the document of the link tests, and share their endpoint

A local variable of the choice is renamed. Evidence: the tests of pick and of links, drainings and departures pass.

--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -84,15 +84,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	members := b.services[r.Service]
-	views, dropped, resting := b.applyFilters(r, members)
+	views, dropped, backingOff := b.applyFilters(r, members)
 	if len(views) == 0 {
 		views = b.pausedOnce(r, members)
 	}
 	if len(views) == 0 {
 		none := &NoEndpointError{Service: r.Service, Known: len(members), DroppedBy: dropped, VersionGone: versionGone(r, members)}
 		none.AvailableAt, none.ReturnAt = b.availableAt(r, members)
-		if resting != nil {
-			none.Backoff = resting.describeBackoff(r.Now)
+		if backingOff != nil {
+			none.Backoff = backingOff.describeBackoff(r.Now)
 		}
 		return nil, none
 	}
@@ -109,8 +109,8 @@
 	}
 	chosen := b.picker.Pick(scores)
 	choice := b.startAttempt(r, &views[chosen], scores[chosen], len(views))
-	if resting != nil {
-		choice.Excluded = resting.describeBackoff(r.Now)
+	if backingOff != nil {
+		choice.Excluded = backingOff.describeBackoff(r.Now)
 	}
 	return choice, nil
 }
@@ -118,7 +118,7 @@
 // applyFilters returns the endpoints that pass the filters, the name of the filter that
 // dropped the last of the others, and the last endpoint that a back-off dropped. The
 // list is valid until the next call.
-func (b *Board) applyFilters(r *Request, members []*stats) (views []View, dropped string, resting *stats) {
+func (b *Board) applyFilters(r *Request, members []*stats) (views []View, dropped string, backingOff *stats) {
 	views = b.views[:0]
 	for _, s := range members {
 		views = append(views, View{stats: s})
@@ -127,14 +127,14 @@
 			dropped = name
 			views = views[:len(views)-1]
 			if s.backoff.active(r.Now) {
-				resting = s
+				backingOff = s
 			}
 			continue
 		}
 		view.uncachedTokens = max(r.PromptTokens-s.residentParts.cached(r.Prefix), 0)
 	}
 	b.views = views
-	return views, dropped, resting
+	return views, dropped, backingOff
 }
 
 // pausedOnce returns the endpoints that are paused after a single failure. They are
--- a/internal/gateway/state/spread_test.go
+++ b/internal/gateway/state/spread_test.go
@@ -120,8 +120,8 @@
 	var text strings.Builder
 	for i := range count {
 		fmt.Fprintf(&text, `{"name":"r-%08x","host":"h%d.example","pathPrefix":"/%08x/%04x/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":2000,`+
-			`"priority":2,"trafficSplit":[{"service":"s%d","weight":90},{"service":"t","weight":10}],"maxAttempts":2,"anonymous":false,`+
-			`"sessionAffinity":true,"streamResume":true,"itlTargetMs":400}`+"\n", random.Uint32(), i%40, random.Uint32(), random.Uint32()&0xffff, i%3)
+			`"priority":2,"weightedSplit":[{"service":"s%d","weight":90},{"service":"t","weight":10}],"maxAttempts":2,"anonymous":false,`+
+			`"sticky":true,"spread":false,"resumable":true,"maxEventGapMs":400}`+"\n", random.Uint32(), i%40, random.Uint32(), random.Uint32()&0xffff, i%3)
 	}
 	return text.String()
 }
@@ -132,7 +132,7 @@
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
 	gr.awaitVoters()
-	e := registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
+	e := readyEndpoint()
 	gr.g.Expect(gr.nodes["127.0.0.1"].state.Announce(t.Context(), e)).To(Succeed())
 	entries := gr.startEntries(8)
 
--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -49,6 +49,11 @@
 	return data
 }
 
+// readyEndpoint returns the first announcement of an endpoint.
+func readyEndpoint() registry.Endpoint {
+	return registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
+}
+
 // duties records the calls that duty holders make.
 type duties struct {
 	mu      sync.Mutex
@@ -291,7 +296,7 @@
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
 	gr.awaitVoters()
-	e := registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
+	e := readyEndpoint()
 	gr.g.Expect(gr.nodes["127.0.0.1"].state.Announce(t.Context(), e)).To(Succeed())
 	gr.g.Eventually(func() int { return len(gr.poll("127.0.0.4", &link.PollRequest{Entry: "probe"}).Endpoints) }, "3s").Should(Equal(1))
 	e.State, e.Seq = registry.Draining, 2
@@ -322,7 +327,7 @@
 	gr := newGroup(t)
 	gr.eventuallyPut("127.0.0.1", document(1, "first"))
 	gr.awaitVoters()
-	e := registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
+	e := readyEndpoint()
 	gr.g.Expect(gr.nodes["127.0.0.1"].state.Announce(t.Context(), e)).To(Succeed())
 	entries := gr.startEntries(3)
 	params, err := link.Encode(&link.DepartureRequest{Entry: "probe", Endpoints: []registry.Endpoint{e}})
@@ -377,7 +382,7 @@
 // damaged file must not prevent the start.
 func TestEndpointsAreRestored(t *testing.T) {
 	gr := newGroup(t)
-	e := registry.Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", Domain: "a", Slots: 1, State: registry.Ready, Born: 1, Seq: 1}
+	e := readyEndpoint()
 	gr.g.Expect(gr.nodes["127.0.0.1"].state.Announce(t.Context(), e)).To(Succeed())
 	file := filepath.Join(gr.nodes["127.0.0.1"].folder, "endpoints")
 	gr.g.Eventually(file, "3s").Should(BeAnExistingFile())
