Give the calls of TestResultsInFlightAreBounded the time of the whole check

Now the 10 s of the check bound its calls as well; a call that gets no answer still fails the test after 10 s.

--- a/internal/adapter/peerrpc/replies_test.go
+++ b/internal/adapter/peerrpc/replies_test.go
@@ -45,9 +45,9 @@
 	}
 	g.Eventually(func() uint64 { return node.Stats().Refused }, 5*time.Second).Should(gomega.BeNumerically(">", 0))
 	// Peers that do not read lose their connection; then large results are sent again.
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
 	g.Eventually(func() error {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
 		_, err := client.Call(ctx, address, "large", nil)
 		var remote *RemoteError
 		if errors.As(err, &remote) && remote.NotRun() {
