--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -231,3 +231,19 @@
 	}
 	g.Expect(granted).To(BeNumerically("<=", 60))
 }
+
+// Guards against many entries that start together and add up to more than the limit,
+// because each of them assumes fewer entries.
+func TestManySharesAtAStartDoNotExceedTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	workspace := rules.Workspace{Name: "w", RatePerS: 100, Burst: 100}
+	granted := 0
+	for range 69 {
+		limiter := New(Tolerance{})
+		limiter.Configure([]rules.Workspace{workspace}, time.Unix(0, 0))
+		for limiter.Take("w", 1, time.Unix(0, 0)).Granted {
+			granted++
+		}
+	}
+	g.Expect(granted).To(BeNumerically("<=", 100))
+}
