Keep many entries within a quota, and say what a refusal was based on

Cause, shown by tests: each entry granted a request that its share does not cover when its bucket was full, and paid for it later. 94 idle entries so granted 1,537,500 tokens in 8 s, of which 803,300 were allowed. Change: a share covers only requests up to its level. Larger ones are asked of the leader; what the leader does not cover is granted with a probability of the rest of the share over the cost, which spends the rest either way. An entry that has no report yet fills almost nothing, and counts entries by what any replica reports. Ruled out: a smaller first share alone, which leaves the overdraft of all idle entries. A refusal by quota now names the limit, the demand of all entries and its age, the share, its level, the number of entries and the leader that denied it.

--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/boragelead/boragelead/internal/gateway/quota"
 )
 
 // Reason classifies why a request was not answered by an endpoint.
@@ -79,6 +81,32 @@
 	return "software versions of service " + e.Service + " not known: no state replica answered lately"
 }
 
+// QuotaError reports that the quota of a workspace does not cover a request.
+type QuotaError struct {
+	Workspace string
+	// Cost is that of the request in units of the quota, and Basis what this entry knew.
+	Cost  float64
+	Basis quota.Basis
+	// Leader is the replica that denied the request from the common quota after Wait;
+	// "" if none was asked or answered.
+	Leader string
+	Wait   time.Duration
+}
+
+// Error implements error.
+func (e *QuotaError) Error() string {
+	b := e.Basis
+	text := fmt.Sprintf("quota of workspace %s does not cover %.0f: limit %.0f/s, demand of all entries %.0f/s %s ago, share of this entry %.4f of %d entries with %.0f left",
+		e.Workspace, e.Cost, b.RatePerS, b.DemandPerS, b.Age.Round(time.Millisecond), b.Share, b.Entries, b.Level)
+	switch {
+	case e.Leader != "":
+		return fmt.Sprintf("%s, leader %s can grant it in %s", text, e.Leader, e.Wait.Round(time.Millisecond))
+	case b.Leaderless:
+		return text + ", no leader"
+	}
+	return text + ", leader not asked or not reached"
+}
+
 // BudgetError reports that the retry budget of a service is exhausted.
 type BudgetError struct{ Service string }
 
--- a/internal/gateway/entry/leader.go
+++ b/internal/gateway/entry/leader.go
@@ -9,32 +9,51 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/gateway/link"
-	"github.com/boragelead/boragelead/internal/gateway/quota"
 )
 
-// spend asks the leader for common quota if the local share of this entry cannot
-// cover a request. If the leader does not answer in time, the local decision
-// stands.
-func (c *replicaClient) spend(ctx context.Context, workspace string, cost float64, ownDecision quota.Decision) quota.Decision {
+// takeQuota spends the cost of a request from the quota of its workspace: from the share
+// of this entry, from the common quota of the leader, or from what is left of the share.
+// It returns nil if the request is covered.
+func (e *Entry) takeQuota(ctx context.Context, workspace string, cost float64) *QuotaError {
+	decision := e.quotas.Take(workspace, cost, time.Now())
+	if decision.Granted {
+		return nil
+	}
+	denied := &QuotaError{Workspace: workspace, Cost: cost, Wait: decision.Wait}
+	if decision.AskCommon && e.replicaClient.spend(ctx, denied) {
+		return nil
+	}
+	now := time.Now()
+	denied.Basis = e.quotas.Basis(workspace, now)
+	if e.quotas.TakeRest(workspace, cost, now) {
+		return nil
+	}
+	return denied
+}
+
+// spend asks the leader for common quota. If the leader denies it, spend records the
+// leader and when the request could be granted.
+func (c *replicaClient) spend(ctx context.Context, r *QuotaError) (granted bool) {
 	e := c.entry
 	reply := &link.SpendReply{}
-	err := c.callLeader(ctx, link.MethodSpend, &link.SpendRequest{Workspace: workspace, Cost: cost}, reply)
+	leader, err := c.callLeader(ctx, link.MethodSpend, &link.SpendRequest{Workspace: r.Workspace, Cost: r.Cost}, reply)
 	var unknown *UnknownLeaderError
 	if errors.As(err, &unknown) {
-		return ownDecision
+		return false
 	}
 	now := time.Now()
 	if err != nil {
-		e.log.Warn("Common quota not reached.", zap.String("workspace", workspace), zap.Error(err))
-		e.quotas.RecordDenial(workspace, 0, now.Add(spendRetryPause))
-		return ownDecision
+		e.log.Warn("Common quota not reached.", zap.String("workspace", r.Workspace), zap.Error(err))
+		e.quotas.RecordDenial(r.Workspace, 0, now.Add(spendRetryPause))
+		return false
 	}
 	if reply.Granted {
-		return quota.Decision{Granted: true}
+		return true
 	}
 	wait := time.Duration(reply.WaitMS) * time.Millisecond
-	e.quotas.RecordDenial(workspace, cost, now.Add(min(wait, maxDenialTime)))
-	return quota.Decision{Wait: min(wait, ownDecision.Wait)}
+	e.quotas.RecordDenial(r.Workspace, r.Cost, now.Add(min(wait, maxDenialTime)))
+	r.Leader, r.Wait = leader, min(wait, r.Wait)
+	return false
 }
 
 // UnknownLeaderError reports that no replica has answered as the leader yet.
@@ -43,23 +62,25 @@
 // Error implements error.
 func (*UnknownLeaderError) Error() string { return "no leading replica is known" }
 
-// callLeader asks the leading replica for a permission that one request needs.
-func (c *replicaClient) callLeader(ctx context.Context, method string, request, reply any) error {
-	leader := c.leader.Load()
-	if leader == nil {
-		return &UnknownLeaderError{}
+// callLeader asks the leading replica for a permission that one request needs, and
+// returns its address.
+func (c *replicaClient) callLeader(ctx context.Context, method string, request, reply any) (leader string, err error) {
+	known := c.leader.Load()
+	if known == nil {
+		return "", &UnknownLeaderError{}
 	}
+	leader = *known
 	params, err := link.Encode(request)
 	if err != nil {
-		return err
+		return leader, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
 	defer cancel()
-	data, err := c.entry.options.Caller.Call(ctx, *leader, method, params)
+	data, err := c.entry.options.Caller.Call(ctx, leader, method, params)
 	if err != nil {
-		return eris.Wrapf(err, "call leader %s", *leader)
+		return leader, eris.Wrapf(err, "call leader %s", leader)
 	}
-	return link.Decode(data, reply)
+	return leader, link.Decode(data, reply)
 }
 
 // notifyLeader sends a message to the leading replica without waiting for an answer.
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -140,6 +140,7 @@
 		e.documents.offer(address, reply.Generation)
 	}
 	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
+	e.quotas.CountEntries(reply.Entries)
 	if reply.PolledByAll {
 		e.quotas.SetTotal(demand.Total{Entries: reply.Entries, PerS: reply.Demand}, own.workspaces, now)
 		e.rateLimits.setTotal(demand.Total{Entries: reply.Entries, Rank: reply.Rank, PerS: reply.ServiceDemand}, own.services, now)
--- a/internal/gateway/entry/prepare.go
+++ b/internal/gateway/entry/prepare.go
@@ -110,12 +110,9 @@
 			cost = float64(c.meta.PromptTokens + c.meta.MaxOutputTokens)
 		}
 	}
-	decision := c.entry.quotas.Take(w.Name, cost, time.Now())
-	if decision.AskCommon {
-		decision = c.entry.replicaClient.spend(c.r.Context(), w.Name, cost, decision)
-	}
-	if !decision.Granted {
-		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, RetryAfter: c.retryAfter(decision.Wait)}
+	denied := c.entry.takeQuota(c.r.Context(), w.Name, cost)
+	if denied != nil {
+		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, RetryAfter: c.retryAfter(denied.Wait), Err: denied}
 	}
 	c.cost = cost
 	return nil
--- a/internal/gateway/entry/prompt_parts.go
+++ b/internal/gateway/entry/prompt_parts.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	reply := &link.PartProbeReply{}
-	if err := e.replicaClient.callLeader(ctx, link.MethodPartProbe, &link.PartProbeRequest{Part: part[:]}, reply); err != nil {
+	if _, err := e.replicaClient.callLeader(ctx, link.MethodPartProbe, &link.PartProbeRequest{Part: part[:]}, reply); err != nil {
 		e.log.Warn("Probe of a prompt part not granted.", zap.String("request", c.meta.AttemptID), zap.Error(err))
 		return false
 	}
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -37,23 +37,21 @@
 	Tokens float64
 }
 
-// bucket is a token bucket. Its level may become negative.
+// bucket is a token bucket.
 type bucket struct {
 	level     float64
 	updatedAt time.Time
 }
 
-// take spends the cost if the level covers it or the bucket is full. Otherwise it
-// returns the time until the cost can be spent.
-func (b *bucket) take(cost, rate, capacity float64, now time.Time) (wait time.Duration, ok bool) {
+// refill adds what the rate yielded since the last update.
+func (b *bucket) refill(rate, capacity float64, now time.Time) {
 	b.level = min(b.level+now.Sub(b.updatedAt).Seconds()*rate, capacity)
 	b.updatedAt = now
-	needed := min(cost, capacity)
-	if b.level >= needed {
-		b.level -= cost
-		return 0, true
-	}
-	return time.Duration((needed - b.level) / rate * float64(time.Second)), false
+}
+
+// timeUntil returns the time until the level reaches an amount.
+func (b *bucket) timeUntil(level, rate float64) time.Duration {
+	return time.Duration((level - b.level) / rate * float64(time.Second))
 }
 
 // limits are the limits of one workspace.
@@ -100,7 +98,16 @@
 	}
 	l := limitsOf(w, c.tolerance)
 	overshoot := c.tolerance.Overshoot * commonOvershootShare * (l.rate*c.tolerance.Window.Seconds() + l.burst)
-	return b.take(cost, l.rate*commonPart, l.burst*commonPart+overshoot+l.extraTokens*commonTokenShare, now)
+	rate, capacity := l.rate*commonPart, l.burst*commonPart+overshoot+l.extraTokens*commonTokenShare
+	b.refill(rate, capacity, now)
+	// A request that exceeds the capacity is granted when the bucket is full, and
+	// leaves a debt.
+	needed := min(cost, capacity)
+	if b.level < needed {
+		return b.timeUntil(needed, rate), false
+	}
+	b.level -= cost
+	return 0, true
 }
 
 // Reset empties the buckets when the replica becomes the leader. The buckets keep
@@ -115,6 +122,7 @@
 // Limiter enforces the limits at an entry. It is safe for concurrent use.
 type Limiter struct {
 	tolerance Tolerance
+	random    func() float64
 
 	mu         sync.Mutex
 	workspaces map[string]*workspace
@@ -134,9 +142,9 @@
 	deniedCost  float64
 }
 
-// New returns a limiter without limits.
-func New(tolerance Tolerance) *Limiter {
-	return &Limiter{tolerance: tolerance, workspaces: make(map[string]*workspace)}
+// New returns a limiter without limits. random returns numbers in [0, 1).
+func New(tolerance Tolerance, random func() float64) *Limiter {
+	return &Limiter{tolerance: tolerance, random: random, workspaces: make(map[string]*workspace)}
 }
 
 // Configure sets the limits of a document.
@@ -152,8 +160,9 @@
 			w = &workspace{bucket: bucket{updatedAt: now}}
 			l.workspaces[config.Name] = w
 			// The bucket starts full. An earlier run of this entry granted nothing
-			// while the process started, and with an empty bucket the requests of
-			// the first second after a loss of all entries would be refused.
+			// while the process started, and with an empty bucket more requests of
+			// the first second after a loss of all entries would be refused. Until
+			// the number of entries is known, the bucket is almost empty.
 			w.limits = limitsOf(config, l.tolerance)
 			w.level = l.capacity(config.Name, w, now)
 			if !l.configured {
@@ -180,6 +189,14 @@
 	l.division.SetTotal(total, own, now)
 }
 
+// CountEntries records the number of entries that poll a replica that may not know all of
+// them.
+func (l *Limiter) CountEntries(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.division.CountEntries(n)
+}
+
 // SetLeaderless sets whether the common part is lost, which is the case if a
 // majority of the replicas knows no leader, so that no replica can grant it. The
 // entries then divide its rate as well. An entry that merely cannot reach the
@@ -199,7 +216,8 @@
 	Wait time.Duration
 }
 
-// Take spends the cost of a request from the share of this entry.
+// Take spends the cost of a request from the share of this entry, if the share covers
+// it.
 func (l *Limiter) Take(name string, cost float64, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -208,15 +226,74 @@
 		return Decision{Granted: true}
 	}
 	w.demand.Add(cost, now)
-	rate := w.rate * l.division.Share(name, now)
+	rate, capacity := l.refill(name, w, now)
+	if w.level >= cost {
+		w.level -= cost
+		return Decision{Granted: true}
+	}
+	wait := w.timeUntil(min(cost, capacity), rate)
+	return Decision{AskCommon: !now.Before(w.deniedUntil) || cost < w.deniedCost, Wait: wait}
+}
+
+// TakeRest decides on a request that neither the share of this entry nor the common
+// part covers. It spends what is left of the share, and grants the request with a
+// probability of that rest over the cost. Where requests are larger than the shares,
+// all entries together so grant what their shares add up to. If each of them granted a
+// request that its share does not cover and paid for it later, many idle entries would
+// exceed the limit at once.
+func (l *Limiter) TakeRest(name string, cost float64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.workspaces[name]
+	if w == nil || w.rate <= 0 {
+		return true
+	}
+	l.refill(name, w, now)
+	rest := max(w.level, 0)
+	w.level -= rest
+	return l.random()*cost < rest
+}
+
+// refill adds to the share of this entry what it gained since the last request. It
+// returns the rate of the share and how much of it may be spent at once.
+func (l *Limiter) refill(name string, w *workspace, now time.Time) (rate, capacity float64) {
+	rate, capacity = w.rate*l.division.Share(name, now), l.capacity(name, w, now)
 	if !l.commonLost {
 		rate *= 1 - commonPart
 	}
-	wait, ok := w.take(cost, rate, l.capacity(name, w, now), now)
-	if ok {
-		return Decision{Granted: true}
+	w.bucket.refill(rate, capacity, now)
+	return rate, capacity
+}
+
+// Basis is what a decision on a request was based on.
+type Basis struct {
+	// RatePerS is the limit of the workspace.
+	RatePerS float64
+	// Share is the part of the divided limit that this entry may use, and Level how much
+	// of it is left.
+	Share, Level float64
+	// Entries is the number of entries that divide the limit.
+	Entries int
+	// DemandPerS is the demand at all entries, and Age the age of that report.
+	DemandPerS float64
+	Age        time.Duration
+	// Leaderless is set if the entries divide the common part as well.
+	Leaderless bool
+}
+
+// Basis returns what a decision on a request of a workspace would be based on.
+func (l *Limiter) Basis(name string, now time.Time) Basis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.workspaces[name]
+	if w == nil {
+		return Basis{}
+	}
+	total, age := l.division.Total(name, now)
+	return Basis{
+		RatePerS: w.rate, Share: l.division.Share(name, now), Level: w.level, Entries: l.division.Entries(),
+		DemandPerS: total, Age: age, Leaderless: l.commonLost,
 	}
-	return Decision{AskCommon: !now.Before(w.deniedUntil) || cost < w.deniedCost, Wait: wait}
 }
 
 // RecordDenial records that the common part cannot grant a cost before a time.
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -35,7 +35,7 @@
 func newSimulation(entries int, workspace rules.Workspace) *simulation {
 	s := &simulation{common: NewCommon(tolerance, time.Unix(0, 0)), workspace: workspace, now: time.Unix(0, 0)}
 	for range entries {
-		limiter := New(tolerance)
+		limiter := New(tolerance, rand.New(rand.NewPCG(2, uint64(len(s.limiters)))).Float64)
 		limiter.Configure([]rules.Workspace{workspace}, s.now)
 		s.limiters = append(s.limiters, limiter)
 	}
@@ -66,6 +66,9 @@
 			s.limiters[entry].RecordDenial(s.workspace.Name, cost, s.now.Add(wait))
 		}
 	}
+	if !decision.Granted {
+		decision.Granted = s.limiters[entry].TakeRest(s.workspace.Name, cost, s.now)
+	}
 	if decision.Granted {
 		s.granted = append(s.granted, grant{s.now, cost})
 	}
@@ -180,7 +183,7 @@
 // Guards against limiting a workspace for which the document states no limit.
 func TestWorkspaceWithoutLimitIsNotLimited(t *testing.T) {
 	g := NewWithT(t)
-	limiter := New(tolerance)
+	limiter := New(tolerance, rand.Float64)
 	limiter.Configure([]rules.Workspace{{Name: "w"}}, time.Unix(0, 0))
 	g.Expect(limiter.Take("w", 1e9, time.Unix(1, 0)).Granted).To(BeTrue())
 	g.Expect(limiter.Take("unknown", 1e9, time.Unix(1, 0)).Granted).To(BeTrue())
@@ -222,7 +225,7 @@
 	workspace := rules.Workspace{Name: "w", RatePerS: 100, Burst: 100}
 	granted := 0
 	for started := range 9 {
-		limiter := New(Tolerance{})
+		limiter := New(Tolerance{}, rand.Float64)
 		limiter.SetTotal(demand.Total{Entries: started + 1}, nil, time.Unix(0, 0))
 		limiter.Configure([]rules.Workspace{workspace}, time.Unix(0, 0))
 		for limiter.Take("w", 1, time.Unix(0, 0)).Granted {
@@ -239,7 +242,7 @@
 	workspace := rules.Workspace{Name: "w", RatePerS: 100, Burst: 100}
 	granted := 0
 	for range 69 {
-		limiter := New(Tolerance{})
+		limiter := New(Tolerance{}, rand.Float64)
 		limiter.Configure([]rules.Workspace{workspace}, time.Unix(0, 0))
 		for limiter.Take("w", 1, time.Unix(0, 0)).Granted {
 			granted++
@@ -247,3 +250,24 @@
 	}
 	g.Expect(granted).To(BeNumerically("<=", 100))
 }
+
+// Guards against many idle entries that each grant one large request at once, although
+// their shares of the limit cover only a small part of it. 94 entries granted 1.5 million
+// tokens in that way in a window that allowed 0.8 million.
+func TestLargeRequestsAtManyEntriesStayWithinLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := newSimulation(94, rules.Workspace{Name: "w", RatePerS: 67_000, Burst: 67_000, CountTokens: true})
+	s.reportDemand()
+	s.now = s.now.Add(20 * second)
+	for step := range 8000 {
+		s.now = s.now.Add(time.Millisecond)
+		if step%400 == 0 {
+			s.reportDemand()
+		}
+		if step%20 == 0 {
+			s.request(step/20%94, 12_500, true)
+		}
+	}
+	g.Expect(s.maxGranted()).To(BeNumerically("<=", s.allowed()))
+	g.Expect(s.maxGranted()).To(BeNumerically(">=", 67_000*8))
+}
