Read load reports that tell how slow the endpoint's VM is

Cause: a load report with a fourth figure was discarded whole, since the decoder accepted exactly three. Endpoints that share their VMs so counted as telling no load. Change: the number of running requests is needed, every other figure is read by itself and left out where it is missing, negative, not a number or absurd; such a report is logged. The slowdown is decoded and not used yet.

--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	wire "github.com/boragelead/boragelead/internal/adapter/exchange"
 	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
@@ -35,6 +37,9 @@
 		return c.rejectAnswer(choice, answer, "answer belongs to another request")
 	}
 	choice.RecordAnswer(meta.Load, now)
+	if meta.InvalidLoad != "" {
+		e.log.Warn("Load report of an endpoint has figures that cannot be used.", zap.String("endpoint", choice.Endpoint.ID), zap.String("value", meta.InvalidLoad))
+	}
 	if meta.Misdirected {
 		choice.RecordDraining()
 		c.misdirected++
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -84,6 +84,9 @@
 // EndpointLoad is the load that an endpoint reports in an answer.
 type EndpointLoad struct {
 	Running, Waiting, Slots int
+	// Slowdown is the ratio of the time that work takes at the endpoint at present to the
+	// usual one, because others use the same VM; 0 if the endpoint does not tell it.
+	Slowdown float64
 }
 
 // AnswerMeta is the information in the status and headers of an endpoint's
@@ -105,6 +108,9 @@
 	Sealed bool
 	// Load is nil if the answer contains no load report.
 	Load *EndpointLoad
+	// InvalidLoad is the text of a load report of which at least one figure cannot be
+	// used; empty if there is none.
+	InvalidLoad string
 	// RateLimit is how many requests per second the endpoint takes from all entries
 	// together; nil if the answer names no limit.
 	RateLimit *float64
