Refuse odd announcements of endpoints, and leave out stored ones alone

Another operator reported one odd entry among those of the endpoints that made every reader fail. Here it could: a port of 99999 or 0, a capacity of 9e18, a sequence number of 2^64-1 and a start in the year 285 million were accepted, the last two of which hold against all later announcements of the endpoint whose ID they use; the time left overflowed as a duration. Nested JSON (20,000 levels) and numbers out of range were refused already, without a crash. Announcements that fail it are refused with 400 at the control interface; such entries from other replicas, from the file of a replica and in the answers of replicas are left out one by one, with a log line.

--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -153,6 +154,7 @@
 	defer e.rateLimits.apply(now)
 	c.noteReplicas(address, reply)
 	e.origins.noteRun(address, reply.ReplicaRun)
+	c.dropInvalid(address, reply, now)
 	c.mu.Lock()
 	part := registry.Part{
 		Views: reply.Endpoints, Full: reply.FullUpdate, More: reply.EndpointsFollow,
@@ -176,3 +178,15 @@
 			zap.Uint8("state", uint8(view.Endpoint.State)), zap.Bool("expired", view.Expired), zap.String("software_version", view.Endpoint.SoftwareVersion), zap.Uint64("seq", view.Endpoint.Seq), zap.String("replica", address))
 	}
 }
+
+// dropInvalid removes endpoints that cannot be used from an answer, which a replica of
+// another version may list. The others hold.
+func (c *replicaClient) dropInvalid(address string, reply *link.PollReply, now time.Time) {
+	reply.Endpoints = slices.DeleteFunc(reply.Endpoints, func(view registry.View) bool {
+		err := view.Endpoint.Check(now)
+		if err != nil {
+			c.entry.log.Warn("Endpoint ignored.", zap.String("replica", address), zap.Error(err))
+		}
+		return err != nil
+	})
+}
--- a/internal/gateway/state/announce.go
+++ b/internal/gateway/state/announce.go
@@ -19,6 +19,8 @@
 	// shareTimeout bounds one call. The announcements of a failed call are sent
 	// again in a later one.
 	shareTimeout = 700 * time.Millisecond
+	// maxAnnouncementAge is an age at which every lease has ended.
+	maxAnnouncementAge = time.Hour
 )
 
 // UnderReplicatedError reports that fewer than a majority of the replicas have
@@ -32,9 +34,13 @@
 
 // Announce stores an announcement of an endpoint. If the endpoint is no longer
 // ready, Announce returns after a majority of the replicas has stored the
-// announcement, or fails with an *UnderReplicatedError.
+// announcement, or fails with an *UnderReplicatedError. An invalid announcement fails with
+// a *registry.InvalidEndpointError.
 func (s *State) Announce(ctx context.Context, e registry.Endpoint) error {
 	now := time.Now()
+	if err := e.Check(now); err != nil {
+		return err
+	}
 	changed := s.registry.Announce(e, now)
 	if changed {
 		s.log.Info("Endpoint announced.", zap.String("endpoint", e.ID), zap.String("service", e.Service),
@@ -148,10 +154,20 @@
 	if err := link.Decode(params, request); err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	for i := range request.Announcements {
-		announcement := &request.Announcements[i]
-		s.registry.Merge(announcement.Endpoint, now.Add(-time.Duration(announcement.AgeMS)*time.Millisecond))
-	}
+	s.merge(request.Announcements, time.Now())
 	return link.Encode(&link.ShareReply{ClockNS: time.Now().UnixNano()})
 }
+
+// merge merges announcements that arrived elsewhere or earlier, given the time from which
+// their ages count. An invalid one is left out; the others hold.
+func (s *State) merge(announcements []registry.ReceivedAnnouncement, now time.Time) {
+	for i := range announcements {
+		announcement := &announcements[i]
+		if err := announcement.Endpoint.Check(time.Now()); err != nil {
+			s.log.Warn("Announcement ignored.", zap.Error(err))
+			continue
+		}
+		age := time.Duration(min(max(announcement.AgeMS, 0), maxAnnouncementAge.Milliseconds())) * time.Millisecond
+		s.registry.Merge(announcement.Endpoint, now.Add(-age))
+	}
+}
--- a/internal/gateway/state/restore.go
+++ b/internal/gateway/state/restore.go
@@ -87,9 +87,7 @@
 	}
 	heartbeat := settings.Millis(s.options.Settings.Bounds.HeartbeatMS)
 	seenAt := time.Now().Add(-(missedHeartbeats - restoredHeartbeats) * heartbeat)
-	for i := range request.Announcements {
-		s.registry.Merge(request.Announcements[i].Endpoint, seenAt)
-	}
+	s.merge(request.Announcements, seenAt)
 	// The saved endpoints include those that left while the replica was down.
 	s.recordedSince = s.started.Add(-restoredHistory)
 	s.log.Info("Saved endpoints restored.", zap.Int("endpoints", len(request.Announcements)))
