Keep a panic in a call or a background task from ending the process

Here, net/http recovers the handlers of callers and of the control interface, but nothing else did: a panic in a handler of the calls between daemons, in the poll of a replica or in any loop of an entry or a replica ended the process, and again after each restart if a stored entry or a repeated message was the cause. Change: the package guard. The consensus is left out on purpose: its state may be inconsistent then.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -67,7 +67,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(config.Limits.MemoryMB) * megabyte))
 	}
 	log.Info("Daemon starts.", zap.String("role", string(role)), zap.String("failure_domain", config.FailureDomain), zap.Strings("seeds", config.Seeds))
-	g := &gatewayDaemon{config: config, log: log, metrics: telemetry.NewRegistry(), rpc: peerrpc.New(peerrpc.Options{Name: config.Name}), seeds: config.Seeds, signals: signals}
+	g := &gatewayDaemon{config: config, log: log, metrics: telemetry.NewRegistry(), rpc: peerrpc.New(peerrpc.Options{Name: config.Name, Log: log}), seeds: config.Seeds, signals: signals}
 	if err := g.serveMetrics(); err != nil {
 		log.Warn("Metrics listener not started; metrics are not served.", zap.Error(err))
 	}
--- a/internal/adapter/peerrpc/meter.go
+++ b/internal/adapter/peerrpc/meter.go
@@ -20,6 +20,8 @@
 	Calls uint64 `json:"calls"`
 	// Served counts the handler runs for other daemons.
 	Served uint64 `json:"served"`
+	// Panics counts the handler runs that failed unexpectedly.
+	Panics uint64 `json:"panics"`
 	// Refused counts the incoming calls refused by the limits of calls and results in
 	// flight.
 	Refused uint64 `json:"refused"`
@@ -31,7 +33,7 @@
 }
 
 type meter struct {
-	sent, received, calls, served, refused, dials, silent atomic.Uint64
+	sent, received, calls, served, panics, refused, dials, silent atomic.Uint64
 }
 
 func (m *meter) stats() Stats {
@@ -40,6 +42,7 @@
 		BytesReceived: m.received.Load(),
 		Calls:         m.calls.Load(),
 		Served:        m.served.Load(),
+		Panics:        m.panics.Load(),
 		Refused:       m.refused.Load(),
 		Dials:         m.dials.Load(),
 		Silent:        m.silent.Load(),
--- a/internal/adapter/peerrpc/node.go
+++ b/internal/adapter/peerrpc/node.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/boragelead/boragelead/internal/port"
 )
 
@@ -29,6 +31,8 @@
 	// ServerTLS and ClientTLS enable mutual TLS on accepted and on dialled
 	// connections; see tlsconfig.ForPeers.
 	ServerTLS, ClientTLS *tls.Config
+	// Log receives handler runs that fail unexpectedly; nil discards them.
+	Log *zap.Logger
 	// MaxInFlight bounds the calls in flight; 0 means DefaultMaxInFlight.
 	MaxInFlight int
 	// Timeout is the deadline of calls whose context has none; 0 means DefaultTimeout.
--- a/internal/adapter/peerrpc/node_test.go
+++ b/internal/adapter/peerrpc/node_test.go
@@ -264,3 +264,22 @@
 		}
 	}
 }
+
+// Guards against a call that ends the process of the daemon that serves it: without the
+// check the panic of a handler ended this test.
+func TestPanicOfAHandlerFailsItsCallOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node, address := startNode(t, Options{}, map[string]func(context.Context, []byte) ([]byte, error){
+		"echo": echo, "panic": func(context.Context, []byte) ([]byte, error) { panic("malformed message") },
+	})
+	client := New(Options{})
+	defer client.Close()
+	_, err := client.Call(t.Context(), address, "panic", nil)
+	var remote *RemoteError
+	g.Expect(errors.As(err, &remote)).To(gomega.BeTrue())
+	g.Expect(MayHaveBeenSent(err)).To(gomega.BeTrue())
+	result, err := client.Call(t.Context(), address, "echo", []byte("next"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(result).To(gomega.Equal([]byte("next")))
+	g.Expect(node.meter.stats().Panics).To(gomega.BeEquivalentTo(1))
+}
--- a/internal/adapter/peerrpc/server.go
+++ b/internal/adapter/peerrpc/server.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/internal/guard"
 )
 
 const (
@@ -161,7 +164,15 @@
 		}
 	}
 	h.node.meter.served.Add(1)
-	result, err := handler(ctx, params)
+	var result []byte
+	var err error
+	if panicked := guard.Run(func() { result, err = handler(ctx, params) }); panicked != nil {
+		h.node.meter.panics.Add(1)
+		if h.node.options.Log != nil {
+			h.node.options.Log.Error("Call failed unexpectedly.", zap.String("method", req.Method), zap.Error(panicked))
+		}
+		return nil, &jsonrpc2.Error{Code: codeFailed, Message: "unexpected failure"}
+	}
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: codeFailed, Message: err.Error()}
 	}
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
+	"github.com/boragelead/boragelead/internal/guard"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/telemetry"
@@ -126,10 +127,21 @@
 // Start starts to poll the state replicas.
 func (e *Entry) Start() {
 	e.replicaClient.start()
-	e.group.Go(e.housekeep)
-	e.group.Go(e.documents.loop)
-	e.group.Go(e.origins.loop)
-	e.group.Go(e.departures.loop)
+	e.goLoop("housekeeping", e.housekeep)
+	e.goLoop("documents", e.documents.loop)
+	e.goLoop("stream origins", e.origins.loop)
+	e.goLoop("departures", e.departures.loop)
+}
+
+// goLoop runs a function in the background until the entry is closed. If it panics, it
+// runs again.
+func (e *Entry) goLoop(name string, loop func()) {
+	e.group.Go(func() {
+		guard.Loop(e.ctx, loop, func(err error) {
+			e.metrics.panics.Inc()
+			e.log.Error("Background task failed unexpectedly and runs again.", zap.String("task", name), zap.Error(err))
+		})
+	})
 }
 
 // Close stops the background goroutines, waits for them and closes idle
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -110,7 +110,7 @@
 	for _, address := range follow {
 		ctx, cancel := context.WithCancel(e.ctx)
 		c.cancelPolls[address] = cancel
-		e.group.Go(func() { c.poll(ctx, address) })
+		e.goLoop("poll of "+address, func() { c.poll(ctx, address) })
 	}
 }
 
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -22,6 +22,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/gateway/streams"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
+	"github.com/boragelead/boragelead/internal/guard"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/replica"
 	"github.com/boragelead/boragelead/internal/settings"
@@ -208,13 +209,18 @@
 // next leader.
 const resignTime = 150 * time.Millisecond
 
+// runEvery runs a task at an interval until the replica is closed, also after a run that
+// panics.
 func (s *State) runEvery(interval time.Duration, task func(now time.Time)) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
-			task(now)
+			if err := guard.Run(func() { task(now) }); err != nil {
+				s.options.Metrics.Counter("state_panics").Inc()
+				s.log.Error("Background task failed unexpectedly and runs again.", zap.Error(err))
+			}
 		case <-s.ctx.Done():
 			return
 		}
