Learn how fast engines process prompts, and plan the fleet by it

Cause: the planner counted requests in flight against a quarter of the slots, and the choice assumed 100,000 prompt tokens a second: figures of one fleet. Change: each entry learns, per service, the time to the first byte as a linear function of the prompt tokens (least squares). It yields the time per token for the choice, the expected time against which the slowness of an endpoint is measured whatever the prompt, and the demand for prompt work, which travels with the polls. The planner takes the larger of the requests in flight and the prompt work; slots are planned by the variation of independent arrivals.

--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -90,7 +90,7 @@
 	e := c.entry
 	request := &link.PollRequest{
 		Entry: e.options.Settings.Name, Incarnation: e.incarnation, ReplicaRun: state.replicaRun, RegistryVersion: state.registryVersion, CrashVersion: state.crashVersion, RateLimitVersion: state.rateLimitVersion,
-		WaitMS: state.maxWait.Milliseconds(), Demand: own.workspaces, ServiceDemand: own.services, Load: e.board.Load(),
+		WaitMS: state.maxWait.Milliseconds(), Demand: own.workspaces, ServiceDemand: own.services, Load: e.board.Load(), Work: e.board.Work(time.Now()),
 	}
 	var ackedCounts map[uint64]int
 	request.Usage, ackedCounts = state.unackedCounts(e.counter.Report(e.clock.Now()))
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -62,6 +62,9 @@
 	Demand map[string]float64 `msgpack:"d,omitempty"`
 	// Load holds the number of running attempts by service.
 	Load map[string]int `msgpack:"l,omitempty"`
+	// Work is the demand for the time of endpoints to process prompts, by service, in
+	// seconds per second.
+	Work map[string]float64 `msgpack:"j,omitempty"`
 	// Crashes holds the records of requests that crashed endpoints, as far as the
 	// entry made them and the replica has not yet acknowledged them.
 	Crashes []byte `msgpack:"x,omitempty"`
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/boragelead/boragelead/internal/core/limit"
+	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/port"
 )
@@ -67,10 +68,13 @@
 	scorers []Scorer
 	picker  Picker
 
-	mu            sync.Mutex
-	endpoints     map[string]*stats
-	services      map[string][]*stats
-	meanFirstByte map[string]*average
+	mu        sync.Mutex
+	endpoints map[string]*stats
+	services  map[string][]*stats
+	// models holds what was learned of the endpoints of each service, and work the
+	// demand for their time to process prompts.
+	models map[string]*prefillModel
+	work   map[string]*demand.Meter
 	// unlisted holds the endpoints that are not listed at present and that wanted no
 	// requests, in case that they are listed again meanwhile.
 	unlisted map[string]*stats
@@ -83,14 +87,15 @@
 // NewBoard returns an empty board with the standard filters, scorers and picker.
 func NewBoard(random func() float64) *Board {
 	return &Board{
-		random:        random,
-		filters:       []Filter{ReadyFilter{}, VersionFilter{}, AvoidFilter{}, PauseFilter{}, BackoffFilter{}, ConnectionFilter{}, RateFilter{}},
-		scorers:       []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}},
-		picker:        LowestScorePicker{Random: random},
-		endpoints:     make(map[string]*stats),
-		services:      make(map[string][]*stats),
-		meanFirstByte: make(map[string]*average),
-		unlisted:      make(map[string]*stats),
+		random:    random,
+		filters:   []Filter{ReadyFilter{}, VersionFilter{}, AvoidFilter{}, PauseFilter{}, BackoffFilter{}, ConnectionFilter{}, RateFilter{}},
+		scorers:   []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}},
+		picker:    LowestScorePicker{Random: random},
+		endpoints: make(map[string]*stats),
+		services:  make(map[string][]*stats),
+		models:    make(map[string]*prefillModel),
+		work:      make(map[string]*demand.Meter),
+		unlisted:  make(map[string]*stats),
 	}
 }
 
@@ -208,15 +213,42 @@
 	return list
 }
 
-// average is an exponential moving average of seconds.
-type average struct{ seconds float64 }
+// model returns the prefill model of a service. The caller must hold mu.
+func (b *Board) model(service string) *prefillModel {
+	m := b.models[service]
+	if m == nil {
+		m = &prefillModel{}
+		b.models[service] = m
+	}
+	return m
+}
 
-func (a *average) add(seconds float64) {
-	if a.seconds == 0 {
-		a.seconds = seconds
+// countWork counts the demand of an attempt. The caller must hold mu.
+func (b *Board) countWork(service string, uncachedTokens int, now time.Time) {
+	perToken, known := b.model(service).secondsPerToken()
+	if !known {
 		return
 	}
-	a.seconds += averageWeight * (seconds - a.seconds)
+	m := b.work[service]
+	if m == nil {
+		m = &demand.Meter{}
+		b.work[service] = m
+	}
+	m.Add(perToken*float64(uncachedTokens), now)
+}
+
+// Work returns the demand of this entry for the time of endpoints to process prompts, by
+// service, in seconds per second.
+func (b *Board) Work(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make(map[string]float64, len(b.work))
+	for service, m := range b.work {
+		if perS := m.PerS(now); perS > 0 {
+			list[service] = perS
+		}
+	}
+	return list
 }
 
 // requests estimates the number of requests of all entries at an endpoint.
--- a/internal/gateway/pick/choice.go
+++ b/internal/gateway/pick/choice.go
@@ -25,6 +25,9 @@
 	board          *Board
 	stats          *stats
 	uncachedTokens int
+	// queuedTokens is the number of uncached prompt tokens of this entry that were pending
+	// at the endpoint when the attempt started.
+	queuedTokens   int
 	startedAt      time.Time
 	awaitingAnswer bool
 	// ramped is set if the attempt counts against the ramp after a back-off.
@@ -65,18 +68,16 @@
 	c.stats.consecutiveErrors = 0
 	c.stats.pausedUntil = time.Time{}
 	seconds := now.Sub(c.startedAt).Seconds()
-	meanFirstByte := c.board.meanFirstByte[c.Endpoint.Service]
-	if meanFirstByte == nil {
-		meanFirstByte = new(average)
-		c.board.meanFirstByte[c.Endpoint.Service] = meanFirstByte
+	model := c.board.model(c.Endpoint.Service)
+	tokens := c.queuedTokens + c.uncachedTokens
+	if expected, known := model.seconds(tokens); known {
+		c.stats.slowness += averageWeight * (min(seconds/expected, maxSlowness) - c.stats.slowness)
 	}
-	meanFirstByte.add(seconds)
-	ratio := seconds / max(meanFirstByte.seconds, minMeanSeconds)
-	c.stats.slowness += averageWeight * (min(ratio, maxSlowness) - c.stats.slowness)
+	model.observe(tokens, seconds)
 }
 
 const (
-	// minMeanSeconds is the least mean by which times are divided, since ratios of
+	// minMeanSeconds is the least time by which times are divided, since ratios of
 	// very short times vary widely.
 	minMeanSeconds = 0.005
 	// maxSlowness limits the effect of a single answer on the average.
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -59,6 +59,8 @@
 type View struct {
 	*stats
 	uncachedTokens int
+	// secondsPerToken is the time in which endpoints of the service process a prompt token.
+	secondsPerToken float64
 }
 
 // Filter drops endpoints that must not get a request.
@@ -99,10 +101,12 @@
 	b.scores = append(b.scores[:0], make([]float64, len(views))...)
 	scores := b.scores
 	parts := SharedParts(r.Prefix)
+	secondsPerToken := b.model(r.Service).secondsPerTokenOrInitial()
 	if preferred := preferredIndex(parts, views); preferred >= 0 {
-		scores[preferred] = -float64(affinityTokens(parts)) / prefillTokensPerS
+		scores[preferred] = -float64(affinityTokens(parts)) * secondsPerToken
 	}
 	for i := range views {
+		views[i].secondsPerToken = secondsPerToken
 		for _, scorer := range b.scorers {
 			scores[i] += scorer.Seconds(r, &views[i])
 		}
@@ -206,7 +210,7 @@
 	s := v.stats
 	c := &Choice{
 		Endpoint: s.endpoint, Score: score, Requests: s.requests(r.Now), Cached: r.PromptTokens - v.uncachedTokens,
-		Candidates: candidates, board: b, stats: s, uncachedTokens: v.uncachedTokens, startedAt: r.Now, awaitingAnswer: true,
+		Candidates: candidates, board: b, stats: s, uncachedTokens: v.uncachedTokens, queuedTokens: s.prefillTokens, startedAt: r.Now, awaitingAnswer: true,
 	}
 	if s.permits != nil {
 		s.permits.Take(r.Now)
@@ -222,6 +226,7 @@
 	s.pending++
 	s.sentSinceReport++
 	s.prefillTokens += v.uncachedTokens
+	b.countWork(r.Service, v.uncachedTokens, r.Now)
 	s.residentParts.touch(r.Prefix)
 	return c
 }
--- a/internal/gateway/pick/score_prefill.go
+++ b/internal/gateway/pick/score_prefill.go
@@ -1,9 +1,5 @@
 package pick
 
-// prefillTokensPerS is how many prompt tokens per second an engine of average speed
-// processes. The measured slowness of each endpoint corrects it.
-const prefillTokensPerS = 100_000
-
 // PrefillScorer estimates the time to process the prompt after those that are
 // pending at the endpoint.
 type PrefillScorer struct{}
@@ -13,5 +9,5 @@
 
 // Seconds implements Scorer.
 func (PrefillScorer) Seconds(_ *Request, v *View) float64 {
-	return float64(v.uncachedTokens+v.prefillTokens) / prefillTokensPerS * v.slowness
+	return float64(v.uncachedTokens+v.prefillTokens) * v.secondsPerToken * v.slowness
 }
--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -12,10 +12,15 @@
 )
 
 const (
-	// targetUtilization is the planned share of the slots of an endpoint that
-	// are in use. At a higher share, the prefill of some requests delays the
-	// first tokens of others.
-	targetUtilization = 0.25
+	// slotMargin is the number of standard deviations by which the slots of an endpoint
+	// exceed the planned number of requests. Entries place requests almost independently
+	// of each other, so that the requests of an endpoint vary like a Poisson variable;
+	// the rest of the margin covers bursts and endpoints that are lost.
+	slotMargin = 5
+	// targetPrefillShare is the planned share of the time of an endpoint that it spends
+	// with prompts. At a higher share, prompts wait for each other, and running streams
+	// for prompts.
+	targetPrefillShare = 0.6
 	// defaultSlots is assumed for services that do not state their slots.
 	defaultSlots = 16
 	// burstFactor is the planned ratio of the capacity of reclaimable endpoints
@@ -77,6 +82,9 @@
 	Endpoints []registry.Endpoint
 	// InFlight is the number of requests in flight at all entries.
 	InFlight int
+	// Work is the demand at all entries for the time of endpoints to process prompts, in
+	// seconds per second; 0 if it is not known.
+	Work float64
 	// LimitTokensPerS is the sum of the limits of all workspaces that count
 	// tokens.
 	LimitTokensPerS float64
@@ -116,7 +124,9 @@
 
 // New returns a planner without earlier orders.
 func New() *Planner {
-	return &Planner{refusedAt: make(map[poolKey]time.Time), lastOrders: make(map[poolKey]order), surplusSince: make(map[poolKey]time.Time)}
+	return &Planner{
+		refusedAt: make(map[poolKey]time.Time), lastOrders: make(map[poolKey]order), surplusSince: make(map[poolKey]time.Time),
+	}
 }
 
 // RecordRefusal records that the cloud refused an order.
@@ -186,7 +196,7 @@
 	if p.firstLoadAt.IsZero() && in.InFlight > 0 {
 		p.firstLoadAt = in.Now
 	}
-	load := max(float64(in.InFlight)/(targetUtilization*float64(slots)), float64(minLoadPerDomain*len(in.Domains)))
+	load := max(float64(in.InFlight)/plannedRequests(slots), in.Work/targetPrefillShare, float64(minLoadPerDomain*len(in.Domains)))
 	smoothing := riseSmoothing
 	if load < p.smoothedLoad {
 		smoothing = fallSmoothing
@@ -196,6 +206,13 @@
 	p.smoothedLoad += (load - p.smoothedLoad) * min(passed, 1)
 }
 
+// plannedRequests returns the mean number of requests of an endpoint at which the slots
+// exceed it by slotMargin standard deviations.
+func plannedRequests(slots int) float64 {
+	root := (math.Sqrt(slotMargin*slotMargin+4*float64(slots)) - slotMargin) / 2
+	return root * root
+}
+
 // targetCounts returns the wanted number of endpoints of each pool.
 func (p *Planner) targetCounts(in *Input, running map[poolKey]int) map[poolKey]int {
 	s := in.Service.Scaling
@@ -220,7 +237,7 @@
 // dependableCount returns the number of reclaimable endpoints to rely on, given
 // their number in each domain. While the cloud refuses reclaimable endpoints,
 // further domains may be reclaimed before an on-demand endpoint has started, so
-// the domainsAtRisk largest domains are not counted.
+// the largest domains at risk are not counted.
 func (p *Planner) dependableCount(readyReclaimable []int, now time.Time) int {
 	slices.Sort(readyReclaimable)
 	if p.isScarce(now) {
--- a/internal/gateway/scale/plan_test.go
+++ b/internal/gateway/scale/plan_test.go
@@ -32,6 +32,8 @@
 	booting []boot
 	scarce  bool
 	orders  int
+	// work is the demand for prompt processing, in seconds per second.
+	work float64
 }
 
 type boot struct {
@@ -66,7 +68,7 @@
 		c.running[b.k] = b.count
 	}
 	c.booting = booting
-	orders := p.Plan(&Input{Now: c.now, Service: service(), Domains: domains, Endpoints: c.endpoints(), InFlight: inFlight})
+	orders := p.Plan(&Input{Now: c.now, Service: service(), Domains: domains, Endpoints: c.endpoints(), InFlight: inFlight, Work: c.work})
 	for _, o := range orders {
 		c.receive(p, o)
 	}
@@ -253,3 +255,22 @@
 		}
 	}
 }
+
+// Guards against a plan that counts requests only. Engines with many slots that process
+// prompts slowly have few requests in flight until their prompts queue up: 12 endpoints
+// were planned for prompts that keep 3.5 of them busy, and every reclaim made requests late.
+func TestPromptWorkSizesTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	c, p := newCloud(), New()
+	c.work = 3.5
+	for range 80 {
+		c.step(p, 45)
+	}
+	busy := c.work / float64(c.total(true)+c.total(false))
+	g.Expect(busy).To(BeNumerically("<=", targetPrefillShare/burstFactor))
+	c.work = 0.2
+	for range 80 {
+		c.step(p, 45)
+	}
+	g.Expect(c.total(true)).To(Equal(minPerDomain * len(domains)))
+}
--- a/internal/gateway/state/entries.go
+++ b/internal/gateway/state/entries.go
@@ -7,14 +7,22 @@
 	"github.com/boragelead/boragelead/internal/gateway/link"
 )
 
-// entryTimeout is how long after its last poll an entry counts as active.
-const entryTimeout = 5 * time.Second
+const (
+	// entryTimeout is how long after its last poll an entry counts as active.
+	entryTimeout = 5 * time.Second
+	// totalsTTL is how long a sum over all entries is used. Each poll needs the sum, so
+	// that without a limit the cost would grow with the square of the entries.
+	totalsTTL = 25 * time.Millisecond
+)
 
 // entries holds what each entry reported in its last poll. It is safe for
 // concurrent use.
 type entries struct {
 	mu      sync.Mutex
 	byEntry map[string]*entryReport
+	// sum is the last result of totals, and sumAt its time.
+	sum   totals
+	sumAt time.Time
 }
 
 type entryReport struct {
@@ -22,6 +30,7 @@
 	demand        map[string]float64
 	serviceDemand map[string]float64
 	load          map[string]int
+	work          map[string]float64
 }
 
 func newEntries() *entries { return &entries{byEntry: make(map[string]*entryReport)} }
@@ -29,7 +38,7 @@
 func (e *entries) record(r *link.PollRequest, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.byEntry[r.Entry] = &entryReport{polledAt: now, demand: r.Demand, serviceDemand: r.ServiceDemand, load: r.Load}
+	e.byEntry[r.Entry] = &entryReport{polledAt: now, demand: r.Demand, serviceDemand: r.ServiceDemand, load: r.Load, work: r.Work}
 }
 
 // totals is the sum of the reports of all active entries.
@@ -38,12 +47,21 @@
 	demand        map[string]float64
 	serviceDemand map[string]float64
 	load          map[string]int
+	work          map[string]float64
 }
 
+// totals returns the sum of the reports of all active entries. The caller must not change
+// it.
 func (e *entries) totals(now time.Time) totals {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := totals{demand: make(map[string]float64), serviceDemand: make(map[string]float64), load: make(map[string]int)}
+	if now.Sub(e.sumAt) < totalsTTL {
+		return e.sum
+	}
+	t := totals{
+		demand: make(map[string]float64), serviceDemand: make(map[string]float64), load: make(map[string]int),
+		work: make(map[string]float64),
+	}
 	for name, report := range e.byEntry {
 		if now.Sub(report.polledAt) > entryTimeout {
 			delete(e.byEntry, name)
@@ -53,7 +71,9 @@
 		addUp(t.demand, report.demand)
 		addUp(t.serviceDemand, report.serviceDemand)
 		addUp(t.load, report.load)
+		addUp(t.work, report.work)
 	}
+	e.sum, e.sumAt = t, now
 	return t
 }
 
--- a/internal/gateway/state/scaling.go
+++ b/internal/gateway/state/scaling.go
@@ -39,7 +39,7 @@
 		}
 		h.orderService(service, live, &scale.Input{
 			Now: now, Service: service, Domains: h.state.options.Settings.Domains,
-			InFlight: sum.load[service.Name], LimitTokensPerS: tokenLimits(table.Document.Workspaces),
+			InFlight: sum.load[service.Name], Work: sum.work[service.Name], LimitTokensPerS: tokenLimits(table.Document.Workspaces),
 		})
 	}
 }
