Expect further reclaims once one domain after the other is reclaimed

Cause: while the cloud refuses reclaimable endpoints, the plan counted on all domains but one, though a series of reclaims takes the next ones faster than an on-demand endpoint starts (4 s). Change: as many domains more are at risk as were reclaimed within the last 6 s.

--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -57,7 +57,8 @@
 	// regarded as unavailable.
 	scarcityTime = 6 * time.Second
 	// domainsAtRisk is the number of domains that may be reclaimed during the
-	// start of an endpoint.
+	// start of an endpoint, beside as many as were reclaimed within scarcityTime:
+	// reclaims often come in series.
 	domainsAtRisk = 1
 	// reorderDelay is how long after an order the endpoints may be missing
 	// before the order is repeated, because it may be lost. Endpoints take
@@ -115,6 +116,10 @@
 	// loadCovered is set if reclaimable endpoints carried the load in the last
 	// plan.
 	loadCovered bool
+	// ready holds the number of ready reclaimable endpoints of each domain in the last
+	// plan, and reclaimedAt when a domain last lost most of them without an order.
+	ready       map[string]int
+	reclaimedAt map[string]time.Time
 }
 
 type order struct {
@@ -126,6 +131,7 @@
 func New() *Planner {
 	return &Planner{
 		refusedAt: make(map[poolKey]time.Time), lastOrders: make(map[poolKey]order), surplusSince: make(map[poolKey]time.Time),
+		ready: make(map[string]int), reclaimedAt: make(map[string]time.Time),
 	}
 }
 
@@ -151,6 +157,7 @@
 		p.initialCount = max(p.initialCount, largestMarketCount(running))
 	}
 	p.updateLoad(in)
+	p.noteReclaims(in, running)
 	want := p.targetCounts(in, running)
 	var orders []port.CountOrder
 	for _, domain := range in.Domains {
@@ -241,7 +248,8 @@
 func (p *Planner) dependableCount(readyReclaimable []int, now time.Time) int {
 	slices.Sort(readyReclaimable)
 	if p.isScarce(now) {
-		readyReclaimable = readyReclaimable[:max(len(readyReclaimable)-domainsAtRisk, 0)]
+		atRisk := domainsAtRisk + p.reclaimedDomains(now)
+		readyReclaimable = readyReclaimable[:max(len(readyReclaimable)-atRisk, 0)]
 	}
 	total := 0
 	for _, n := range readyReclaimable {
@@ -250,6 +258,31 @@
 	return total
 }
 
+// noteReclaims notes the domains that lost most of their reclaimable endpoints since the
+// last plan, though no fewer were ordered.
+func (p *Planner) noteReclaims(in *Input, running map[poolKey]int) {
+	for _, domain := range in.Domains {
+		k := poolKey{domain, true}
+		before, now := p.ready[domain], running[k]
+		p.ready[domain] = now
+		last, ordered := p.lastOrders[k]
+		if now < (before+1)/2 && (!ordered || last.count > now) {
+			p.reclaimedAt[domain] = in.Now
+		}
+	}
+}
+
+// reclaimedDomains returns the number of domains that were reclaimed within scarcityTime.
+func (p *Planner) reclaimedDomains(now time.Time) int {
+	n := 0
+	for _, at := range p.reclaimedAt {
+		if now.Sub(at) < scarcityTime {
+			n++
+		}
+	}
+	return n
+}
+
 // isScarce reports whether the cloud refused reclaimable endpoints within
 // scarcityTime.
 func (p *Planner) isScarce(now time.Time) bool {
--- a/internal/gateway/scale/plan_test.go
+++ b/internal/gateway/scale/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -274,3 +275,24 @@
 	}
 	g.Expect(c.total(true)).To(Equal(minPerDomain * len(domains)))
 }
+
+// Guards against losing one domain after the other faster than on-demand endpoints start.
+// The plan then has to expect the next losses when it sees the first ones.
+func TestSeriesOfReclaims(t *testing.T) {
+	g := NewWithT(t)
+	c, p := newCloud(), New()
+	c.work = 5
+	for range 80 {
+		c.step(p, 60)
+	}
+	load := int(math.Ceil(c.work / targetPrefillShare))
+	g.Expect(c.total(true)).To(BeNumerically(">=", 2*load))
+	c.scarce = true
+	for i, d := range domains[:3] {
+		c.running[poolKey{d, true}] = 0
+		for range 6 {
+			c.step(p, 60)
+			g.Expect(c.total(true)+c.total(false)).To(BeNumerically(">=", load), "after the loss of domain %d", i)
+		}
+	}
+}
