Drop answers of plain services that name another attempt

Another operator reported that a server sent a second copy of an answer, late, on a connection in use again, and that the next caller received it. Calls of plain services in the own pipeline compared nothing: net/http notices extra bytes on an idle connection only. Change: an answer that names another attempt in X-Boragelead-Attempt is dropped with its connection, and the call counts as one whose answer was lost. Services should repeat the header; the stand-in does. A service that does not repeat it stays as it was: the call cannot be told apart.

--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -27,6 +27,15 @@
 	return fmt.Sprintf("response body of the service is longer than %d bytes", e.Max)
 }
 
+// OtherAttemptError reports an answer that names another attempt than the call. A service
+// may have answered that attempt twice, and the copy came on a connection in use again.
+type OtherAttemptError struct{ Sent, Answered string }
+
+// Error implements error.
+func (e *OtherAttemptError) Error() string {
+	return fmt.Sprintf("answer belongs to attempt %q, not to %q", e.Answered, e.Sent)
+}
+
 // Client calls plain services. It implements port.Service and is safe for
 // concurrent use.
 type Client struct {
@@ -83,6 +92,11 @@
 		return nil, c.transportError(baseURL, pool, use, err)
 	}
 	defer resp.Body.Close()
+	// Services need not name the attempt. Of one that does not, a second copy of an answer
+	// is noticed only while the connection is idle, by net/http.
+	if answered := resp.Header.Get(endpoint.HeaderAttempt); answered != "" && answered != call.AttemptID {
+		return nil, &port.TransportError{Sent: true, Err: &OtherAttemptError{Sent: call.AttemptID, Answered: answered}}
+	}
 	return c.readResult(resp)
 }
 
--- a/internal/adapter/servicehttp/client_test.go
+++ b/internal/adapter/servicehttp/client_test.go
@@ -167,3 +167,29 @@
 		Expect(original.Get("Authorization")).NotTo(BeEmpty())
 	})
 })
+
+// Guards against a second copy of an answer that comes late, on a connection that is in use
+// again: it must not become the answer of the next call.
+var _ = Describe("answers to an earlier call", func() {
+	It("are dropped, and the call counts as possibly run", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			// The second call receives the answer of the first one again.
+			w.Header().Set(endpoint.HeaderAttempt, "first")
+			_, _ = io.WriteString(w, "answer of "+r.Header.Get(endpoint.HeaderAttempt))
+		})}
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(server.Close)
+		c := NewClient(httpconn.Options{})
+		DeferCleanup(c.Close)
+		result, err := c.Call(context.Background(), "http://"+listener.Addr().String(), newCall(http.MethodPost, "first", "text"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(result.Body)).To(Equal("answer of first"))
+		_, err = c.Call(context.Background(), "http://"+listener.Addr().String(), newCall(http.MethodPost, "second", "text"))
+		Expect(asTransportError(err).Sent).To(BeTrue())
+		other := &OtherAttemptError{}
+		Expect(errors.As(err, &other)).To(BeTrue())
+		Expect(other.Answered).To(Equal("first"))
+	})
+})
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -221,6 +221,7 @@
 // list of writes to its path.
 func (s *Service) writeAnswer(w http.ResponseWriter, r *http.Request, runNumber int) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(endpoint.HeaderAttempt, r.Header.Get(endpoint.HeaderAttempt))
 	if r.Method == http.MethodGet {
 		_ = json.NewEncoder(w).Encode(s.config.Ledger.writesTo(r.URL.RequestURI()))
 		return
