End streams whose endpoint sends comments only

Another operator reported stalled streams that sent a byte now and then and never ended. Bytes that do not complete an event were no progress here already, but a comment counted as an event: it extended the time of silence, so that a stream without further events was held until the caller's deadline and not resumed. Besides, a comment of the endpoint that resumes a stream broke the stream (event without an ID). Change: only a block with a field of an event is progress. Comments are held back, up to 16 KB, and forwarded with the next event; those of an endpoint that resumes are dropped. The time that a slow caller takes still does not count.

--- a/internal/gateway/entry/events.go
+++ b/internal/gateway/entry/events.go
@@ -111,6 +111,17 @@
 	return noID
 }
 
+// hasEvent reports whether a block has a field of an event, and not only comments.
+func hasEvent(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // splitEvents calls visit for each event of a block of complete events.
 func splitEvents(block []byte, visit func(event []byte)) {
 	for len(block) > 0 {
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -19,6 +19,8 @@
 	// be silent before it is resumed at another endpoint.
 	silentGapFactor  = 4
 	minStreamSilence = time.Second
+	// maxCommentBytes limits the comments that are held back until the next event.
+	maxCommentBytes = 16 << 10
 )
 
 // forwardStream forwards events to the caller as they arrive. If the stream breaks
@@ -31,18 +33,25 @@
 		c.entry.metrics.resumed.Inc()
 	}
 	silenceTimeout := c.silenceTimeout()
+	// progressed is set after an event. The time that the caller took for it does not count.
+	progressed := true
 	var firstEventAt time.Time
+	var comments []byte
 	var run *streamRun
 	defer func() { c.releaseRun(run, choice) }()
 	for {
-		if silenceTimeout > 0 {
+		if progressed && silenceTimeout > 0 {
 			answer.SetDeadline(time.Now().Add(silenceTimeout))
 		}
+		progressed = false
 		block, err := events.next()
 		if errors.Is(err, io.EOF) {
 			if !c.responseStarted {
 				c.startStream(answer)
 			}
+			if !resuming {
+				_, _ = c.w.Write(comments)
+			}
 			c.complete = true
 			c.watch.survived()
 			return outcome{done: true, sent: true}
@@ -60,6 +69,16 @@
 			return outcome{sent: true, err: &AnswerError{choice.Endpoint.ID, "stream ended early: " + err.Error()}}
 		}
 		choice.RecordProgress()
+		if !hasEvent(block) && len(comments)+len(block) <= maxCommentBytes {
+			// A stream that only sends comments makes no progress. They are forwarded with
+			// the next event: until then another endpoint may answer instead.
+			comments = append(comments, block...)
+			continue
+		}
+		progressed = true
+		if len(comments) > 0 {
+			block, comments = append(comments, block...), nil
+		}
 		if firstEventAt.IsZero() {
 			firstEventAt = time.Now()
 			if c.softwareVersion != nil && choice.VersionIsDoubtful(firstEventAt) {
@@ -169,6 +188,8 @@
 	splitEvents(block, func(event []byte) {
 		id := eventID(event)
 		switch {
+		case id == noID && !hasEvent(event):
+			return
 		case id == noID:
 			err = errEventWithoutID
 			return
