Log and count which part of a quota covered a request

An incident report says that a workspace got more than its limit. Logs told why a request was refused, but not what covered one that was granted, so that the sums of a window and their sources could not be computed. The lines of requests now name cost, source, share, entries and age of the report behind the share; entries log when the common quotas are divided, and a new leader from when its common quotas fill. No decision changes.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -53,8 +53,8 @@
 	receivedAt time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
-	// cost is the amount that was charged to the quota.
-	cost float64
+	// charge is what was charged to the quota.
+	charge quotaCharge
 	// tried lists the IDs of the endpoints that the request was sent to.
 	tried []string
 	// forwarded is set if another entry passed the request on to this one. This entry then
--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -51,8 +51,9 @@
 // refundQuota returns the quota charge of a request that was not sent to any
 // endpoint.
 func (c *call) refundQuota() {
-	if c.cost > 0 && len(c.tried) == 0 && !c.possiblyRan {
-		c.entry.quotas.Refund(c.workspace, c.cost)
+	if c.charge.cost > 0 && len(c.tried) == 0 && !c.possiblyRan {
+		c.entry.quotas.Refund(c.workspace, c.charge.cost)
+		c.entry.metrics.quotaRefunded.Add(int64(c.charge.cost))
 	}
 }
 
@@ -77,6 +78,11 @@
 		fields = append(fields, zap.String("route", c.route.Name), zap.Uint64("generation", c.active.generation),
 			zap.Int64("left_ms", time.Until(c.deadline).Milliseconds()))
 	}
+	if c.charge.cost > 0 {
+		basis := c.entry.quotas.Basis(c.workspace, time.Now())
+		fields = append(fields, zap.Float64("quota_cost", c.charge.cost), zap.String("quota_source", string(c.charge.source)),
+			zap.Float64("quota_share", basis.Share), zap.Int("quota_entries", basis.Entries), zap.Int64("quota_age_ms", basis.Age.Milliseconds()))
+	}
 	if c.peer != "" {
 		fields = append(fields, zap.String("peer", c.peer))
 	}
--- a/internal/gateway/entry/leader.go
+++ b/internal/gateway/entry/leader.go
@@ -11,24 +11,40 @@
 	"github.com/boragelead/boragelead/internal/gateway/link"
 )
 
+// quotaSource tells which part of a quota covered a request.
+type quotaSource string
+
+const (
+	quotaFromShare  quotaSource = "share"
+	quotaFromCommon quotaSource = "common"
+	quotaFromRest   quotaSource = "rest"
+)
+
+// quotaCharge is what was charged to a quota for a request.
+type quotaCharge struct {
+	source quotaSource
+	// cost is in units of the quota.
+	cost float64
+}
+
 // takeQuota spends the cost of a request from the quota of its workspace: from the share
 // of this entry, from the common quota of the leader, or from what is left of the share.
-// It returns nil if the request is covered.
-func (e *Entry) takeQuota(ctx context.Context, workspace string, cost float64) *QuotaError {
+// The error is a *QuotaError.
+func (e *Entry) takeQuota(ctx context.Context, workspace string, cost float64) (quotaSource, error) {
 	decision := e.quotas.Take(workspace, cost, time.Now())
 	if decision.Granted {
-		return nil
+		return quotaFromShare, nil
 	}
 	denied := &QuotaError{Workspace: workspace, Cost: cost, Wait: decision.Wait}
 	if decision.AskCommon && e.replicaClient.spend(ctx, denied) {
-		return nil
+		return quotaFromCommon, nil
 	}
 	now := time.Now()
 	denied.Basis = e.quotas.Basis(workspace, now)
 	if e.quotas.TakeRest(workspace, cost, now) {
-		return nil
+		return quotaFromRest, nil
 	}
-	return denied
+	return "", denied
 }
 
 // spend asks the leader for common quota. If the leader denies it, spend records the
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -14,6 +14,7 @@
 	forwarded, forwardedFailed                          *telemetry.Counter
 	firstByte, total                                    *telemetry.Latency
 	inFlight, servicesCutOff                            *telemetry.Gauge
+	quotaRefunded                                       *telemetry.Counter
 	registry                                            *telemetry.Registry
 }
 
@@ -21,6 +22,11 @@
 // the number of metrics is bounded.
 func (m *metrics) countReason(r Reason) { m.registry.Counter("gateway_reason_" + string(r)).Inc() }
 
+// countQuota counts what was charged to a quota, in its units, by the part that covered it.
+func (m *metrics) countQuota(source quotaSource, cost float64) {
+	m.registry.Counter("gateway_quota_granted_" + string(source)).Add(int64(cost))
+}
+
 func newMetrics(r *telemetry.Registry) *metrics {
 	return &metrics{
 		requests: r.Counter("gateway_requests"), answered: r.Counter("gateway_answered"),
@@ -37,6 +43,7 @@
 		forwarded: r.Counter("gateway_forwarded"), forwardedFailed: r.Counter("gateway_forwarded_failed"),
 		servicesCutOff: r.Gauge("gateway_services_cut_off"),
 		firstByte:      r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
-		inFlight: r.Gauge("gateway_in_flight"), registry: r,
+		quotaRefunded: r.Counter("gateway_quota_refunded"),
+		inFlight:      r.Gauge("gateway_in_flight"), registry: r,
 	}
 }
--- a/internal/gateway/entry/prepare.go
+++ b/internal/gateway/entry/prepare.go
@@ -110,10 +110,12 @@
 			cost = float64(c.meta.PromptTokens + c.meta.MaxOutputTokens)
 		}
 	}
-	denied := c.entry.takeQuota(c.r.Context(), w.Name, cost)
-	if denied != nil {
+	source, err := c.entry.takeQuota(c.r.Context(), w.Name, cost)
+	var denied *QuotaError
+	if errors.As(err, &denied) {
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, RetryAfter: c.retryAfter(denied.Wait), Err: denied}
 	}
-	c.cost = cost
+	c.charge = quotaCharge{source: source, cost: cost}
+	c.entry.metrics.countQuota(source, cost)
 	return nil
 }
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 )
@@ -168,5 +170,9 @@
 	leaderless := c.plan.countLeaderless(now)
 	c.applyPlan()
 	c.mu.Unlock()
-	c.entry.quotas.SetLeaderless(len(reply.Replicas) > 0 && leaderless > len(reply.Replicas)/2)
+	lost := len(reply.Replicas) > 0 && leaderless > len(reply.Replicas)/2
+	if c.entry.quotas.SetLeaderless(lost) {
+		c.entry.log.Info("Common quotas are divided among the entries, or no longer.", zap.Bool("divided", lost),
+			zap.Int("leaderless", leaderless), zap.Int("replicas", len(reply.Replicas)), zap.String("replica", address))
+	}
 }
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -200,11 +200,14 @@
 // SetLeaderless sets whether the common part is lost, which is the case if a
 // majority of the replicas knows no leader, so that no replica can grant it. The
 // entries then divide its rate as well. An entry that merely cannot reach the
-// leader must not do so, since the leader grants the common part to others.
-func (l *Limiter) SetLeaderless(lost bool) {
+// leader must not do so, since the leader grants the common part to others. It reports
+// whether that changed.
+func (l *Limiter) SetLeaderless(lost bool) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	changed = lost != l.commonLost
 	l.commonLost = lost
+	return changed
 }
 
 // Decision is the result of Take.
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -320,6 +320,8 @@
 	}
 	s.mu.Unlock()
 	if newlyLeading {
-		s.commonQuota.Reset(time.Now().Add(-electionTicks * replica.DefaultTickInterval))
+		emptyAt := time.Now().Add(-electionTicks * replica.DefaultTickInterval)
+		s.commonQuota.Reset(emptyAt)
+		s.log.Info("Common quotas start empty at this leader.", zap.Time("empty_at", emptyAt))
 	}
 }
