--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -80,7 +80,7 @@
 	}
 	if c.charge.cost > 0 {
 		basis := c.entry.quotas.Basis(c.workspace, time.Now())
-		fields = append(fields, zap.Float64("quota_cost", c.charge.cost), zap.String("quota_source", string(c.charge.source)),
+		fields = append(fields, zap.Float64("quota_cost", c.charge.cost), zap.String("quota_source", string(c.charge.source)), zap.Float64("quota_per_s", basis.RatePerS),
 			zap.Float64("quota_share", basis.Share), zap.Int("quota_entries", basis.Entries), zap.Int64("quota_age_ms", basis.Age.Milliseconds()))
 	}
 	if c.peer != "" {
