Grant nothing from a quota that is not covered in full

Cause (hypothesis 1): what neither the share of an entry nor the leader covered was granted by chance, with a probability of the rest of the share over the cost. The limit was kept on average; requests of unequal size spread the sum of a window by the root of the sum of their squares. Class of the fault: a bound that is kept as a mean.

Now the entry offers the rest of its share to the leader with the request that it cannot cover. The leader takes what it needs, or keeps what it can hold, so that the shares of many entries still cover large requests together, and the decision has no chance in it. An offer whose answer is lost is lost.

Old and new builds: an old leader ignores the offer and takes nothing; an old entry offers nothing.

--- a/internal/gateway/entry/leader.go
+++ b/internal/gateway/entry/leader.go
@@ -17,7 +17,6 @@
 const (
 	quotaFromShare  quotaSource = "share"
 	quotaFromCommon quotaSource = "common"
-	quotaFromRest   quotaSource = "rest"
 )
 
 // quotaCharge is what was charged to a quota for a request.
@@ -28,41 +27,40 @@
 }
 
 // takeQuota spends the cost of a request from the quota of its workspace: from the share
-// of this entry, from the common quota of the leader, or from what is left of the share.
-// The error is a *QuotaError.
+// of this entry, or from the common quota of the leader together with what is left of the
+// share. The error is a *QuotaError.
 func (e *Entry) takeQuota(ctx context.Context, workspace string, cost float64) (quotaSource, error) {
 	decision := e.quotas.Take(workspace, cost, time.Now())
 	if decision.Granted {
 		return quotaFromShare, nil
 	}
 	denied := &QuotaError{Workspace: workspace, Cost: cost, Wait: decision.Wait}
-	if decision.AskCommon && e.replicaClient.spend(ctx, denied) {
+	if decision.AskCommon && e.replicaClient.spend(ctx, denied, decision.Offered) {
 		return quotaFromCommon, nil
 	}
-	now := time.Now()
-	denied.Basis = e.quotas.Basis(workspace, now)
-	if e.quotas.TakeRest(workspace, cost, now) {
-		return quotaFromRest, nil
-	}
+	denied.Basis = e.quotas.Basis(workspace, time.Now())
 	return "", denied
 }
 
-// spend asks the leader for common quota. If the leader denies it, spend records the
-// leader and when the request could be granted.
-func (c *replicaClient) spend(ctx context.Context, r *QuotaError) (granted bool) {
+// spend asks the leader for common quota and offers it a part of the share of this entry. If
+// the leader denies it, spend records the leader and when the request could be granted.
+func (c *replicaClient) spend(ctx context.Context, r *QuotaError, offered float64) (granted bool) {
 	e := c.entry
+	request := &link.SpendRequest{Workspace: r.Workspace, Cost: r.Cost, Offered: offered}
 	reply := &link.SpendReply{}
-	leader, err := c.callLeader(ctx, link.MethodSpend, &link.SpendRequest{Workspace: r.Workspace, Cost: r.Cost}, reply)
+	leader, err := c.callLeader(ctx, link.MethodSpend, request, reply)
 	var unknown *UnknownLeaderError
 	if errors.As(err, &unknown) {
+		e.quotas.Settle(r.Workspace, offered, 0)
 		return false
 	}
 	now := time.Now()
 	if err != nil {
-		e.log.Warn("Common quota not reached.", zap.String("workspace", r.Workspace), zap.Error(err))
-		e.quotas.RecordDenial(r.Workspace, 0, now.Add(spendRetryPause))
+		e.log.Warn("Common quota not reached.", zap.String("workspace", r.Workspace), zap.Float64("offered", offered), zap.Error(err))
+		e.quotas.Fail(r.Workspace, now.Add(spendRetryPause))
 		return false
 	}
+	e.quotas.Settle(r.Workspace, offered, reply.Taken)
 	if reply.Granted {
 		return true
 	}
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -207,6 +207,9 @@
 type SpendRequest struct {
 	Workspace string  `msgpack:"w"`
 	Cost      float64 `msgpack:"c"`
+	// Offered is what the entry withdrew from its share for this request. It is lost if
+	// the request is not answered.
+	Offered float64 `msgpack:"o,omitempty"`
 }
 
 // SpendReply grants the cost, or reports after how many milliseconds it can be
@@ -214,6 +217,9 @@
 type SpendReply struct {
 	Granted bool  `msgpack:"g"`
 	WaitMS  int64 `msgpack:"w,omitempty"`
+	// Taken is how much of the offer the leader took, also for a request that it denies:
+	// later requests then use it. The rest returns to the share of the entry.
+	Taken float64 `msgpack:"t,omitempty"`
 }
 
 // CrashRequest carries the records of a crash, so that other entries learn of it
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -2,7 +2,9 @@
 // of every limit, the divided part, is divided among the entries, which spend it
 // without communication. The rest, the common part, is held by one state replica,
 // the leader, which grants what the share of an entry cannot cover, such as large
-// requests. The two parts add up to the limit. The package does no I/O.
+// requests. With such a request an entry offers the leader what is left of its share, so
+// that the shares of many entries cover a request together. The two parts add up to the
+// limit, and every request is covered in full before it is granted. The package does no I/O.
 package quota
 
 import (
@@ -25,6 +27,9 @@
 	// commonOvershootShare is the part of Tolerance.Overshoot that the common part
 	// may use.
 	commonOvershootShare = 0.5
+	// minCommonWait is the least time after which a request that no share can cover should
+	// come again. A new leader is elected within it.
+	minCommonWait = 500 * time.Millisecond
 )
 
 // Tolerance is how much may be granted above a limit within any window, over all
@@ -87,8 +92,19 @@
 	return &Common{tolerance: tolerance, emptyAt: now, buckets: make(map[string]*bucket)}
 }
 
-// Take spends the cost of a request, or returns the time until it can be spent.
-func (c *Common) Take(w *rules.Workspace, cost float64, now time.Time) (wait time.Duration, ok bool) {
+// Spending is the answer of the common part to a request.
+type Spending struct {
+	Granted bool
+	// Wait is the time until the cost can be spent, if it was not granted.
+	Wait time.Duration
+	// Taken is how much of the offer now belongs to the common part.
+	Taken float64
+}
+
+// Take spends the cost of a request from the common part and from what the entry offers of
+// its share. If both together do not cover it, the offer is kept for later requests, as far
+// as it fits.
+func (c *Common) Take(w *rules.Workspace, cost, offered float64, now time.Time) Spending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b := c.buckets[w.Name]
@@ -103,11 +119,14 @@
 	// A request that exceeds the capacity is granted when the bucket is full, and
 	// leaves a debt.
 	needed := min(cost, capacity)
-	if b.level < needed {
-		return b.timeUntil(needed, rate), false
+	if b.level+offered < needed {
+		taken := min(offered, capacity-b.level)
+		b.level += taken
+		return Spending{Wait: b.timeUntil(needed, rate), Taken: taken}
 	}
-	b.level -= cost
-	return 0, true
+	taken := min(max(cost-b.level, 0), offered)
+	b.level += taken - cost
+	return Spending{Granted: true, Taken: taken}
 }
 
 // Reset empties the buckets when the replica becomes the leader. The buckets keep
@@ -122,7 +141,6 @@
 // Limiter enforces the limits at an entry. It is safe for concurrent use.
 type Limiter struct {
 	tolerance Tolerance
-	random    func() float64
 
 	mu         sync.Mutex
 	workspaces map[string]*workspace
@@ -140,11 +158,14 @@
 	// deniedUntil is when the common part may grant deniedCost again.
 	deniedUntil time.Time
 	deniedCost  float64
+	// offerLost is set after an offer that the leader did not answer. Until it answers,
+	// nothing more is offered, so that an unreachable leader does not drain the share.
+	offerLost bool
 }
 
-// New returns a limiter without limits. random returns numbers in [0, 1).
-func New(tolerance Tolerance, random func() float64) *Limiter {
-	return &Limiter{tolerance: tolerance, random: random, workspaces: make(map[string]*workspace)}
+// New returns a limiter without limits.
+func New(tolerance Tolerance) *Limiter {
+	return &Limiter{tolerance: tolerance, workspaces: make(map[string]*workspace)}
 }
 
 // Configure sets the limits of a document.
@@ -213,9 +234,12 @@
 // Decision is the result of Take.
 type Decision struct {
 	Granted bool
-	// AskCommon is set if the common part may cover the request.
+	// AskCommon is set if the common part may cover the request. Offered was then withdrawn
+	// from the share of this entry; Settle or Fail must follow.
 	AskCommon bool
-	// Wait is the time until the share of this entry can cover the request.
+	Offered   float64
+	// Wait is the time until the share of this entry can cover the request, or, if it never
+	// can, until the common part should be asked again.
 	Wait time.Duration
 }
 
@@ -234,27 +258,41 @@
 		w.level -= cost
 		return Decision{Granted: true}
 	}
-	wait := w.timeUntil(min(cost, capacity), rate)
-	return Decision{AskCommon: !now.Before(w.deniedUntil) || cost < w.deniedCost, Wait: wait}
+	decision := Decision{Wait: max(w.deniedUntil.Sub(now), minCommonWait)}
+	if cost <= capacity {
+		decision.Wait = w.timeUntil(cost, rate)
+	}
+	if now.Before(w.deniedUntil) && cost >= w.deniedCost {
+		return decision
+	}
+	decision.AskCommon = true
+	if !w.offerLost {
+		decision.Offered = max(w.level, 0)
+		w.level -= decision.Offered
+	}
+	return decision
 }
 
-// TakeRest decides on a request that neither the share of this entry nor the common
-// part covers. It spends what is left of the share, and grants the request with a
-// probability of that rest over the cost. Where requests are larger than the shares,
-// all entries together so grant what their shares add up to. If each of them granted a
-// request that its share does not cover and paid for it later, many idle entries would
-// exceed the limit at once.
-func (l *Limiter) TakeRest(name string, cost float64, now time.Time) bool {
+// Settle ends a request to the common part that was answered: it returns to the share what
+// the common part did not take of the offer.
+func (l *Limiter) Settle(name string, offered, taken float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := l.workspaces[name]
-	if w == nil || w.rate <= 0 {
-		return true
+	if w := l.workspaces[name]; w != nil {
+		w.level += max(offered-max(taken, 0), 0)
+		w.offerLost = false
+	}
+}
+
+// Fail ends a request to the common part that was not answered. The offer may have been
+// taken, so it is lost. The common part is not asked again before the given time.
+func (l *Limiter) Fail(name string, retryAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w := l.workspaces[name]; w != nil {
+		w.offerLost = true
+		w.deniedUntil, w.deniedCost = retryAt, 0
 	}
-	l.refill(name, w, now)
-	rest := max(w.level, 0)
-	w.level -= rest
-	return l.random()*cost < rest
 }
 
 // refill adds to the share of this entry what it gained since the last request. It
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -35,7 +35,7 @@
 func newSimulation(entries int, workspace rules.Workspace) *simulation {
 	s := &simulation{common: NewCommon(tolerance, time.Unix(0, 0)), workspace: workspace, now: time.Unix(0, 0)}
 	for range entries {
-		limiter := New(tolerance, rand.New(rand.NewPCG(2, uint64(len(s.limiters)))).Float64)
+		limiter := New(tolerance)
 		limiter.Configure([]rules.Workspace{workspace}, s.now)
 		s.limiters = append(s.limiters, limiter)
 	}
@@ -59,15 +59,16 @@
 
 func (s *simulation) request(entry int, cost float64, reachable bool) {
 	decision := s.limiters[entry].Take(s.workspace.Name, cost, s.now)
-	if decision.AskCommon && reachable {
-		wait, ok := s.common.Take(&s.workspace, cost, s.now)
-		decision.Granted = ok
-		if !ok {
-			s.limiters[entry].RecordDenial(s.workspace.Name, cost, s.now.Add(wait))
+	switch {
+	case decision.AskCommon && reachable:
+		spending := s.common.Take(&s.workspace, cost, decision.Offered, s.now)
+		s.limiters[entry].Settle(s.workspace.Name, decision.Offered, spending.Taken)
+		decision.Granted = spending.Granted
+		if !spending.Granted {
+			s.limiters[entry].RecordDenial(s.workspace.Name, cost, s.now.Add(spending.Wait))
 		}
-	}
-	if !decision.Granted {
-		decision.Granted = s.limiters[entry].TakeRest(s.workspace.Name, cost, s.now)
+	case decision.AskCommon:
+		s.limiters[entry].Fail(s.workspace.Name, s.now.Add(second/2))
 	}
 	if decision.Granted {
 		s.granted = append(s.granted, grant{s.now, cost})
@@ -183,7 +184,7 @@
 // Guards against limiting a workspace for which the document states no limit.
 func TestWorkspaceWithoutLimitIsNotLimited(t *testing.T) {
 	g := NewWithT(t)
-	limiter := New(tolerance, rand.Float64)
+	limiter := New(tolerance)
 	limiter.Configure([]rules.Workspace{{Name: "w"}}, time.Unix(0, 0))
 	g.Expect(limiter.Take("w", 1e9, time.Unix(1, 0)).Granted).To(BeTrue())
 	g.Expect(limiter.Take("unknown", 1e9, time.Unix(1, 0)).Granted).To(BeTrue())
@@ -225,7 +226,7 @@
 	workspace := rules.Workspace{Name: "w", RatePerS: 100, Burst: 100}
 	granted := 0
 	for started := range 9 {
-		limiter := New(Tolerance{}, rand.Float64)
+		limiter := New(Tolerance{})
 		limiter.SetTotal(demand.Total{Entries: started + 1}, nil, time.Unix(0, 0))
 		limiter.Configure([]rules.Workspace{workspace}, time.Unix(0, 0))
 		for limiter.Take("w", 1, time.Unix(0, 0)).Granted {
@@ -242,7 +243,7 @@
 	workspace := rules.Workspace{Name: "w", RatePerS: 100, Burst: 100}
 	granted := 0
 	for range 69 {
-		limiter := New(Tolerance{}, rand.Float64)
+		limiter := New(Tolerance{})
 		limiter.Configure([]rules.Workspace{workspace}, time.Unix(0, 0))
 		for limiter.Take("w", 1, time.Unix(0, 0)).Granted {
 			granted++
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -63,8 +63,8 @@
 	if workspace == nil {
 		return link.Encode(&link.SpendReply{})
 	}
-	wait, ok := s.commonQuota.Take(workspace, request.Cost, time.Now())
-	return link.Encode(&link.SpendReply{Granted: ok, WaitMS: wait.Milliseconds()})
+	spending := s.commonQuota.Take(workspace, request.Cost, max(request.Offered, 0), time.Now())
+	return link.Encode(&link.SpendReply{Granted: spending.Granted, WaitMS: spending.Wait.Milliseconds(), Taken: spending.Taken})
 }
 
 // handlePartProbe grants an entry the probe of a quarantined prompt part.
