Let the leader lease the shares of quotas, so that they never add up to more

Cause: each entry divided its own demand by a total in which the demand of the others was up to a poll old. While demand rises, these shares belong to different moments: in the logs they added up to 5.9 at the first second of a flood, 1.7 half a second later, 1.1 throughout. Class of the fault: each of several processes computes its part of a whole from its own view, and nobody adds the parts up.

Now the leader keeps what every entry may use. Each answer to a poll is a lease of 2 s; a share grows only by what others are known to have given up or may no longer use. An entry that reaches no leader uses its even share at most, which is kept back for it for 20 s. A new leader grants leases once those of the former one have ended. Buckets start empty, since an earlier run may have spent full ones.

Old and new builds: a leader without leases leaves the division to the entries, of which a new one then takes at most an even share. An entry without leases is counted by its own formula, and new ones get what it leaves.

The two tests of entries that start together had bounds of 60 and 100 of a burst of 100 for shares that start full; their successor asks for nothing at the start and for no more than the divided part in 8 s, with 1 to 370 entries and 0 to 2 polls.

--- a/internal/gateway/demand/demand.go
+++ b/internal/gateway/demand/demand.go
@@ -13,9 +13,6 @@
 	// minEntries is the number of entries that is assumed while fewer are known, since
 	// the first reports may count only those entries that were faster.
 	minEntries = 16
-	// maxEntries is a number of entries that no deployment exceeds. An entry that knows
-	// nothing of the others takes so small a part of a limit.
-	maxEntries = 512
 	// totalTTL is how long a report of the demand of all entries is used.
 	totalTTL = 5 * time.Second
 )
@@ -32,9 +29,6 @@
 type Division struct {
 	total   Total
 	totalAt time.Time
-	// counted is the largest number of entries that a replica reported which not all
-	// entries poll.
-	counted int
 	// own is the demand of this entry that is included in total.
 	own map[string]float64
 }
@@ -45,27 +39,14 @@
 	d.total, d.own, d.totalAt = total, own, now
 }
 
-// CountEntries records the number of entries that poll a replica. It is used until the
-// first report of the demand of all entries.
-func (d *Division) CountEntries(n int) { d.counted = max(d.counted, n) }
-
 // Entries returns the number of entries, or an assumed one before the first report.
 func (d *Division) Entries() int {
 	if d.totalAt.IsZero() {
-		return max(d.counted, minEntries)
+		return minEntries
 	}
 	return max(d.total.Entries, 1)
 }
 
-// EntriesAtStart returns the number of entries by which an entry that has just started
-// divides what may be spent at once.
-func (d *Division) EntriesAtStart() int {
-	if d.totalAt.IsZero() {
-		return maxEntries
-	}
-	return max(d.total.Entries, minEntries)
-}
-
 // Rank returns the position of this entry among all, or -1 if it is not known.
 func (d *Division) Rank() int {
 	if d.totalAt.IsZero() {
@@ -74,14 +55,6 @@
 	return d.total.Rank
 }
 
-// Total returns the demand of all entries as reported last, and the age of the report.
-func (d *Division) Total(subject string, now time.Time) (perS float64, age time.Duration) {
-	if d.totalAt.IsZero() {
-		return 0, 0
-	}
-	return d.total.PerS[subject], now.Sub(d.totalAt)
-}
-
 // Share returns the part of a divided limit that this entry may use. It relates the
 // total demand to the demand of this entry that is included in it, and not to its
 // current demand: while demand grows, the shares would otherwise add up to more
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -103,7 +103,7 @@
 // Error implements error.
 func (e *QuotaError) Error() string {
 	b := e.Basis
-	text := fmt.Sprintf("quota of workspace %s does not cover %.0f: limit %.0f/s, demand of all entries %.0f/s %s ago, share of this entry %.4f of %d entries with %.0f left",
+	text := fmt.Sprintf("quota of workspace %s does not cover %.0f: limit %.0f/s, demand of all entries %.0f/s, lease of this entry %s old, share %.4f of %d entries with %.0f left",
 		e.Workspace, e.Cost, b.RatePerS, b.DemandPerS, b.Age.Round(time.Millisecond), b.Share, b.Entries, b.Level)
 	switch {
 	case e.Leader != "":
--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -79,7 +79,7 @@
 			zap.Int64("left_ms", time.Until(c.deadline).Milliseconds()))
 	}
 	if c.charge.cost > 0 {
-		basis := c.entry.quotas.Basis(c.workspace, time.Now())
+		basis := c.entry.quotas.Basis(c.workspace)
 		fields = append(fields, zap.Float64("quota_cost", c.charge.cost), zap.String("quota_source", string(c.charge.source)), zap.Float64("quota_per_s", basis.RatePerS),
 			zap.Float64("quota_share", basis.Share), zap.Int("quota_entries", basis.Entries), zap.Int64("quota_age_ms", basis.Age.Milliseconds()))
 	}
--- a/internal/gateway/entry/leader.go
+++ b/internal/gateway/entry/leader.go
@@ -38,7 +38,7 @@
 	if decision.AskCommon && e.replicaClient.spend(ctx, denied, decision.Offered) {
 		return quotaFromCommon, nil
 	}
-	denied.Basis = e.quotas.Basis(workspace, time.Now())
+	denied.Basis = e.quotas.Basis(workspace)
 	return "", denied
 }
 
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -11,12 +11,16 @@
 	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/wait"
 )
 
-// ownDemand is the demand of this entry that a poll reports.
-type ownDemand struct{ workspaces, services map[string]float64 }
+// ownDemand is the demand of this entry that a poll reports, and the time of the poll.
+type ownDemand struct {
+	workspaces, services map[string]float64
+	polledAt             bootclock.Instant
+}
 
 // pollState is what an entry and a replica have acknowledged to each other.
 type pollState struct {
@@ -59,7 +63,7 @@
 	connected := false
 	for ctx.Err() == nil {
 		now := time.Now()
-		own := ownDemand{workspaces: e.quotas.Demand(now), services: e.rateLimits.demand(now)}
+		own := ownDemand{workspaces: e.quotas.Demand(now), services: e.rateLimits.demand(now), polledAt: bootclock.Now()}
 		reply, err := c.sendPoll(ctx, address, state, own)
 		if ctx.Err() != nil {
 			return
@@ -86,10 +90,11 @@
 	e := c.entry
 	request := &link.PollRequest{
 		Entry: e.options.Settings.Name, Incarnation: e.incarnation, ReplicaRun: state.replicaRun, RegistryVersion: state.registryVersion, CrashVersion: state.crashVersion, RateLimitVersion: state.rateLimitVersion,
-		WaitMS: state.maxWait.Milliseconds(), Demand: own.workspaces, ServiceDemand: own.services, Load: e.board.Load(), Work: e.board.Work(time.Now()),
+		WaitMS: state.maxWait.Milliseconds(), Demand: own.workspaces, UsesLeases: true, ServiceDemand: own.services, Load: e.board.Load(), Work: e.board.Work(time.Now()),
 		Offer: e.forwarding.offer(), PeersID: state.peersID,
 	}
 	var ackedCounts map[uint64]int
+	request.LeaseID, request.LeaseEven = e.quotas.LeaseState()
 	request.Usage, ackedCounts = state.unackedCounts(e.counter.Report(e.clock.Now()))
 	var ackedCrashes uint64
 	request.Crashes, ackedCrashes = e.crashes.ownRecords(state.ackedCrashes)
@@ -142,9 +147,8 @@
 		e.documents.offer(address, reply.Generation)
 	}
 	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
-	e.quotas.CountEntries(reply.Entries)
+	c.applyLease(reply, own, now)
 	if reply.PolledByAll {
-		e.quotas.SetTotal(demand.Total{Entries: reply.Entries, PerS: reply.Demand}, own.workspaces, now)
 		e.rateLimits.setTotal(demand.Total{Entries: reply.Entries, Rank: reply.Rank, PerS: reply.ServiceDemand}, own.services, now)
 		e.board.SetRunning(reply.Running, now)
 		e.setEntryCount(reply.Entries)
@@ -181,6 +185,21 @@
 	}
 }
 
+// applyLease takes over the lease of quotas in the answer of a leader. A leader of a build
+// without leases leaves the division to the entries: this one then takes the smaller of an
+// even share and its part of the demand.
+func (c *replicaClient) applyLease(reply *link.PollReply, own ownDemand, now time.Time) {
+	total := demand.Total{Entries: reply.Entries, PerS: reply.Demand}
+	c.entry.quotas.SetTotal(total)
+	lease := reply.QuotaLease
+	if reply.IsLeader && reply.PolledByAll && !reply.GrantsLeases {
+		lease = quota.SelfLease(total, own.workspaces)
+	}
+	if lease != nil && lease.Even > 0 {
+		c.entry.quotas.SetLease(lease, own.polledAt, now)
+	}
+}
+
 // updatePeers applies the peers that a replica named, unless it is no longer polled. Those
 // that cannot be used are left out; the others hold.
 func (c *replicaClient) updatePeers(address string, list []link.Peer) {
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -171,7 +171,7 @@
 	c.applyPlan()
 	c.mu.Unlock()
 	lost := len(reply.Replicas) > 0 && leaderless > len(reply.Replicas)/2
-	if c.entry.quotas.SetLeaderless(lost) {
+	if c.entry.quotas.SetLeaderless(lost, now) {
 		c.entry.log.Info("Common quotas are divided among the entries, or no longer.", zap.Bool("divided", lost),
 			zap.Int("leaderless", leaderless), zap.Int("replicas", len(reply.Replicas)), zap.String("replica", address))
 	}
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/boragelead/boragelead/internal/gateway/docsync"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/gateway/streams"
@@ -62,6 +63,11 @@
 	Usage []meter.Counts `msgpack:"u,omitempty"`
 	// Demand is the demand of the entry by workspace, in units of the quota per second.
 	Demand map[string]float64 `msgpack:"d,omitempty"`
+	// UsesLeases is set if the entry takes its shares of quotas from leases; LeaseID and
+	// LeaseEven are those of its newest one.
+	UsesLeases bool    `msgpack:"h,omitempty"`
+	LeaseID    uint64  `msgpack:"s,omitempty"`
+	LeaseEven  float64 `msgpack:"t,omitempty"`
 	// Load holds the number of running attempts by service.
 	Load map[string]int `msgpack:"l,omitempty"`
 	// Work is the demand for the time of endpoints to process prompts, by service, in
@@ -138,6 +144,10 @@
 	Rank    int `msgpack:"z,omitempty"`
 	// Demand is the demand of the entries by workspace.
 	Demand map[string]float64 `msgpack:"d,omitempty"`
+	// GrantsLeases is set if the replica grants leases of quotas while it leads. A new leader
+	// grants none until those of the former one have ended.
+	GrantsLeases bool         `msgpack:"j,omitempty"`
+	QuotaLease   *quota.Lease `msgpack:"s,omitempty"`
 	// Crashes holds the changed crash records of all entries, up to CrashVersion.
 	Crashes      []byte `msgpack:"x,omitempty"`
 	CrashVersion uint64 `msgpack:"k,omitempty"`
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -1,6 +1,6 @@
 // Package quota enforces the limit of each workspace over all entries. One part
-// of every limit, the divided part, is divided among the entries, which spend it
-// without communication. The rest, the common part, is held by one state replica,
+// of every limit, the divided part, is divided among the entries by leases of the
+// leader; they spend it without communication. The rest, the common part, is held by one state replica,
 // the leader, which grants what the share of an entry cannot cover, such as large
 // requests. With such a request an entry offers the leader what is left of its share, so
 // that the shares of many entries cover a request together. The two parts add up to the
@@ -8,9 +8,11 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 )
@@ -20,8 +22,7 @@
 	commonPart = 0.6
 	// commonTokenShare and dividedTokenShare are the parts of Tolerance.Tokens
 	// that the leader, and all entries together, may grant in addition. The rest is
-	// a margin, since the shares of entries are computed from reports that are a
-	// few hundred milliseconds old.
+	// a margin for changes of the leader and of limits, and for entries that are cut off.
 	commonTokenShare  = 0.4
 	dividedTokenShare = 0.35
 	// commonOvershootShare is the part of Tolerance.Overshoot that the common part
@@ -30,6 +31,9 @@
 	// minCommonWait is the least time after which a request that no share can cover should
 	// come again. A new leader is elected within it.
 	minCommonWait = 500 * time.Millisecond
+	// minEntries is the number of entries that is assumed while fewer are known, since
+	// the first reports may count only those entries that were faster.
+	minEntries = 16
 )
 
 // Tolerance is how much may be granted above a limit within any window, over all
@@ -144,11 +148,17 @@
 
 	mu         sync.Mutex
 	workspaces map[string]*workspace
-	division   demand.Division
-	// configured is set once a document was applied.
-	configured bool
+	// lease is the newest lease of the leader, and leasedAt the time of the poll to which
+	// it was the answer.
+	lease    *Lease
+	leasedAt bootclock.Instant
+	// counted is the largest number of entries that a replica reported.
+	counted int
+	// total is the demand of all entries, which explains decisions.
+	total map[string]float64
 	// commonLost is set while no leader holds the common part.
 	commonLost bool
+	clock      func() bootclock.Instant
 }
 
 type workspace struct {
@@ -163,9 +173,9 @@
 	offerLost bool
 }
 
-// New returns a limiter without limits.
-func New(tolerance Tolerance) *Limiter {
-	return &Limiter{tolerance: tolerance, workspaces: make(map[string]*workspace)}
+// New returns a limiter without limits and without a lease.
+func New(tolerance Tolerance, clock func() bootclock.Instant) *Limiter {
+	return &Limiter{tolerance: tolerance, clock: clock, workspaces: make(map[string]*workspace)}
 }
 
 // Configure sets the limits of a document.
@@ -178,20 +188,14 @@
 		configured[config.Name] = true
 		w := l.workspaces[config.Name]
 		if w == nil {
+			// The bucket starts empty: an earlier run of this entry, or of this workspace,
+			// may have spent a full one just now.
 			w = &workspace{bucket: bucket{updatedAt: now}}
 			l.workspaces[config.Name] = w
-			// The bucket starts full. An earlier run of this entry granted nothing
-			// while the process started, and with an empty bucket more requests of
-			// the first second after a loss of all entries would be refused. Until
-			// the number of entries is known, the bucket is almost empty.
-			w.limits = limitsOf(config, l.tolerance)
-			w.level = l.capacity(config.Name, w, now)
-			if !l.configured {
-				w.level = w.capacity(1/float64(l.division.EntriesAtStart()), l.division.EntriesAtStart())
-			}
 		}
+		l.refill(config.Name, w, now)
 		w.limits = limitsOf(config, l.tolerance)
-		w.level = min(w.level, l.capacity(config.Name, w, now))
+		w.level = min(w.level, w.capacity(l.share(config.Name)))
 		w.deniedUntil = time.Time{}
 	}
 	for name := range l.workspaces {
@@ -199,34 +203,67 @@
 			delete(l.workspaces, name)
 		}
 	}
-	l.configured = true
 }
 
-// SetTotal sets the demand of all entries, and the demand of this entry that is
-// included in it.
-func (l *Limiter) SetTotal(total demand.Total, own map[string]float64, now time.Time) {
+// SetLease sets the lease that answered a poll, unless a later poll brought one before.
+func (l *Limiter) SetLease(lease *Lease, polledAt bootclock.Instant, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.division.SetTotal(total, own, now)
+	if l.lease != nil && polledAt < l.leasedAt {
+		return
+	}
+	l.refillAll(now)
+	l.lease, l.leasedAt = lease, polledAt
 }
 
-// CountEntries records the number of entries that poll a replica that may not know all of
-// them.
-func (l *Limiter) CountEntries(n int) {
+// LeaseState returns the ID and the even share of the newest lease; 0 without one.
+func (l *Limiter) LeaseState() (id uint64, even float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.division.CountEntries(n)
+	if l.lease == nil {
+		return 0, 0
+	}
+	return l.lease.ID, l.lease.Even
+}
+
+// SetTotal records the number of entries and, if it is known, the demand of all of them.
+func (l *Limiter) SetTotal(total demand.Total) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counted = max(l.counted, total.Entries)
+	if total.PerS != nil {
+		l.total = total.PerS
+	}
+}
+
+// share returns the part of the divided part of a limit that this entry may use. The caller
+// must hold mu.
+func (l *Limiter) share(workspace string) float64 {
+	if l.lease == nil {
+		return lateShare / float64(max(l.counted, minEntries))
+	}
+	age := l.clock().Sub(l.leasedAt)
+	switch share := l.lease.share(workspace); {
+	case age <= LeaseTTL:
+		return share
+	case age <= evenTTL:
+		return min(share, l.lease.Even)
+	default:
+		return min(share, l.lease.Even) * lateShare
+	}
 }
 
-// SetLeaderless sets whether the common part is lost, which is the case if a
+// SetLeaderless records whether the common part is lost, which is the case if a
 // majority of the replicas knows no leader, so that no replica can grant it. The
 // entries then divide its rate as well. An entry that merely cannot reach the
-// leader must not do so, since the leader grants the common part to others. It reports
-// whether that changed.
-func (l *Limiter) SetLeaderless(lost bool) (changed bool) {
+// leader must not do so, since the leader grants the common part to others.
+// SetLeaderless reports whether that changed.
+func (l *Limiter) SetLeaderless(lost bool, now time.Time) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed = lost != l.commonLost
+	if changed = lost != l.commonLost; changed {
+		l.refillAll(now)
+	}
 	l.commonLost = lost
 	return changed
 }
@@ -295,10 +332,18 @@
 	}
 }
 
+// refillAll adds to all shares what they gained so far, before they change.
+func (l *Limiter) refillAll(now time.Time) {
+	for name, w := range l.workspaces {
+		l.refill(name, w, now)
+	}
+}
+
 // refill adds to the share of this entry what it gained since the last request. It
 // returns the rate of the share and how much of it may be spent at once.
 func (l *Limiter) refill(name string, w *workspace, now time.Time) (rate, capacity float64) {
-	rate, capacity = w.rate*l.division.Share(name, now), l.capacity(name, w, now)
+	share := l.share(name)
+	rate, capacity = w.rate*share, w.capacity(share)
 	if !l.commonLost {
 		rate *= 1 - commonPart
 	}
@@ -313,28 +358,30 @@
 	// Share is the part of the divided limit that this entry may use, and Level how much
 	// of it is left.
 	Share, Level float64
-	// Entries is the number of entries that divide the limit.
+	// Entries is the number of entries that divide the limit, and Age the age of the lease;
+	// 0 without one.
 	Entries int
-	// DemandPerS is the demand at all entries, and Age the age of that report.
+	Age     time.Duration
+	// DemandPerS is the demand at all entries.
 	DemandPerS float64
-	Age        time.Duration
 	// Leaderless is set if the entries divide the common part as well.
 	Leaderless bool
 }
 
 // Basis returns what a decision on a request of a workspace would be based on.
-func (l *Limiter) Basis(name string, now time.Time) Basis {
+func (l *Limiter) Basis(name string) Basis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w := l.workspaces[name]
 	if w == nil {
 		return Basis{}
 	}
-	total, age := l.division.Total(name, now)
-	return Basis{
-		RatePerS: w.rate, Share: l.division.Share(name, now), Level: w.level, Entries: l.division.Entries(),
-		DemandPerS: total, Age: age, Leaderless: l.commonLost,
+	basis := Basis{RatePerS: w.rate, Share: l.share(name), Level: w.level, DemandPerS: l.total[name], Leaderless: l.commonLost}
+	if l.lease != nil {
+		basis.Entries = int(math.Round(1 / l.lease.Even))
+		basis.Age = l.clock().Sub(l.leasedAt)
 	}
+	return basis
 }
 
 // RecordDenial records that the common part cannot grant a cost before a time.
@@ -369,12 +416,7 @@
 	return list
 }
 
-// capacity returns how much of its share this entry may spend at once.
-func (l *Limiter) capacity(name string, w *workspace, now time.Time) float64 {
-	return w.capacity(l.division.Share(name, now), l.division.Entries())
-}
-
 // capacity returns how much an entry with a share of the limit may spend at once.
-func (w *workspace) capacity(share float64, entries int) float64 {
-	return w.burst*(1-commonPart)*share + w.extraTokens*dividedTokenShare/float64(entries)
+func (w *workspace) capacity(share float64) float64 {
+	return (w.burst*(1-commonPart) + w.extraTokens*dividedTokenShare) * share
 }
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 )
@@ -17,14 +18,21 @@
 
 var tolerance = Tolerance{Window: 8 * second, Overshoot: 0.1, Tokens: 140_000}
 
-// simulation simulates entries that share one common part. Demand reports are
-// delayed.
+// simulation simulates entries that share one common part and lease their shares from its
+// leader. Demand reports are delayed.
 type simulation struct {
 	common    *Common
+	leases    *Leases
 	limiters  []*Limiter
 	workspace rules.Workspace
 	now       time.Time
 	granted   []grant
+	// reported holds the demand that each entry reported last, and reportedAt when.
+	reported   []map[string]float64
+	reportedAt []time.Time
+	// A new leader grants no leases before noLeasesUntil. answerLost loses the answers of polls.
+	noLeasesUntil time.Time
+	answerLost    bool
 }
 
 type grant struct {
@@ -33,30 +41,68 @@
 }
 
 func newSimulation(entries int, workspace rules.Workspace) *simulation {
-	s := &simulation{common: NewCommon(tolerance, time.Unix(0, 0)), workspace: workspace, now: time.Unix(0, 0)}
-	for range entries {
-		limiter := New(tolerance)
-		limiter.Configure([]rules.Workspace{workspace}, s.now)
-		s.limiters = append(s.limiters, limiter)
+	s := &simulation{common: NewCommon(tolerance, time.Unix(0, 0)), leases: NewLeases(), workspace: workspace, now: time.Unix(0, 0)}
+	s.limiters, s.reported, s.reportedAt = make([]*Limiter, entries), make([]map[string]float64, entries), make([]time.Time, entries)
+	for entry := range entries {
+		s.restart(entry)
 	}
 	return s
 }
 
-// reportDemand reports the demand of every entry, and the total to every entry.
+func (s *simulation) clock() bootclock.Instant { return bootclock.Instant(s.now.UnixNano()) }
+
+// reportDemand polls the leader from all entries at once.
 func (s *simulation) reportDemand() {
-	total := map[string]float64{}
-	reported := make([]map[string]float64, len(s.limiters))
 	for i, limiter := range s.limiters {
-		reported[i] = limiter.Demand(s.now)
-		for name, n := range reported[i] {
-			total[name] += n
-		}
+		s.reported[i], s.reportedAt[i] = limiter.Demand(s.now), s.now
 	}
-	for i, limiter := range s.limiters {
-		limiter.SetTotal(demand.Total{Entries: len(s.limiters), PerS: total}, reported[i], s.now)
+	for i := range s.limiters {
+		s.renewLease(i)
 	}
 }
 
+// poll polls the leader from one entry.
+func (s *simulation) poll(entry int) {
+	s.reported[entry], s.reportedAt[entry] = s.limiters[entry].Demand(s.now), s.now
+	s.renewLease(entry)
+}
+
+// restart replaces an entry by a new process.
+func (s *simulation) restart(entry int) {
+	s.limiters[entry] = New(tolerance, s.clock)
+	s.limiters[entry].Configure([]rules.Workspace{s.workspace}, s.now)
+	s.limiters[entry].SetTotal(demand.Total{Entries: len(s.limiters)})
+}
+
+func (s *simulation) renewLease(entry int) {
+	if s.now.Before(s.noLeasesUntil) {
+		return
+	}
+	limiter := s.limiters[entry]
+	lastID, _ := limiter.LeaseState()
+	lease := s.leases.Grant(&LeaseRequest{
+		Entry: fmt.Sprint(entry), LastID: lastID, Demand: s.reported[entry], Total: s.total(),
+		Workspaces: []string{s.workspace.Name},
+	}, s.now)
+	if !s.answerLost {
+		limiter.SetLease(lease, s.clock(), s.now)
+	}
+}
+
+func (s *simulation) total() demand.Total {
+	total := demand.Total{PerS: map[string]float64{}}
+	for entry, reported := range s.reported {
+		if s.now.Sub(s.reportedAt[entry]) > 5*second {
+			continue
+		}
+		total.Entries++
+		for name, n := range reported {
+			total.PerS[name] += n
+		}
+	}
+	return total
+}
+
 func (s *simulation) request(entry int, cost float64, reachable bool) {
 	decision := s.limiters[entry].Take(s.workspace.Name, cost, s.now)
 	switch {
@@ -163,7 +209,7 @@
 		if step%400 == 0 {
 			s.reportDemand()
 			for _, limiter := range s.limiters {
-				limiter.SetLeaderless(leaderLost(step))
+				limiter.SetLeaderless(leaderLost(step), s.now)
 			}
 		}
 		if step == 16_000 {
@@ -184,7 +230,7 @@
 // Guards against limiting a workspace for which the document states no limit.
 func TestWorkspaceWithoutLimitIsNotLimited(t *testing.T) {
 	g := NewWithT(t)
-	limiter := New(tolerance)
+	limiter := New(tolerance, bootclock.Now)
 	limiter.Configure([]rules.Workspace{{Name: "w"}}, time.Unix(0, 0))
 	g.Expect(limiter.Take("w", 1e9, time.Unix(1, 0)).Granted).To(BeTrue())
 	g.Expect(limiter.Take("unknown", 1e9, time.Unix(1, 0)).Granted).To(BeTrue())
@@ -219,37 +265,37 @@
 	}
 }
 
-// Guards against entries that start together, learn of few others before they have a
-// document, and so begin with shares that add up to more than the limit.
+// Guards against entries that start together and spend more than the limit, because each
+// of them assumes fewer entries or a full share of its own.
 func TestSharesAtAStartDoNotExceedTheLimit(t *testing.T) {
-	g := NewWithT(t)
-	workspace := rules.Workspace{Name: "w", RatePerS: 100, Burst: 100}
-	granted := 0
-	for started := range 9 {
-		limiter := New(Tolerance{})
-		limiter.SetTotal(demand.Total{Entries: started + 1}, nil, time.Unix(0, 0))
-		limiter.Configure([]rules.Workspace{workspace}, time.Unix(0, 0))
-		for limiter.Take("w", 1, time.Unix(0, 0)).Granted {
-			granted++
-		}
-	}
-	g.Expect(granted).To(BeNumerically("<=", 60))
-}
-
-// Guards against many entries that start together and add up to more than the limit,
-// because each of them assumes fewer entries.
-func TestManySharesAtAStartDoNotExceedTheLimit(t *testing.T) {
-	g := NewWithT(t)
-	workspace := rules.Workspace{Name: "w", RatePerS: 100, Burst: 100}
-	granted := 0
-	for range 69 {
-		limiter := New(Tolerance{})
-		limiter.Configure([]rules.Workspace{workspace}, time.Unix(0, 0))
-		for limiter.Take("w", 1, time.Unix(0, 0)).Granted {
-			granted++
+	for _, entries := range []int{1, 9, 69, 370} {
+		for _, polls := range []int{0, 1, 2} {
+			t.Run(fmt.Sprintf("entries=%d polls=%d", entries, polls), func(t *testing.T) {
+				g := NewWithT(t)
+				s := newSimulation(entries, rules.Workspace{Name: "w", RatePerS: 100, Burst: 100})
+				for entry := range entries {
+					s.limiters[entry].SetTotal(demand.Total{Entries: entry + 1})
+					for range polls {
+						s.poll(entry)
+					}
+				}
+				for _, limiter := range s.limiters {
+					g.Expect(limiter.Take("w", 1, s.now).Granted).To(BeFalse(), "an earlier run may have spent a full share")
+				}
+				granted := 0
+				for range 8 {
+					s.now = s.now.Add(second)
+					for _, limiter := range s.limiters {
+						for limiter.Take("w", 1, s.now).Granted {
+							granted++
+						}
+					}
+				}
+				// The divided part of eight seconds.
+				g.Expect(granted).To(BeNumerically("<=", 320))
+			})
 		}
 	}
-	g.Expect(granted).To(BeNumerically("<=", 100))
 }
 
 // Guards against many idle entries that each grant one large request at once, although
--- a/internal/gateway/rules/table.go
+++ b/internal/gateway/rules/table.go
@@ -14,6 +14,7 @@
 	byKey      map[string]*Workspace
 	services   map[string]*Service
 	workspaces map[string]*Workspace
+	limited    []string
 }
 
 // NewTable indexes a valid document.
@@ -34,6 +35,9 @@
 	}
 	for i := range d.Workspaces {
 		w := &d.Workspaces[i]
+		if w.RatePerS > 0 {
+			t.limited = append(t.limited, w.Name)
+		}
 		t.workspaces[w.Name] = w
 		for _, key := range w.Keys {
 			t.byKey[key] = w
@@ -84,3 +88,7 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
+
+// LimitedWorkspaces returns the names of the workspaces that have a quota. The caller must
+// not change the list.
+func (t *Table) LimitedWorkspaces() []string { return t.limited }
--- a/internal/gateway/state/entries.go
+++ b/internal/gateway/state/entries.go
@@ -1,12 +1,14 @@
 package state
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/boragelead/boragelead/internal/gateway/link"
+	"github.com/boragelead/boragelead/internal/gateway/quota"
 )
 
 const (
@@ -25,8 +27,8 @@
 type entries struct {
 	mu      sync.Mutex
 	byEntry map[string]*entryReport
-	// lastPolls holds when each entry polled last, for usageMemory.
-	lastPolls map[string]time.Time
+	// lastPolls holds when each entry polled last, for usageMemory, and its lease.
+	lastPolls map[string]quota.Seen
 	// sum is the last result of totals, and sumAt its time.
 	sum   totals
 	sumAt time.Time
@@ -49,13 +51,13 @@
 }
 
 func newEntries() *entries {
-	return &entries{byEntry: make(map[string]*entryReport), lastPolls: make(map[string]time.Time), peerLists: make(map[string]*peerList)}
+	return &entries{byEntry: make(map[string]*entryReport), lastPolls: make(map[string]quota.Seen), peerLists: make(map[string]*peerList)}
 }
 
 func (e *entries) record(r *link.PollRequest, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lastPolls[r.Entry] = now
+	e.lastPolls[r.Entry] = quota.Seen{PolledAt: now, Even: r.LeaseEven}
 	former := e.byEntry[r.Entry]
 	e.byEntry[r.Entry] = &entryReport{
 		polledAt: now, demand: r.Demand, serviceDemand: r.ServiceDemand, load: r.Load, work: r.Work, offer: r.Offer,
@@ -123,13 +125,20 @@
 	return rank
 }
 
+// seen returns when each entry polled last, as far back as usageMemory, and its lease.
+func (e *entries) seen() map[string]quota.Seen {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.lastPolls)
+}
+
 // allPolledWithin reports whether every entry has polled within the given time. Entries that
 // have been silent for longer than usageMemory are taken for lost.
 func (e *entries) allPolledWithin(within time.Duration, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for name, polledAt := range e.lastPolls {
-		silent := now.Sub(polledAt)
+	for name, last := range e.lastPolls {
+		silent := now.Sub(last.PolledAt)
 		if silent > usageMemory {
 			delete(e.lastPolls, name)
 		} else if silent > within {
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -7,8 +7,10 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/core/suspect"
+	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/wait"
 )
 
@@ -40,11 +42,28 @@
 		}
 	}
 	s.rateLimits.Merge(request.RateLimits, now)
-	data, err := link.Encode(s.awaitUpdate(ctx, request))
+	reply := s.awaitUpdate(ctx, request)
+	reply.GrantsLeases, reply.QuotaLease = true, s.leaseQuotas(request)
+	data, err := link.Encode(reply)
 	s.options.Metrics.Counter("state_poll_bytes").Add(int64(len(data)))
 	return data, err
 }
 
+// leaseQuotas grants an entry its shares of the quotas; it returns nil while another replica
+// leads or leases of the former leader may be in use.
+func (s *State) leaseQuotas(request *link.PollRequest) *quota.Lease {
+	table := s.currentRules()
+	if table == nil || !s.hasLedFor(leaseHandover) {
+		return nil
+	}
+	now := time.Now()
+	totals := s.entries.totals(now)
+	return s.leases.Grant(&quota.LeaseRequest{
+		Entry: request.Entry, LastID: request.LeaseID, WithoutLeases: !request.UsesLeases, Demand: request.Demand,
+		Total: demand.Total{Entries: totals.entries, PerS: totals.demand}, Workspaces: table.LimitedWorkspaces(),
+	}, now)
+}
+
 // handleSpend grants a request of an entry from the common quota, the part of a
 // quota that is not divided among the entries.
 func (s *State) handleSpend(_ context.Context, params []byte) ([]byte, error) {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -47,6 +47,9 @@
 	confirmationTTL = 450 * time.Millisecond
 	// leaderDiscoveryTime is the time that entries may need to find a new leader.
 	leaderDiscoveryTime = 2 * time.Second
+	// leaseHandover is how long a new leader grants no leases of quotas: until those of the
+	// former one, which may have granted until its last confirmation lapsed, have ended.
+	leaseHandover = quota.LeaseTTL + confirmationTTL
 	// maxVoters bounds the number of voters; further replicas are learners.
 	maxVoters = 5
 	// snapshotBytes is the size of the log at which a snapshot is taken. The disk
@@ -96,6 +99,7 @@
 	usage         *meter.Ledger
 	entries       *entries
 	commonQuota   *quota.Common
+	leases        *quota.Leases
 	clock         *walltime.Clock
 	// suspects holds the requests that crashed endpoints, as observed by all
 	// entries.
@@ -144,6 +148,7 @@
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
+		leases: quota.NewLeases(),
 	}
 	st.ctx, st.cancel = context.WithCancel(context.Background())
 	seeds := entry.PeerAddresses(s.Seeds, s.PeerPort)
@@ -289,12 +294,17 @@
 	if s.isSmallGroup() {
 		return true
 	}
+	return s.hasLedFor(leaderDiscoveryTime)
+}
+
+// hasLedFor reports whether this replica has been the leader for a time.
+func (s *State) hasLedFor(d time.Duration) bool {
 	if !s.isLeader() {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return bootclock.Now().Sub(s.leaderSince) >= leaderDiscoveryTime
+	return bootclock.Now().Sub(s.leaderSince) >= d
 }
 
 // isSmallGroup reports whether the group is small enough that entries poll all of
@@ -322,6 +332,7 @@
 	if newlyLeading {
 		emptyAt := time.Now().Add(-electionTicks * replica.DefaultTickInterval)
 		s.commonQuota.Reset(emptyAt)
+		s.leases.Reset(s.entries.seen(), time.Now())
 		s.log.Info("Common quotas start empty at this leader.", zap.Time("empty_at", emptyAt))
 	}
 }
