Fill the common quotas of a new leader only once nobody else grants them

The new leader filled its buckets from 0.35 s before its election, while entries that had not heard of it still divided the common part (replicas notice a leader within 0.2 s, entries poll them each 0.4 s), and the former leader may grant until 0.1 s after the election. An entry that lost its last replica while there was no leader divided the common part for good. Class of the fault: a right that passes to another holder before the former one has ended.

The buckets now fill from 0.6 s after the election, before the replica grants anything, and the report that there is no leader lapses after 1 s at an entry.

--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -34,6 +34,11 @@
 	// minEntries is the number of entries that is assumed while fewer are known, since
 	// the first reports may count only those entries that were faster.
 	minEntries = 16
+	// leaderlessTTL is how long a majority's report that there is no leader is used.
+	leaderlessTTL = time.Second
+	// leaderNoticeTime is how long after an election entries may still divide the common
+	// part: replicas notice the leader within 0.2 s, and entries poll them each 0.4 s.
+	leaderNoticeTime = 600 * time.Millisecond
 )
 
 // Tolerance is how much may be granted above a limit within any window, over all
@@ -52,8 +57,11 @@
 	updatedAt time.Time
 }
 
-// refill adds what the rate yielded since the last update.
+// refill adds what the rate yielded since the last update, which may lie in the future.
 func (b *bucket) refill(rate, capacity float64, now time.Time) {
+	if now.Before(b.updatedAt) {
+		return
+	}
 	b.level = min(b.level+now.Sub(b.updatedAt).Seconds()*rate, capacity)
 	b.updatedAt = now
 }
@@ -85,8 +93,7 @@
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
-	// emptyAt is the time at which new buckets are taken to be empty: that at which
-	// the previous leader was lost.
+	// emptyAt is the time at which new buckets are taken to be empty.
 	emptyAt time.Time
 }
 
@@ -133,13 +140,15 @@
 	return Spending{Granted: true, Taken: taken}
 }
 
-// Reset empties the buckets when the replica becomes the leader. The buckets keep
-// what they have gained since the previous leader was lost.
-func (c *Common) Reset(lostAt time.Time) {
+// Reset empties the buckets when the replica becomes the leader, and returns when they begin
+// to fill: once no entry divides the common part any more and the previous leader, whose last
+// confirmation may be younger than the election, grants nothing.
+func (c *Common) Reset(electedAt time.Time) (emptyAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.emptyAt = lostAt
+	c.emptyAt = electedAt.Add(leaderNoticeTime)
 	clear(c.buckets)
+	return c.emptyAt
 }
 
 // Limiter enforces the limits at an entry. It is safe for concurrent use.
@@ -156,9 +165,9 @@
 	counted int
 	// total is the demand of all entries, which explains decisions.
 	total map[string]float64
-	// commonLost is set while no leader holds the common part.
-	commonLost bool
-	clock      func() bootclock.Instant
+	// commonLostUntil is set while no leader holds the common part.
+	commonLostUntil bootclock.Instant
+	clock           func() bootclock.Instant
 }
 
 type workspace struct {
@@ -256,18 +265,23 @@
 // SetLeaderless records whether the common part is lost, which is the case if a
 // majority of the replicas knows no leader, so that no replica can grant it. The
 // entries then divide its rate as well. An entry that merely cannot reach the
-// leader must not do so, since the leader grants the common part to others.
-// SetLeaderless reports whether that changed.
+// leader must not do so, since the leader grants the common part to others; so what is
+// recorded lapses unless it is repeated. SetLeaderless reports whether that changed.
 func (l *Limiter) SetLeaderless(lost bool, now time.Time) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if changed = lost != l.commonLost; changed {
+	if changed = lost != l.isLeaderless(); changed {
 		l.refillAll(now)
 	}
-	l.commonLost = lost
+	l.commonLostUntil = 0
+	if lost {
+		l.commonLostUntil = l.clock().Add(leaderlessTTL)
+	}
 	return changed
 }
 
+func (l *Limiter) isLeaderless() bool { return l.clock() < l.commonLostUntil }
+
 // Decision is the result of Take.
 type Decision struct {
 	Granted bool
@@ -344,7 +358,7 @@
 func (l *Limiter) refill(name string, w *workspace, now time.Time) (rate, capacity float64) {
 	share := l.share(name)
 	rate, capacity = w.rate*share, w.capacity(share)
-	if !l.commonLost {
+	if !l.isLeaderless() {
 		rate *= 1 - commonPart
 	}
 	w.bucket.refill(rate, capacity, now)
@@ -376,7 +390,7 @@
 	if w == nil {
 		return Basis{}
 	}
-	basis := Basis{RatePerS: w.rate, Share: l.share(name), Level: w.level, DemandPerS: l.total[name], Leaderless: l.commonLost}
+	basis := Basis{RatePerS: w.rate, Share: l.share(name), Level: w.level, DemandPerS: l.total[name], Leaderless: l.isLeaderless()}
 	if l.lease != nil {
 		basis.Entries = int(math.Round(1 / l.lease.Even))
 		basis.Age = l.clock().Sub(l.leasedAt)
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -40,9 +40,8 @@
 	// local consensus node.
 	statusInterval = 200 * time.Millisecond
 	// confirmInterval is how often a leader asks a majority whether it is still
-	// the leader. confirmationTTL is how long the answer is valid. It is shorter
-	// than an election, so that two replicas never grant from the common quota at
-	// the same time.
+	// the leader. confirmationTTL is how long the answer is valid. An election
+	// takes 350 ms or more, so that two leaders overlap by 100 ms at most.
 	confirmInterval = 150 * time.Millisecond
 	confirmationTTL = 450 * time.Millisecond
 	// leaderDiscoveryTime is the time that entries may need to find a new leader.
@@ -313,8 +312,7 @@
 
 // confirmLeadership asks a majority whether this replica is the leader. At the
 // start of a leadership it resets the common quota, because the grants of the
-// former leader are unknown. The former leader is assumed to have stopped one
-// election timeout ago.
+// former leader are unknown.
 func (s *State) confirmLeadership(time.Time) {
 	start := bootclock.Now()
 	ctx, cancel := context.WithTimeout(s.ctx, confirmInterval)
@@ -324,15 +322,17 @@
 	}
 	s.mu.Lock()
 	newlyLeading := s.confirmedAt == 0 || start.Sub(s.confirmedAt) >= confirmationTTL
-	s.confirmedAt = start
-	if newlyLeading {
-		s.leaderSince = start
-	}
 	s.mu.Unlock()
 	if newlyLeading {
-		emptyAt := time.Now().Add(-electionTicks * replica.DefaultTickInterval)
-		s.commonQuota.Reset(emptyAt)
+		// Before anything is granted.
+		emptyAt := s.commonQuota.Reset(time.Now())
 		s.leases.Reset(s.entries.seen(), time.Now())
 		s.log.Info("Common quotas start empty at this leader.", zap.Time("empty_at", emptyAt))
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmedAt = start
+	if newlyLeading {
+		s.leaderSince = start
+	}
 }
