Show from logs how near each workspace came to its quota

The command `boragelead quotas` reads the lines of requests and prints the worst window of each workspace, by the part of the quota that covered it, with the refusals.

--- a/cmd/boragelead/command_test.go
+++ b/cmd/boragelead/command_test.go
@@ -241,6 +241,16 @@
 		Expect(local("explain", "a1", "--log", log+"x")).To(Equal(exitUsage))
 	})
 
+	// Guards against a quota that is nearly exceeded without an operator seeing it.
+	It("shows the worst window of a quota from collected logs", func() {
+		log := filepath.Join(GinkgoT().TempDir(), "log")
+		Expect(os.WriteFile(log, []byte(`{"level":"info","ts":"2026-12-04T12:00:01.900Z","msg":"Request answered.","daemon":"entry-1","request":"a1","workspace":"w1","tried":["e1"],"ms":400,"quota_cost":90,"quota_source":"common","quota_per_s":10}`+"\n"), 0o600)).To(Succeed())
+		Expect(local("quotas", "--log", log, "--overshoot", "0", "--allowance", "10")).To(Equal(exitOK), errs.String())
+		Expect(out.String()).To(MatchRegexp(`w1 +0\.900 +90 +100 +10 +12:00:01\.500 +0 +common=90`))
+		Expect(local("quotas")).To(Equal(exitUsage))
+		Expect(local("quotas", "--log", log+"x")).To(Equal(exitUsage))
+	})
+
 	// Guards against sending the key to a daemon with an untrusted certificate.
 	It("refuses a daemon whose certificate another CA issued", func() {
 		authority, err := tlsconfig.NewAuthority()
@@ -262,7 +272,7 @@
 		for _, c := range a.commands {
 			Expect(c.AdditionalHelpAppend).To(ContainSubstring("Examples:\n  boragelead "), c.Name)
 		}
-		for _, name := range []string{"config check", "config diff", "config promote", "config history", "config show", "status", "drain", "explain", "fleet show", "fleet plan", "fleet history"} {
+		for _, name := range []string{"config check", "config diff", "config promote", "config history", "config show", "status", "drain", "explain", "quotas", "fleet show", "fleet plan", "fleet history"} {
 			Expect(strings.Count(string(page), "| `"+name)).To(Equal(1), name)
 		}
 		for code := exitOK; code <= exitNotFound; code++ {
--- a/cmd/boragelead/explainlog.go
+++ b/cmd/boragelead/explainlog.go
@@ -12,19 +12,28 @@
 
 // explainFromLogs prints the events of a request from log files.
 func (a *app) explainFromLogs(request string, names []string, r *remote) error {
+	lines, err := readLogs(names)
+	if err != nil {
+		return err
+	}
+	timeline, err := logview.Find(request, lines)
+	if err != nil {
+		return err
+	}
+	return r.printValue(timeline, func() { a.printTimeline(timeline) })
+}
+
+// readLogs reads several log files. The error is a *usageError.
+func readLogs(names []string) ([]logview.Line, error) {
 	var lines []logview.Line
 	for _, name := range names {
 		fileLines, err := readLog(name)
 		if err != nil {
-			return &usageError{message: err.Error()}
+			return nil, &usageError{message: err.Error()}
 		}
 		lines = append(lines, fileLines...)
 	}
-	timeline, err := logview.Find(request, lines)
-	if err != nil {
-		return err
-	}
-	return r.printValue(timeline, func() { a.printTimeline(timeline) })
+	return lines, nil
 }
 
 func readLog(name string) ([]logview.Line, error) {
--- a/cmd/boragelead/main.go
+++ b/cmd/boragelead/main.go
@@ -15,6 +15,7 @@
 	registerStatus,
 	registerDrain,
 	registerExplain,
+	registerQuotas,
 	registerFleet,
 	registerState,
 	registerDev,
