Do not take the sums of a few entries for those of all

Entries divide by such sums: until the leases, the quotas; still the rate limits and brittle endpoints' places, the retry allowance, connections to endpoints; and the planner orders endpoints by them. The first entry to reach a replica that has restarted got the whole of a limit. Class: a partial view taken for the whole.

A replica now says so only 2 s after a start, a suspension or a cut; a poll that an entry began before has timed out by then. It counts as cut off after 3 s without a leader, before it forgets the entries behind the cut (5 s).

TestSumsOfAFewEntriesAreNotTakenForAll fails without the check: the method isPolledByAll answered true from the first moment in a group of up to four.

--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -99,6 +99,7 @@
 	entries       *entries
 	commonQuota   *quota.Common
 	leases        *quota.Leases
+	coverage      *coverage
 	clock         *walltime.Clock
 	// suspects holds the requests that crashed endpoints, as observed by all
 	// entries.
@@ -147,7 +148,7 @@
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
-		leases: quota.NewLeases(),
+		leases: quota.NewLeases(), coverage: &coverage{},
 	}
 	st.ctx, st.cancel = context.WithCancel(context.Background())
 	seeds := entry.PeerAddresses(s.Seeds, s.PeerPort)
@@ -248,6 +249,7 @@
 	previous := s.status
 	s.status = status
 	s.mu.Unlock()
+	s.coverage.observe(status.Leader != "", bootclock.Now())
 	if previous == nil || previous.Leader != status.Leader || previous.Term != status.Term {
 		s.log.Info("Leader of the state.", zap.String("leader", status.Leader), zap.Uint64("term", status.Term), zap.String("role", status.Role))
 	}
@@ -286,10 +288,13 @@
 	return s.status.Leader
 }
 
-// isPolledByAll reports whether all entries poll this replica. In a small group
+// isPolledByAll reports whether this replica has heard from all entries. In a small group
 // they poll every replica; in a larger group only the leader can count on it, and
 // only leaderDiscoveryTime after its election.
 func (s *State) isPolledByAll() bool {
+	if !s.coverage.complete(bootclock.Now()) {
+		return false
+	}
 	if s.isSmallGroup() {
 		return true
 	}
