Use the tolerance of quotas for what exact shares left unserved

Of the tolerance, 0.6 of the overshoot and 0.95 of the tokens are now used (0.5 and 0.75 before): rate and burst are raised by 3%, the rest is for bursts at the leader. Shares fill from the start of the process, before which it granted nothing. An entry without a lease uses an even share, which the leader keeps back for its earlier run. Entries that divide the common part go on until the new leader, which says when, grants it.

--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -115,7 +115,7 @@
 		board:       pick.NewBoard(rand.Float64),
 		quotas: quota.New(quota.Tolerance{
 			Window: settings.Seconds(bounds.QuotaWindowS), Overshoot: bounds.QuotaOvershoot, Tokens: bounds.QuotaSlack,
-		}, bootclock.Now),
+		}, bootclock.Now, now),
 		clock:   walltime.New(now, bootclock.Now()),
 		counter: meter.NewCounter(settings.Seconds(bounds.UsageWindowS)),
 		retries: retry.NewWindowBudget(retry.WindowLimits{
--- a/internal/gateway/entry/replicas.go
+++ b/internal/gateway/entry/replicas.go
@@ -170,6 +170,9 @@
 	leaderless := c.plan.countLeaderless(now)
 	c.applyPlan()
 	c.mu.Unlock()
+	if reply.CommonInMS > 0 {
+		c.entry.quotas.AwaitCommon(time.Duration(reply.CommonInMS)*time.Millisecond, now)
+	}
 	lost := len(reply.Replicas) > 0 && leaderless > len(reply.Replicas)/2
 	if c.entry.quotas.SetLeaderless(lost, now) {
 		c.entry.log.Info("Common quotas are divided among the entries, or no longer.", zap.Bool("divided", lost),
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -148,6 +148,9 @@
 	// grants none until those of the former one have ended.
 	GrantsLeases bool         `msgpack:"j,omitempty"`
 	QuotaLease   *quota.Lease `msgpack:"s,omitempty"`
+	// CommonInMS is how long a new leader will not grant from the common quotas yet, in
+	// milliseconds.
+	CommonInMS int64 `msgpack:"v0,omitempty"`
 	// Crashes holds the changed crash records of all entries, up to CrashVersion.
 	Crashes      []byte `msgpack:"x,omitempty"`
 	CrashVersion uint64 `msgpack:"k,omitempty"`
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -21,13 +21,15 @@
 	// commonPart is the part of a limit that the leader holds.
 	commonPart = 0.6
 	// commonTokenShare and dividedTokenShare are the parts of Tolerance.Tokens
-	// that the leader, and all entries together, may grant in addition. The rest is
-	// a margin for changes of the leader and of limits, and for entries that are cut off.
-	commonTokenShare  = 0.4
-	dividedTokenShare = 0.35
-	// commonOvershootShare is the part of Tolerance.Overshoot that the common part
-	// may use.
-	commonOvershootShare = 0.5
+	// that the leader, and all entries together, may grant in addition. steadyOvershootShare
+	// is the part of Tolerance.Overshoot by which rate and burst are raised, and
+	// commonOvershootShare the part of it that the common part may grant at once. The rest is
+	// a margin for changes of limits, and for entries that never had a lease or have been
+	// cut off for long.
+	commonTokenShare     = 0.65
+	dividedTokenShare    = 0.3
+	steadyOvershootShare = 0.3
+	commonOvershootShare = 0.3
 	// minCommonWait is the least time after which a request that no share can cover should
 	// come again. A new leader is elected within it.
 	minCommonWait = 500 * time.Millisecond
@@ -73,14 +75,17 @@
 
 // limits are the limits of one workspace.
 type limits struct {
-	rate, burst float64
+	// namedRate is the rate in the document; rate and burst are raised by what may be
+	// spent above it.
+	namedRate, rate, burst float64
 	// extraTokens is how much may be spent above the limit; 0 for limits that count
 	// requests.
 	extraTokens float64
 }
 
 func limitsOf(w *rules.Workspace, t Tolerance) limits {
-	l := limits{rate: w.RatePerS, burst: w.Burst}
+	raise := 1 + t.Overshoot*steadyOvershootShare
+	l := limits{namedRate: w.RatePerS, rate: w.RatePerS * raise, burst: w.Burst * raise}
 	if w.CountTokens {
 		l.extraTokens = t.Tokens
 	}
@@ -124,7 +129,7 @@
 		c.buckets[w.Name] = b
 	}
 	l := limitsOf(w, c.tolerance)
-	overshoot := c.tolerance.Overshoot * commonOvershootShare * (l.rate*c.tolerance.Window.Seconds() + l.burst)
+	overshoot := c.tolerance.Overshoot * commonOvershootShare * (l.namedRate*c.tolerance.Window.Seconds() + w.Burst)
 	rate, capacity := l.rate*commonPart, l.burst*commonPart+overshoot+l.extraTokens*commonTokenShare
 	b.refill(rate, capacity, now)
 	// A request that exceeds the capacity is granted when the bucket is full, and
@@ -151,6 +156,13 @@
 	return c.emptyAt
 }
 
+// StartsIn returns the time until the buckets begin to fill after an election; 0 if they do.
+func (c *Common) StartsIn(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.emptyAt.Sub(now), 0)
+}
+
 // Limiter enforces the limits at an entry. It is safe for concurrent use.
 type Limiter struct {
 	tolerance Tolerance
@@ -165,9 +177,14 @@
 	counted int
 	// total is the demand of all entries, which explains decisions.
 	total map[string]float64
-	// commonLostUntil is set while no leader holds the common part.
-	commonLostUntil bootclock.Instant
-	clock           func() bootclock.Instant
+	// commonLostUntil is set while no leader holds the common part, and handoverUntil until
+	// a new leader begins to grant it.
+	commonLostUntil, handoverUntil bootclock.Instant
+	// leaderlessAt is when a majority of the replicas last reported that there is no leader.
+	leaderlessAt bootclock.Instant
+	// startedAt is when this process began, before which it granted nothing.
+	startedAt time.Time
+	clock     func() bootclock.Instant
 }
 
 type workspace struct {
@@ -183,14 +200,15 @@
 }
 
 // New returns a limiter without limits and without a lease.
-func New(tolerance Tolerance, clock func() bootclock.Instant) *Limiter {
-	return &Limiter{tolerance: tolerance, clock: clock, workspaces: make(map[string]*workspace)}
+func New(tolerance Tolerance, clock func() bootclock.Instant, now time.Time) *Limiter {
+	return &Limiter{tolerance: tolerance, clock: clock, startedAt: now, workspaces: make(map[string]*workspace)}
 }
 
 // Configure sets the limits of a document.
 func (l *Limiter) Configure(list []rules.Workspace, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	first := len(l.workspaces) == 0
 	configured := make(map[string]bool, len(list))
 	for i := range list {
 		config := &list[i]
@@ -198,8 +216,12 @@
 		w := l.workspaces[config.Name]
 		if w == nil {
 			// The bucket starts empty: an earlier run of this entry, or of this workspace,
-			// may have spent a full one just now.
+			// may have spent a full one just before.
 			w = &workspace{bucket: bucket{updatedAt: now}}
+			if first {
+				w.updatedAt = l.startedAt
+				w.limits = limitsOf(config, l.tolerance)
+			}
 			l.workspaces[config.Name] = w
 		}
 		l.refill(config.Name, w, now)
@@ -249,7 +271,8 @@
 // must hold mu.
 func (l *Limiter) share(workspace string) float64 {
 	if l.lease == nil {
-		return lateShare / float64(max(l.counted, minEntries))
+		// The leader keeps back an even share for an earlier run of this entry.
+		return 1 / float64(max(l.counted, minEntries))
 	}
 	age := l.clock().Sub(l.leasedAt)
 	switch share := l.lease.share(workspace); {
@@ -275,12 +298,25 @@
 	}
 	l.commonLostUntil = 0
 	if lost {
-		l.commonLostUntil = l.clock().Add(leaderlessTTL)
+		l.leaderlessAt = l.clock()
+		l.commonLostUntil = l.leaderlessAt.Add(leaderlessTTL)
 	}
 	return changed
 }
 
-func (l *Limiter) isLeaderless() bool { return l.clock() < l.commonLostUntil }
+func (l *Limiter) isLeaderless() bool { return l.clock() < max(l.commonLostUntil, l.handoverUntil) }
+
+// AwaitCommon records how long a new leader will not grant from the common part yet. An entry
+// that divides it goes on until then.
+func (l *Limiter) AwaitCommon(d time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.clock().Sub(l.leaderlessAt) > leaderlessTTL {
+		return
+	}
+	l.refillAll(now)
+	l.handoverUntil = l.clock().Add(min(d, leaderNoticeTime))
+}
 
 // Decision is the result of Take.
 type Decision struct {
@@ -390,7 +426,7 @@
 	if w == nil {
 		return Basis{}
 	}
-	basis := Basis{RatePerS: w.rate, Share: l.share(name), Level: w.level, DemandPerS: l.total[name], Leaderless: l.isLeaderless()}
+	basis := Basis{RatePerS: w.namedRate, Share: l.share(name), Level: w.level, DemandPerS: l.total[name], Leaderless: l.isLeaderless()}
 	if l.lease != nil {
 		basis.Entries = int(math.Round(1 / l.lease.Even))
 		basis.Age = l.clock().Sub(l.leasedAt)
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -44,6 +44,9 @@
 	s.rateLimits.Merge(request.RateLimits, now)
 	reply := s.awaitUpdate(ctx, request)
 	reply.GrantsLeases, reply.QuotaLease = true, s.leaseQuotas(request)
+	if reply.IsLeader {
+		reply.CommonInMS = s.commonQuota.StartsIn(time.Now()).Milliseconds()
+	}
 	data, err := link.Encode(reply)
 	s.options.Metrics.Counter("state_poll_bytes").Add(int64(len(data)))
 	return data, err
