Answer polls at once when the leader changes, and with the state of that moment

Cause: a waiting poll was answered, at the end of its wait, with a reply that had been made at its begin. What it says of the leader and of the sums over all entries was up to 0.4 s old, and up to 1 s at a replica that does not hear all entries, which since the last change includes replicas that have just started. Class of the fault: state that is read before a wait and used after it.

The replica now makes the reply anew after the wait, and answers waiting polls at once when it learns of another leader or of none. So a new leader's common quotas can fill 0.4 s after the election instead of 0.6 s.

TestPollTellsAChangeOfTheLeaderAtOnce failed before (told after 5.0 s, bound 2 s).

--- a/internal/gateway/quota/leader_change_test.go
+++ b/internal/gateway/quota/leader_change_test.go
@@ -26,7 +26,7 @@
 					random := rand.New(rand.NewPCG(seed, uint64(rate)))
 					s := newSimulation(9, rules.Workspace{Name: "w", RatePerS: rate, Burst: rate, CountTokens: true})
 					lostAt := 11_000 + random.IntN(4000)
-					change := leaderChange{lostAt: lostAt, electedAt: lostAt + lostFor, heardAt: lostAt + lostFor + 600}
+					change := leaderChange{lostAt: lostAt, electedAt: lostAt + lostFor, heardAt: lostAt + lostFor + int(leaderNoticeTime.Milliseconds())}
 					for step := range 22_000 {
 						s.now = s.now.Add(time.Millisecond)
 						hasLeader := step < change.lostAt || step >= change.electedAt
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -39,8 +39,9 @@
 	// leaderlessTTL is how long a majority's report that there is no leader is used.
 	leaderlessTTL = time.Second
 	// leaderNoticeTime is how long after an election entries may still divide the common
-	// part: replicas notice the leader within 0.2 s, and entries poll them each 0.4 s.
-	leaderNoticeTime = 600 * time.Millisecond
+	// part: replicas notice the leader within 0.2 s and tell the entries at once. The former
+	// leader may grant for 0.1 s.
+	leaderNoticeTime = 400 * time.Millisecond
 )
 
 // Tolerance is how much may be granted above a limit within any window, over all
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -115,6 +115,7 @@
 func (s *State) awaitUpdate(ctx context.Context, request *link.PollRequest) *link.PollReply {
 	timer := time.NewTimer(min(time.Duration(request.WaitMS)*time.Millisecond, maxPollWait))
 	defer timer.Stop()
+	leaderChanged := s.leaderChange()
 	for {
 		crashed, crashReported := s.crashNews.since(request.CrashVersion)
 		reply, changed, documentChanged, endpointsChanged := s.update(request)
@@ -123,14 +124,20 @@
 		}
 		select {
 		case <-documentChanged:
+			continue
 		case <-endpointsChanged:
+			continue
 		case <-crashReported:
 			wait.For(ctx, crashReplyDelay)
+			continue
+		case <-leaderChanged:
 		case <-timer.C:
-			return reply
 		case <-ctx.Done():
 			return reply
 		}
+		// What the first reply says of the leader and of all entries is as old as the wait.
+		reply, _, _, _ = s.update(request)
+		return reply
 	}
 }
 
@@ -146,7 +153,7 @@
 		ReplicaRun: s.runID, FullUpdate: request.ReplicaRun != s.runID,
 		Endpoints: endpoints.Views, RegistryVersion: endpoints.Version, EndpointsFollow: endpoints.More,
 		IsLeader: s.isLeader(), Leader: s.leaderAddress(), Replicas: s.members(),
-		PolledByAll: s.isPolledByAll(), Entries: sum.entries, TimeNS: s.clock.Now().UnixNano(),
+		PolledByAll: s.hearsAll(), Entries: sum.entries, TimeNS: s.clock.Now().UnixNano(),
 	}
 	if reply.PolledByAll {
 		reply.Demand, reply.ServiceDemand, reply.Running = sum.demand, sum.serviceDemand, sum.load
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -119,6 +119,8 @@
 	// confirmedAt is when the last leadership check that a majority confirmed was
 	// started; 0 means never.
 	confirmedAt bootclock.Instant
+	// leaderChanged is closed when status names another leader.
+	leaderChanged chan struct{}
 	// leaderSince is when this replica became the leader.
 	leaderSince bootclock.Instant
 
@@ -148,7 +150,7 @@
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
-		leases: quota.NewLeases(), coverage: &coverage{},
+		leases: quota.NewLeases(), coverage: &coverage{}, leaderChanged: make(chan struct{}),
 	}
 	st.ctx, st.cancel = context.WithCancel(context.Background())
 	seeds := entry.PeerAddresses(s.Seeds, s.PeerPort)
@@ -248,6 +250,10 @@
 	s.mu.Lock()
 	previous := s.status
 	s.status = status
+	if previous == nil || previous.Leader != status.Leader {
+		close(s.leaderChanged)
+		s.leaderChanged = make(chan struct{})
+	}
 	s.mu.Unlock()
 	s.coverage.observe(status.Leader != "", bootclock.Now())
 	if previous == nil || previous.Leader != status.Leader || previous.Term != status.Term {
@@ -255,6 +261,14 @@
 	}
 }
 
+// leaderChange returns a channel that is closed when this replica learns of another leader, or
+// that there is none.
+func (s *State) leaderChange() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaderChanged
+}
+
 // members returns the addresses of all replicas, including this one.
 func (s *State) members() []string {
 	s.mu.Lock()
@@ -288,13 +302,15 @@
 	return s.status.Leader
 }
 
-// isPolledByAll reports whether this replica has heard from all entries. In a small group
+// hearsAll reports whether the sums of this replica are those of all entries.
+func (s *State) hearsAll() bool {
+	return s.coverage.complete(bootclock.Now()) && s.isPolledByAll()
+}
+
+// isPolledByAll reports whether all entries poll this replica. In a small group
 // they poll every replica; in a larger group only the leader can count on it, and
-// only leaderDiscoveryTime after its election.
+// only leaderDiscoveryTime after its election. It may not have heard from all of them yet.
 func (s *State) isPolledByAll() bool {
-	if !s.coverage.complete(bootclock.Now()) {
-		return false
-	}
 	if s.isSmallGroup() {
 		return true
 	}
