Let entries start with a little of each quota

Cause: shares start empty, because an earlier run may have spent full ones just before, and a process cannot know for how long it was down. Now 0.15 of the tolerated tokens is divided among the entries for their starts, taken from what the leader may grant at once; the sum of all parts stays as it was (TestPartsOfALimitLeaveAMargin).

--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -21,13 +21,16 @@
 	// commonPart is the part of a limit that the leader holds.
 	commonPart = 0.6
 	// commonTokenShare and dividedTokenShare are the parts of Tolerance.Tokens
-	// that the leader, and all entries together, may grant in addition. steadyOvershootShare
+	// that the leader, and all entries together, may grant in addition. startTokenShare is
+	// what entries have together when they start: an earlier run may have spent full shares
+	// just before, but with nothing at all the first requests would be refused. steadyOvershootShare
 	// is the part of Tolerance.Overshoot by which rate and burst are raised, and
 	// commonOvershootShare the part of it that the common part may grant at once. The rest is
 	// a margin for changes of limits, and for entries that never had a lease or have been
 	// cut off for long.
-	commonTokenShare     = 0.65
+	commonTokenShare     = 0.5
 	dividedTokenShare    = 0.3
+	startTokenShare      = 0.15
 	steadyOvershootShare = 0.3
 	commonOvershootShare = 0.3
 	// minCommonWait is the least time after which a request that no share can cover should
@@ -216,12 +219,12 @@
 		configured[config.Name] = true
 		w := l.workspaces[config.Name]
 		if w == nil {
-			// The bucket starts empty: an earlier run of this entry, or of this workspace,
-			// may have spent a full one just before.
+			// An earlier run of this workspace may have spent a full share just before.
 			w = &workspace{bucket: bucket{updatedAt: now}}
 			if first {
-				w.updatedAt = l.startedAt
 				w.limits = limitsOf(config, l.tolerance)
+				w.updatedAt = l.startedAt
+				w.level = w.extraTokens * startTokenShare / float64(max(l.counted, minEntries))
 			}
 			l.workspaces[config.Name] = w
 		}
--- a/internal/gateway/quota/rising_demand_test.go
+++ b/internal/gateway/quota/rising_demand_test.go
@@ -50,7 +50,7 @@
 // designed returns what both parts of a limit add up to within a window.
 func (s *simulation) designed() float64 {
 	limit := s.workspace.RatePerS*tolerance.Window.Seconds() + s.workspace.Burst
-	return limit*(1+(steadyOvershootShare+commonOvershootShare)*tolerance.Overshoot) + (commonTokenShare+dividedTokenShare)*tolerance.Tokens
+	return limit*(1+(steadyOvershootShare+commonOvershootShare)*tolerance.Overshoot) + (commonTokenShare+dividedTokenShare+startTokenShare)*tolerance.Tokens
 }
 
 // Guards against parts of a limit that add up to the limit itself, so that nothing is left for
@@ -62,7 +62,7 @@
 			s := newSimulation(1, rules.Workspace{Name: "w", RatePerS: rate, Burst: rate, CountTokens: countTokens})
 			allowed, designed := s.allowed(), s.designed()
 			if !countTokens {
-				allowed, designed = allowed-tolerance.Tokens, designed-(commonTokenShare+dividedTokenShare)*tolerance.Tokens
+				allowed, designed = allowed-tolerance.Tokens, designed-(commonTokenShare+dividedTokenShare+startTokenShare)*tolerance.Tokens
 			}
 			g.Expect(designed).To(BeNumerically("<=", 0.97*allowed), "rate %.0f", rate)
 		}
