Bound headers and read times at the control and metrics listeners

Report of another operator: bytes that are no answer, without end, use up the memory of a machine. Not bounded were requests to a state replica: announcements of 100 endpoints with a header without end made the heap grow by 269 MB (a replica's VM has 280 MB), and a body that trickles was waited for without limit.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -37,6 +37,11 @@
 	// controlHeaderTimeout bounds the time to read the headers of a request to the control
 	// interface or the metrics listener.
 	controlHeaderTimeout = 5 * time.Second
+	// controlReadTimeout bounds the time to read a whole request, and maxControlHeaderBytes
+	// its headers: many faulty endpoints at once must not use up the memory of a small VM.
+	controlReadTimeout    = 30 * time.Second
+	maxControlHeaderBytes = 16 << 10
+	controlIdleTimeout    = 5 * time.Minute
 	// stopPause delays the exit after the replica stopped, so that a replica with a
 	// failing disk does not restart in a tight loop.
 	stopPause = 500 * time.Millisecond
@@ -97,6 +102,14 @@
 	settingsInvalid bool
 }
 
+// newControlServer returns a server for endpoints, operators and collectors of metrics.
+func newControlServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: controlHeaderTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: controlIdleTimeout,
+		MaxHeaderBytes: maxControlHeaderBytes,
+	}
+}
+
 func (g *gatewayDaemon) serveMetrics() error {
 	if g.config.Listen.Metrics == "" {
 		return nil
@@ -107,7 +120,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", g.metrics.TextHandler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: controlHeaderTimeout}
+	server := newControlServer(mux)
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
@@ -160,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: platform.ControlHandler(s, s), ReadHeaderTimeout: controlHeaderTimeout}
+	server := newControlServer(platform.ControlHandler(s, s))
 	go func() {
 		if err := server.Serve(control); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("Control listener failed; it accepts no more requests.", zap.String("address", g.config.Listen.Control), zap.Error(err))
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -78,7 +78,9 @@
 		callers: &http.Server{
 			Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
 		},
-		ready: &http.Server{Handler: e.ReadyHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog},
+		ready: &http.Server{
+			Handler: e.ReadyHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
+		},
 		forwarded: &http.Server{
 			Handler: e.forwarding, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxForwardedHeaderBytes, ErrorLog: discardLog,
 		},
