--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -78,11 +78,7 @@
 		fields = append(fields, zap.String("route", c.route.Name), zap.Uint64("generation", c.active.generation),
 			zap.Int64("left_ms", time.Until(c.deadline).Milliseconds()))
 	}
-	if c.charge.cost > 0 {
-		basis := c.entry.quotas.Basis(c.workspace)
-		fields = append(fields, zap.Float64("quota_cost", c.charge.cost), zap.String("quota_source", string(c.charge.source)), zap.Float64("quota_per_s", basis.RatePerS),
-			zap.Float64("quota_share", basis.Share), zap.Int("quota_entries", basis.Entries), zap.Int64("quota_age_ms", basis.Age.Milliseconds()))
-	}
+	fields = append(fields, c.quotaFields()...)
 	if c.peer != "" {
 		fields = append(fields, zap.String("peer", c.peer))
 	}
@@ -103,6 +99,19 @@
 	c.entry.log.Warn(message, fields...)
 }
 
+// quotaFields describes what was charged to the quota and the share of this entry now.
+func (c *call) quotaFields() []zap.Field {
+	if c.charge.cost <= 0 {
+		return nil
+	}
+	basis := c.entry.quotas.Basis(c.workspace)
+	return []zap.Field{
+		zap.Float64("quota_cost", c.charge.cost), zap.String("quota_source", string(c.charge.source)),
+		zap.Float64("quota_per_s", basis.RatePerS), zap.Float64("quota_share", basis.Share),
+		zap.Int("quota_entries", basis.Entries), zap.Int64("quota_age_ms", basis.Age.Milliseconds()),
+	}
+}
+
 // maxLoggedParts bounds the prompt parts that a log line names.
 const maxLoggedParts = 8
 
