Settle a request for common quota also if its caller leaves

A caller who left within the few milliseconds in which the leader was asked ended the call. The entry took that for a leader that does not answer: it lost what it had offered of its share, and kept all requests of the workspace from the common quota for 0.5 s. Found by reading.

--- a/internal/gateway/entry/leader.go
+++ b/internal/gateway/entry/leader.go
@@ -48,7 +48,8 @@
 	e := c.entry
 	request := &link.SpendRequest{Workspace: r.Workspace, Cost: r.Cost, Offered: offered}
 	reply := &link.SpendReply{}
-	leader, err := c.callLeader(ctx, link.MethodSpend, request, reply)
+	// The answer settles the offer also if the caller leaves meanwhile.
+	leader, err := c.callLeader(context.WithoutCancel(ctx), link.MethodSpend, request, reply)
 	var unknown *UnknownLeaderError
 	if errors.As(err, &unknown) {
 		e.quotas.Settle(r.Workspace, offered, 0)
