--- a/internal/gateway/demand/demand.go
+++ b/internal/gateway/demand/demand.go
@@ -64,8 +64,13 @@
 	if now.Sub(d.totalAt) > totalTTL {
 		return even
 	}
-	own := d.own[subject]
-	all := max(d.total.PerS[subject], own)
+	return ShareOf(even, d.own[subject], d.total.PerS[subject])
+}
+
+// ShareOf returns the share of an entry whose demand is own, of that of all entries. even is
+// the share if all had the same demand.
+func ShareOf(even, own, all float64) float64 {
+	all = max(all, own)
 	if all <= 0 {
 		return even
 	}
--- a/internal/gateway/entry/leader.go
+++ b/internal/gateway/entry/leader.go
@@ -28,13 +28,13 @@
 
 // takeQuota spends the cost of a request from the quota of its workspace: from the share
 // of this entry, or from the common quota of the leader together with what is left of the
-// share. The error is a *QuotaError.
-func (e *Entry) takeQuota(ctx context.Context, workspace string, cost float64) (quotaSource, error) {
+// share. denied is nil if the request is covered.
+func (e *Entry) takeQuota(ctx context.Context, workspace string, cost float64) (source quotaSource, denied *QuotaError) {
 	decision := e.quotas.Take(workspace, cost, time.Now())
 	if decision.Granted {
 		return quotaFromShare, nil
 	}
-	denied := &QuotaError{Workspace: workspace, Cost: cost, Wait: decision.Wait}
+	denied = &QuotaError{Workspace: workspace, Cost: cost, Wait: decision.Wait}
 	if decision.AskCommon && e.replicaClient.spend(ctx, denied, decision.Offered) {
 		return quotaFromCommon, nil
 	}
--- a/internal/gateway/entry/prepare.go
+++ b/internal/gateway/entry/prepare.go
@@ -110,9 +110,8 @@
 			cost = float64(c.meta.PromptTokens + c.meta.MaxOutputTokens)
 		}
 	}
-	source, err := c.entry.takeQuota(c.r.Context(), w.Name, cost)
-	var denied *QuotaError
-	if errors.As(err, &denied) {
+	source, denied := c.entry.takeQuota(c.r.Context(), w.Name, cost)
+	if denied != nil {
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, RetryAfter: c.retryAfter(denied.Wait), Err: denied}
 	}
 	c.charge = quotaCharge{source: source, cost: cost}
--- a/internal/gateway/quota/leases.go
+++ b/internal/gateway/quota/leases.go
@@ -12,15 +12,12 @@
 	// LeaseTTL is how long an entry may use the shares of a lease, counted from the poll to
 	// which the lease was the answer. It outlasts one lost poll.
 	LeaseTTL = 2 * time.Second
-	// evenTTL is how long an entry that reaches no leader may use an even share. So long the
-	// leader keeps that share back for an entry that is silent.
+	// evenTTL is how long an entry that reaches no leader may use an even share. The leader
+	// keeps that share back for a silent entry as long.
 	evenTTL = 20 * time.Second
 	// lateShare is the part of an even share that an entry may use after evenTTL. Nothing is
 	// kept back for it any more; the margin of the limits covers it.
 	lateShare = 0.25
-	// evenPart is the part of a limit that is divided evenly; the rest is divided by demand.
-	// An entry without recent demand thus admits its first requests.
-	evenPart = 0.25
 	// expireInterval is how often leases of silent entries are reduced.
 	expireInterval = 100 * time.Millisecond
 )
@@ -48,19 +45,11 @@
 func SelfLease(total demand.Total, own map[string]float64) *Lease {
 	lease := &Lease{Even: 1 / float64(max(total.Entries, 1)), Shares: make(map[string]float32)}
 	for workspace := range total.PerS {
-		lease.Shares[workspace] = float32(min(demandShare(lease.Even, own[workspace], total.PerS[workspace]), lease.Even))
+		lease.Shares[workspace] = float32(min(demand.ShareOf(lease.Even, own[workspace], total.PerS[workspace]), lease.Even))
 	}
 	return lease
 }
 
-// demandShare returns the share of an entry with a part of the demand.
-func demandShare(even, own, all float64) float64 {
-	if all <= 0 {
-		return even
-	}
-	return evenPart*even + (1-evenPart)*min(own/all, 1)
-}
-
 // LeaseRequest is what an entry reports when it asks for a lease.
 type LeaseRequest struct {
 	Entry string
@@ -160,7 +149,7 @@
 // nextShare returns the share of an entry by its part of the demand, as far as the others
 // leave it.
 func (l *Leases) nextShare(h *holder, workspace string, even float64, r *LeaseRequest) float64 {
-	share := demandShare(even, r.Demand[workspace], r.Total.PerS[workspace])
+	share := demand.ShareOf(even, r.Demand[workspace], r.Total.PerS[workspace])
 	if r.WithoutLeases {
 		return share
 	}
