Replace voters that are gone as soon as successors hold the log

Cause: a silent voter was removed only after 8 s and while 4 voters were active, and a learner was promoted only while there were fewer than 5 voters, counting those that were gone. With the second replacement 9 s after the first, 3 of 5 voters were active for good. A group of three never removed a voter at all.

Ruled out: a loss of the log (the version is on two disks), elections (the three candidates of the record ask 3 of 5 voters and 2 answer), joining (each successor joined within 0.5 s in the log).

Now a pure package, internal/core/quorum, decides: a voter silent for 1.2 s is removed while 2f+1 are left, f being the losses that the deployment names; a learner takes the place of a silent voter. Raft counts the silence in ticks, and a new leader knows that of its predecessor.

TestAllReplicasAreReplacedInTurn failed before, with three and with four replicas (change 4 not acknowledged; no quorum).

--- a/internal/core/raft/configuration.go
+++ b/internal/core/raft/configuration.go
@@ -29,6 +29,19 @@
 	RemoveMember
 )
 
+func (k ChangeKind) String() string {
+	switch k {
+	case AddLearner:
+		return "add learner"
+	case PromoteLearner:
+		return "promote learner"
+	case RemoveMember:
+		return "remove member"
+	default:
+		return "unknown change"
+	}
+}
+
 // Change is one membership change.
 type Change struct {
 	Kind   ChangeKind
--- a/internal/core/raft/election.go
+++ b/internal/core/raft/election.go
@@ -86,6 +86,10 @@
 	// The leader keeps its own progress even while its removal is being committed.
 	r.progress = map[ID]*progress{r.id: {match: r.log.stable, next: r.log.last() + 1}}
 	r.trackMembers()
+	// A leader that is gone has been silent for longer than this node leads.
+	if p := r.progress[r.lastLeader]; p != nil && r.lastLeader != r.id {
+		p.silentTicks = r.leaderSilentTicks
+	}
 	// Entries of older terms can be committed only together with an entry of this term.
 	if _, _, err := r.propose(EntryCommand, nil); err != nil {
 		panicInvariant("append the first entry of a term: %v", err)
--- a/internal/core/raft/leader.go
+++ b/internal/core/raft/leader.go
@@ -9,6 +9,7 @@
 
 func (r *Raft) stepLeader(m Message, p *progress) {
 	p.active = true
+	p.silentTicks = 0
 	if m.Kind == MsgHeartbeatReply {
 		r.handleHeartbeatReply(m, p)
 		return
--- a/internal/core/raft/progress.go
+++ b/internal/core/raft/progress.go
@@ -26,6 +26,9 @@
 	// wasActive is the value of active in the previous check period.
 	active    bool
 	wasActive bool
+	// silentTicks counts the ticks since the last reply of the member, or since this node
+	// leads or the member was added. For the former leader it counts from its last message.
+	silentTicks int
 	// seq is the number of the last read barrier that the member acknowledged.
 	seq uint64
 	// commit is the highest commit index sent.
--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -47,6 +47,11 @@
 	leader  ID
 	configs []indexedConfig
 
+	// lastLeader is the last other node that this node followed, and leaderSilentTicks the
+	// ticks since its last message.
+	lastLeader        ID
+	leaderSilentTicks int
+
 	electionElapsed  int
 	heartbeatElapsed int
 	electionTimeout  int
@@ -95,6 +100,7 @@
 		r.tickLeader()
 		return
 	}
+	r.leaderSilentTicks++
 	if r.electionElapsed >= r.electionTimeout && r.promotable() {
 		r.campaign(PreCandidate, false)
 	}
@@ -102,6 +108,9 @@
 
 func (r *Raft) tickLeader() {
 	r.heartbeatElapsed++
+	for _, p := range r.progress {
+		p.silentTicks++
+	}
 	if r.electionElapsed >= r.cfg.ElectionTicks {
 		r.electionElapsed = 0
 		r.transferee = 0
@@ -311,10 +320,13 @@
 		Commit: r.log.commit, Applied: r.log.applied, Last: r.log.last(), Config: *r.config(),
 	}
 	if r.role == Leader {
-		s.Match, s.Active = make(map[ID]uint64), make(map[ID]bool)
+		s.Match, s.Active, s.SilentTicks = make(map[ID]uint64), make(map[ID]bool), make(map[ID]int)
 		for id, p := range r.progress {
 			s.Match[id] = p.match
 			s.Active[id] = id == r.id || p.active || p.wasActive
+			if id != r.id {
+				s.SilentTicks[id] = p.silentTicks
+			}
 		}
 	}
 	return s
--- a/internal/core/raft/step.go
+++ b/internal/core/raft/step.go
@@ -91,6 +91,7 @@
 		r.becomeFollower(r.term, m.From)
 	}
 	r.electionElapsed = 0
+	r.lastLeader, r.leaderSilentTicks = m.From, 0
 	switch m.Kind {
 	case MsgAppend:
 		r.handleAppend(m)
--- a/internal/core/raft/types.go
+++ b/internal/core/raft/types.go
@@ -144,4 +144,7 @@
 	// Active reports which members replied in the current or the previous check period.
 	// It is set only on a leader.
 	Active map[ID]bool
+	// SilentTicks holds the ticks since the last reply of each other member, or since the
+	// node leads. It is set only on a leader.
+	SilentTicks map[ID]int
 }
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -49,7 +49,8 @@
 	// leaseHandover is how long a new leader grants no leases of quotas: until those of the
 	// former one, which may have granted until its last confirmation lapsed, have ended.
 	leaseHandover = quota.LeaseTTL + confirmationTTL
-	// maxVoters bounds the number of voters; further replicas are learners.
+	// maxVoters is the number of voters up to which replicas are promoted; further ones are
+	// learners, unless more losses have to be borne.
 	maxVoters = 5
 	// snapshotBytes is the size of the log at which a snapshot is taken. The disk
 	// of a small VM has 128 MB, and the old snapshot is kept while the new one is
@@ -157,7 +158,7 @@
 	others, founder := removeAddress(seeds, st.address)
 	st.replica, err = replica.Start(replica.Options{
 		Address: st.address, FS: files, Caller: options.RPC, Server: options.RPC,
-		Peers: others, Bootstrap: s.Bootstrap && founder, Voters: maxVoters,
+		Peers: others, Bootstrap: s.Bootstrap && founder, Voters: maxVoters, Losses: s.Bounds.Losses,
 		SnapshotBytes: snapshotBytes, KeepEntries: keptLogEntries, ElectionTicks: electionTicks, Log: options.Log, OnStop: options.OnStop,
 	})
 	if err != nil {
--- a/internal/replica/member.go
+++ b/internal/replica/member.go
@@ -6,107 +6,43 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/core/quorum"
 	"github.com/boragelead/boragelead/internal/core/raft"
 )
 
+// voterTimeout is the time after which a silent voter no longer counts as one that may
+// answer. It is a dozen heartbeats, and short enough that the group bears the next loss as
+// soon as a successor has started, also if it lost two leaders in a row. A voter that is
+// removed while it is cut off joins again when it is back, at the cost of two membership
+// changes.
+const voterTimeout = 1200 * time.Millisecond
+
+// learnerTimeout is the time after which a silent learner is removed.
+const learnerTimeout = 8 * time.Second
+
 // maintainMembership proposes at most one membership change towards the wanted set of
-// voters. A learner that has caught up replaces the voter that had its address before
-// (the data folder of that voter is lost), or is promoted if voters are missing. If
-// neither is due, a member that has been silent for too long is removed.
+// voters.
 func (r *Replica) maintainMembership() {
 	s := r.raft.Status()
-	change, ok := nextMembershipChange(&s, r.opts.Voters)
-	if !ok {
-		change, ok = r.silent.nextRemoval(&s, time.Now())
-	}
+	change, ok := r.policy().Next(&s)
 	if !ok {
 		return
 	}
-	if _, _, err := r.raft.ProposeChange(change); err == nil {
-		r.log.Info("Membership change proposed.", zap.Uint8("kind", uint8(change.Kind)),
-			zap.Uint64("replica", uint64(change.Member.ID)), zap.String("address", change.Member.Address))
-	}
-}
-
-// needsPromotion reports whether a learner waits for its promotion while the cluster
-// has too few voters to survive the loss of one disk. A new cluster has one voter.
-// Until it has three, its growth must not wait for maintenanceInterval.
-func (r *Replica) needsPromotion() bool {
-	s := r.raft.Status()
-	return len(s.Config.Voters) < min(r.opts.Voters, faultTolerantVoters) && len(s.Config.Learners) > 0
-}
-
-// faultTolerantVoters is the least number of voters that tolerate the loss of one disk.
-const faultTolerantVoters = 3
-
-// nextMembershipChange returns the next removal of a replaced member or promotion of a
-// learner, if one is due. Of two members with the same address, the one later in the
-// list is the newer.
-func nextMembershipChange(s *raft.Status, voters int) (raft.Change, bool) {
-	for _, list := range [][]raft.Member{s.Config.Voters, s.Config.Learners} {
-		for i, m := range list {
-			if m.ID != s.ID && containsAddress(list[i+1:], m.Address) {
-				return raft.Change{Kind: raft.RemoveMember, Member: m}, true
-			}
-		}
-	}
-	for _, m := range s.Config.Learners {
-		replaces := containsAddress(s.Config.Voters, m.Address)
-		if s.Active[m.ID] && s.Match[m.ID] > 0 && (replaces || len(s.Config.Voters) < voters) {
-			return raft.Change{Kind: raft.PromoteLearner, Member: m}, true
-		}
-	}
-	return raft.Change{}, false
-}
-
-// silentMembers records for each silent member since when it has been silent. Only the
-// leader uses it.
-type silentMembers map[raft.ID]time.Time
-
-// silentMemberTimeout is the time after which a silent member is removed if the other
-// members do not need it. A removed member that comes back joins again on its own, so
-// a wrong removal costs one more membership change.
-const silentMemberTimeout = 8 * time.Second
-
-// minActiveForRemoval is the least number of active voters for the removal of a silent
-// voter. Without the removal, a voter on a VM that no longer exists would count
-// towards the size of every majority.
-const minActiveForRemoval = 4
-
-// nextRemoval returns the removal of a member that has been silent for at least
-// silentMemberTimeout, if there is one. A voter is only removed while at least
-// minActiveForRemoval voters are active.
-func (silent silentMembers) nextRemoval(s *raft.Status, now time.Time) (raft.Change, bool) {
-	active := 0
-	for _, m := range s.Config.Voters {
-		if s.Active[m.ID] || m.ID == s.ID {
-			active++
-		}
-	}
-	for _, m := range s.Config.Members() {
-		if s.Active[m.ID] || m.ID == s.ID {
-			delete(silent, m.ID)
-			continue
-		}
-		since, known := silent[m.ID]
-		if !known {
-			silent[m.ID] = now
-			continue
-		}
-		if now.Sub(since) >= silentMemberTimeout && (active >= minActiveForRemoval || s.Config.IsLearner(m.ID)) {
-			return raft.Change{Kind: raft.RemoveMember, Member: m}, true
-		}
+	// Busy until the change before is committed, or not caught up: tried again at the next tick.
+	if _, _, err := r.raft.ProposeChange(change); err != nil {
+		return
 	}
-	return raft.Change{}, false
+	r.log.Info("Membership change proposed.", zap.Stringer("change", change.Kind),
+		zap.Uint64("replica", uint64(change.Member.ID)), zap.String("address", change.Member.Address),
+		zap.Int("silent_ticks", s.SilentTicks[change.Member.ID]),
+		zap.Int("voters_before", len(s.Config.Voters)), zap.Int("tolerable_losses_before", quorum.TolerableLosses(&s)))
 }
 
-func containsAddress(list []raft.Member, address string) bool {
-	for _, m := range list {
-		if m.Address == address {
-			return true
-		}
+func (r *Replica) policy() quorum.Policy {
+	return quorum.Policy{
+		Voters: r.opts.Voters, Losses: r.opts.Losses,
+		VoterTicks: int(voterTimeout / r.opts.TickInterval), LearnerTicks: int(learnerTimeout / r.opts.TickInterval),
 	}
-	return false
 }
 
 // handleJoin adds a learner. It replies with the cluster ID once the change is committed.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -32,6 +32,8 @@
 	DefaultMaxBatch = 1024
 	// DefaultVoters is the number of voters up to which learners are promoted.
 	DefaultVoters = 3
+	// DefaultLosses is the number of replicas that may be lost at once.
+	DefaultLosses = 1
 	// DefaultRetention is how long ended claims are kept while no document sets a retention.
 	DefaultRetention = 24 * time.Hour
 )
@@ -40,9 +42,8 @@
 	// ledgerTickInterval is the interval between replicated clock ticks. Ticks only
 	// drive the expiry of claims, whose retention is hours. Lease requests carry the
 	// elapsed time themselves.
-	ledgerTickInterval  = 10 * time.Second
-	maintenanceInterval = time.Second
-	maxAppendBytes      = 1 << 20
+	ledgerTickInterval = 10 * time.Second
+	maxAppendBytes     = 1 << 20
 	// appendBytesPerTick is 640 KB/s: a document of 0.5 MB reaches the logs of four
 	// members within 0.3 s on a VM with half of a core.
 	appendBytesPerTick  = 32 << 10
@@ -72,6 +73,9 @@
 	Bootstrap bool
 	// Voters is the number of voters up to which learners are promoted.
 	Voters int
+	// Losses is the number of replicas that may be lost at once. Silent voters are removed
+	// only while twice as many and one more are left.
+	Losses int
 
 	TickInterval    time.Duration
 	ElectionTicks   int
@@ -101,6 +105,8 @@
 	}
 	setDefault(&o.Group, DefaultGroup)
 	setDefault(&o.Voters, DefaultVoters)
+	setDefault(&o.Losses, DefaultLosses)
+	o.Voters = max(o.Voters, 2*o.Losses+1)
 	setDefault(&o.TickInterval, DefaultTickInterval)
 	setDefault(&o.ElectionTicks, DefaultElectionTicks)
 	setDefault(&o.HeartbeatTicks, DefaultHeartbeatTicks)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -53,8 +53,6 @@
 	// timeReplicatedUntil is the local time up to which the elapsed time has been
 	// proposed to the replicated log.
 	timeReplicatedUntil time.Time
-	lastMaintenance     time.Time
-	silent              silentMembers
 	// lastLeaderSeen is the last time at which this replica knew a leader.
 	lastLeaderSeen time.Time
 	// rejoining is set while a request to join the cluster again is in progress.
@@ -253,10 +251,7 @@
 			r.timeReplicatedUntil = now
 		}
 	}
-	if now.Sub(r.lastMaintenance) >= maintenanceInterval || r.needsPromotion() {
-		r.lastMaintenance = now
-		r.maintainMembership()
-	}
+	r.maintainMembership()
 }
 
 // proposeInternal proposes a command that the leader itself issues. It does not wait
@@ -288,7 +283,6 @@
 	if role == raft.Leader {
 		// The time before the election is not counted. The timers of the leases start again.
 		r.timeReplicatedUntil, r.lastLedgerTick = time.Now(), time.Now()
-		r.silent = silentMembers{}
 		r.proposeInternal(&ledger.Command{Open: &ledger.NewTerm{Term: term}})
 		r.log.Info("Replica leads.", zap.Uint64("term", term))
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -97,6 +97,8 @@
 	FencingEnforced bool `json:"fencing_enforced"`
 	// GraceS is the time from the stop signal until the process is killed, in seconds.
 	GraceS float64 `json:"grace_s"`
+	// Losses is the number of state replicas that may be lost at once.
+	Losses int `json:"losses"`
 }
 
 // GatewayCloud holds the address to which duty calls are sent.
@@ -138,6 +140,7 @@
 	defaultUsageDelayS    = 10
 	defaultLeaseMS        = 3000
 	defaultGraceS         = 8
+	defaultLosses         = 1
 )
 
 func (b *GatewayBounds) setDefaults() {
@@ -149,6 +152,7 @@
 	b.UsageDelayS = cmp.Or(b.UsageDelayS, defaultUsageDelayS)
 	b.LeaseMS = cmp.Or(b.LeaseMS, defaultLeaseMS)
 	b.GraceS = cmp.Or(b.GraceS, defaultGraceS)
+	b.Losses = cmp.Or(b.Losses, defaultLosses)
 }
 
 func (g *Gateway) validate() error {
@@ -167,6 +171,8 @@
 		return &Error{Field: "seeds", Message: "must name a state replica"}
 	case g.Role == RoleEntry && (g.Listen.Callers == "" || g.Listen.Ready == ""):
 		return &Error{Field: "listen", Message: "an entry needs callers and ready"}
+	case g.Bounds.Losses < 0:
+		return &Error{Field: "bounds.losses", Message: "must not be negative"}
 	case g.Role == RoleState && (g.Listen.Control == "" || g.DataFolder == ""):
 		return &Error{Field: "listen", Message: "a state replica needs control and data_folder"}
 	}
