Join past replicas that are gone, through reloaded seeds, and sooner after a cut

A replica that starts asked the addresses that it knows one after the other and waited 1 s for each that never answers, so that with several seeds replaced it joined seconds late (TestJoinPastReplicasThatAreGone: not within 2 s before). It asks all at once now. Its seeds were those of its start: if all of them were replaced before it reached one, it never joined (TestJoinThroughNewSeeds; the setter is new). A replica that was removed while it was cut off asked to join again each 4 s; now each 1.2 s. TestCutOffReplicaGetsItsPlaceBack also passed before, since its cut happens to end 1.5 s before an attempt.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -179,9 +179,7 @@
 			g.log.Error("Control listener failed; it accepts no more requests.", zap.String("address", g.config.Listen.Control), zap.Error(err))
 		}
 	}()
-	// The setter does nothing, because a replica takes the addresses of the others from
-	// the replicated state.
-	g.waitForStop(func([]string) {})
+	g.waitForStop(s.SetSeeds)
 	ctx, cancel := context.WithTimeout(context.Background(), controlGrace)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -191,6 +191,13 @@
 	return rest, found
 }
 
+// SetSeeds replaces the seed addresses, after the settings were reloaded. A replica that has
+// not joined the group yet joins through them.
+func (s *State) SetSeeds(seeds []string) {
+	others, _ := removeAddress(entry.PeerAddresses(seeds, s.options.Settings.PeerPort), s.address)
+	s.replica.SetPeers(others)
+}
+
 // Run starts the background tasks. It must be called after the RPC node has
 // started to serve.
 func (s *State) Run() {
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -402,7 +402,7 @@
 // knownAddresses returns the own address followed by all other known addresses.
 func (r *Replica) knownAddresses() []string {
 	list := []string{r.opts.Address}
-	for _, address := range slices.Concat(r.opts.Peers, r.network.memberAddresses()) {
+	for _, address := range slices.Concat(r.peers(), r.network.memberAddresses()) {
 		if !slices.Contains(list, address) {
 			list = append(list, address)
 		}
--- a/internal/replica/enroll.go
+++ b/internal/replica/enroll.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,29 +50,74 @@
 	return nil
 }
 
-// findCluster sends join requests to the known peers until one succeeds. It returns the
-// cluster ID, or 0 if no request succeeded.
+// findCluster sends join requests to all known addresses at once, since some of them may be
+// those of VMs that are gone and never answer. It asks the leaders that answers name as well,
+// and returns the cluster ID after the first success, or 0 if no request succeeded.
 func (r *Replica) findCluster() uint64 {
+	ctx, cancel := context.WithTimeout(r.ctx, enrollTimeout)
+	defer cancel()
 	change := raft.Change{Kind: raft.AddLearner, Member: raft.Member{ID: r.ID(), Address: r.opts.Address}}
-	peers := slices.Clone(r.opts.Peers)
-	for _, address := range r.network.memberAddresses() {
-		if address != r.opts.Address && !slices.Contains(peers, address) {
-			peers = append(peers, address)
+	answers := make(chan joinAnswer)
+	asked := map[string]bool{r.opts.Address: true}
+	pending := 0
+	ask := func(address string) {
+		if asked[address] {
+			return
 		}
+		asked[address] = true
+		pending++
+		go func() {
+			answer, err := exchange(ctx, r.opts.Caller, address, MethodJoin, &request{Group: r.opts.Group, Change: change})
+			select {
+			case answers <- joinAnswer{address, answer, err}:
+			case <-ctx.Done():
+			}
+		}()
 	}
-	for i := 0; i < len(peers); i++ {
-		answer, err := r.callPeer(peers[i], MethodJoin, &request{Group: r.opts.Group, Change: change})
-		if err == nil && answer.Error == nil && answer.Status != nil && answer.Status.Cluster != 0 {
-			r.log.Info("Replica joined as a learner.", zap.String("through", peers[i]))
-			return answer.Status.Cluster
-		}
-		if err == nil && answer.Error != nil && answer.Error.Leader != "" && !slices.Contains(peers, answer.Error.Leader) {
-			peers = append(peers, answer.Error.Leader)
+	for _, address := range r.knownAddresses() {
+		ask(address)
+	}
+	for pending > 0 {
+		select {
+		case a := <-answers:
+			pending--
+			if cluster := a.cluster(); cluster != 0 {
+				r.log.Info("Replica joined as a learner.", zap.String("through", a.address))
+				return cluster
+			}
+			if leader := a.leader(); leader != "" {
+				ask(leader)
+			}
+		case <-ctx.Done():
+			return 0
 		}
 	}
 	return 0
 }
 
+// joinAnswer is the outcome of a join request to one address.
+type joinAnswer struct {
+	address string
+	reply   *reply
+	err     error
+}
+
+// cluster returns the ID of the cluster that the replica joined, or 0.
+func (a joinAnswer) cluster() uint64 {
+	if a.err != nil || a.reply.Error != nil || a.reply.Status == nil {
+		return 0
+	}
+	return a.reply.Status.Cluster
+}
+
+// leader returns the address of the leader that the answer names, or "".
+func (a joinAnswer) leader() string {
+	if a.err != nil || a.reply.Error == nil {
+		return ""
+	}
+	return a.reply.Error.Leader
+}
+
 // mayBootstrap reports whether this replica may start a new cluster. A replica that
 // lost its disk must not do so. Therefore every peer has to answer that it belongs to
 // no cluster.
@@ -112,8 +156,9 @@
 }
 
 // rejoinAfter is the time without a known leader after which a replica asks to join
-// again.
-const rejoinAfter = 4 * time.Second
+// again. An election takes less, and a replica that was removed while it was cut off must
+// have its place back before the next loss.
+const rejoinAfter = 1200 * time.Millisecond
 
 // rejoinIfLeaderless runs in the event loop. A replica that was removed while it was
 // unreachable receives no messages from a leader. It then asks to join again as a
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -66,6 +66,7 @@
 	Caller port.PeerCaller
 	Server port.PeerServer
 	// Peers are the addresses of the other replicas, used to join or bootstrap a cluster.
+	// SetPeers replaces those used to join.
 	Peers []string
 	// Bootstrap lets the replica with the lowest address start a new cluster once
 	// every peer has answered that it belongs to no cluster. The flag can have the same
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,13 +20,78 @@
 func (c *cluster) replace(i int, pause time.Duration) {
 	c.stop(i)
 	time.Sleep(pause)
+	c.add()
+}
+
+// add starts an empty replica at another address and returns its index.
+func (c *cluster) add() int {
 	p, err := newPeer("127.0.0.1:0", c.faults)
 	c.g.Expect(err).NotTo(HaveOccurred())
 	c.peers = append(c.peers, p)
 	c.addr = append(c.addr, p.address)
 	c.folders = append(c.folders, c.t.TempDir())
 	c.nodes = append(c.nodes, nil)
-	c.start(len(c.nodes) - 1)
+	added := len(c.nodes) - 1
+	c.start(added)
+	return added
+}
+
+// TestCutOffReplicaGetsItsPlaceBack guards against a replica that was removed while it was cut
+// off and is no voter again by the time that the next replica may be lost.
+func TestCutOffReplicaGetsItsPlaceBack(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, func(o *replica.Options) { o.Voters = 5 })
+	leader := c.leader()
+	cutOff := (leader + 1) % 4
+	cut := func(isCut bool) {
+		for i := range c.nodes {
+			c.faults.setCut(c.addr[i], c.addr[cutOff], isCut)
+			c.faults.setCut(c.addr[cutOff], c.addr[i], isCut)
+		}
+	}
+	isVoter := func() bool {
+		s := c.status(leader)
+		return s != nil && s.Config.IsVoter(c.nodes[cutOff].ID())
+	}
+	cut(true)
+	c.g.Eventually(isVoter, "10s", "20ms").Should(BeFalse())
+	time.Sleep(time.Second)
+	cut(false)
+	c.g.Eventually(isVoter, catchUpTime, "20ms").Should(BeTrue())
+}
+
+// TestJoinThroughNewSeeds guards against an empty replica that never joins because the replicas
+// that it was told at its start were all replaced before it reached them.
+func TestJoinThroughNewSeeds(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, func(o *replica.Options) { o.Voters = 5 })
+	group := slices.Clone(c.addr)
+	gone, err := newPeer("127.0.0.1:0", c.faults)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	gone.close()
+	c.adjustOptions = func(o *replica.Options) { o.Voters, o.Peers = 5, []string{gone.address} }
+	added := c.add()
+	c.g.Consistently(func() *replica.Status { return c.status(added) }, "500ms", "50ms").Should(BeNil())
+	c.nodes[added].SetPeers(group)
+	c.waitVoters(4)
+}
+
+// TestJoinPastReplicasThatAreGone guards against a replica that spends the time in which the
+// group bears no further loss on addresses that never answer.
+func TestJoinPastReplicasThatAreGone(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, func(o *replica.Options) { o.Voters = 5 })
+	peers := slices.Clone(c.addr)
+	for range 4 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = listener.Close() })
+		// Connections to it are established and never answered.
+		peers = append([]string{listener.Addr().String()}, peers...)
+	}
+	c.adjustOptions = func(o *replica.Options) { o.Voters, o.Peers = 5, peers }
+	added := c.add()
+	c.g.Eventually(func() *replica.Status { return c.status(added) }, "2s", "20ms").ShouldNot(BeNil())
 }
 
 // TestAllReplicasAreReplacedInTurn guards against a group that loses its quorum for good
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	mathrand "math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +67,8 @@
 
 	mu      sync.Mutex
 	stopErr error
+	// peerAddresses are the addresses to join through, beside those of the members.
+	peerAddresses []string
 }
 
 // proposal is a command or membership change that waits for its outcome.
@@ -97,7 +100,7 @@
 		opts: opts, log: opts.Log.Named("[state]"), wal: log, recovered: recovered, identity: recovered.Identity,
 		messages: make(chan raft.Message, queueLength), proposals: make(chan *proposal, queueLength),
 		loopCalls: make(chan func(), queueLength), done: make(chan struct{}), running: make(chan struct{}),
-		ledger: ledger.New(), pending: map[uint64]*proposal{}, reads: map[uint64]*readCall{},
+		ledger: ledger.New(), pending: map[uint64]*proposal{}, reads: map[uint64]*readCall{}, peerAddresses: opts.Peers,
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.clusterID.Store(r.identity.Cluster)
@@ -124,6 +127,20 @@
 	}
 }
 
+// SetPeers replaces the addresses through which the replica joins its cluster, also while it
+// tries to.
+func (r *Replica) SetPeers(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peerAddresses = slices.Clone(addresses)
+}
+
+func (r *Replica) peers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peerAddresses
+}
+
 // ID returns the replica ID that is stored in the data folder.
 func (r *Replica) ID() raft.ID { return r.identity.Replica }
 
