Send a request again to an address only over a connection that did not carry it

What callers saw: an unrepeatable request was answered 503 and had run, or ran twice. An endpoint that starts again under another ID keeps its address. A request that the entry still sends to the former ID is refused with 421, and the entry sends it to the new ID next: to the same process, over the connection that it has just put back into the pool, with the same attempt ID. A late second copy of the refusal is then taken for the answer to the second attempt, which runs.

The second attempt at an address opens a new connection; other requests use the kept one.

Found by reading for what proves at each 503 that a request has not run.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -128,13 +129,17 @@
 	}
 	dispatch.KVHandle, c.kvHandle = c.kvHandle, ""
 	c.entry.options.Dialect.Dispatch(header, dispatch)
+	address := choice.Endpoint.Address
 	request := &wire.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
-		KeptOnly: h.keptOnly, BeforeSend: func() error { return checkChoice(choice) },
+		// On a connection that carried this request before, a late second copy of the answer
+		// to the earlier attempt has the right ID, and would be taken for the answer to this one.
+		Fresh: slices.Contains(c.addresses, address), KeptOnly: h.keptOnly, BeforeSend: func() error { return checkChoice(choice) },
 	}
+	c.addresses = append(c.addresses, address)
 	defer c.limitSilence(cancel)()
 	c.entry.metrics.attempts.Inc()
-	return c.entry.client.Do(ctx, choice.Endpoint.Address, request)
+	return c.entry.client.Do(ctx, address, request)
 }
 
 // resumeAfter returns the ID of the event after which the next attempt must continue; empty
