Move runs over connections that are not kept

The answer to a move carries no ID. A late second copy of one on a kept connection is taken for the answer to the next move, whose stream would then go on from the KV cache of another request. Moves open a connection of their own and reset it after the answer.

--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -232,11 +232,13 @@
 func (e *Entry) callEndpoint(address string, c *port.EndpointCall) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(e.ctx, moveTimeout)
 	defer cancel()
-	answer, err := e.client.Do(ctx, address, &wire.Request{Method: c.Method, Target: c.Target, Host: address, Header: c.Header, Body: c.Body})
+	// The answer carries no ID, so that a late second copy of an earlier one could not be told
+	// apart on a kept connection. For the same reason the connection is not kept.
+	answer, err := e.client.Do(ctx, address, &wire.Request{Method: c.Method, Target: c.Target, Host: address, Header: c.Header, Body: c.Body, Fresh: true})
 	if err != nil {
 		return 0, nil, err
 	}
-	defer answer.Close()
+	defer answer.Discard()
 	body, err = io.ReadAll(io.LimitReader(answer, maxMoveReplyBytes))
 	return answer.StatusCode, body, err
 }
