Show operators how many losses the group of replicas still bears

A group that loses its last spare voter looked like a sound one. The leader exports state_voters, state_tolerable_losses and state_silent_members, and writes one line at each change, a warning where no further loss can be borne.

--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -145,7 +145,7 @@
 // isLeader reports whether the own replica leads the log.
 func (l *ledgerAccess) isLeader() bool {
 	status := l.status()
-	return status != nil && status.Role == "leader"
+	return status != nil && status.Role == replica.RoleLeader
 }
 
 // status returns the status of the own replica. It returns nil if the daemon
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -112,6 +112,8 @@
 	origins        *streams.Table
 	documentCache  documentCache
 	documentSource documentSource
+	// health is what was last reported of the group. Only refreshStatus uses it.
+	health groupHealth
 	// savedVersion is the registry version that was last written to disk.
 	savedVersion uint64
 
@@ -264,6 +266,7 @@
 	}
 	s.mu.Unlock()
 	s.coverage.observe(status.Leader != "", bootclock.Now())
+	s.reportGroupHealth(status)
 	if previous == nil || previous.Leader != status.Leader || previous.Term != status.Term {
 		s.log.Info("Leader of the state.", zap.String("leader", status.Leader), zap.Uint64("term", status.Term), zap.String("role", status.Role))
 	}
--- a/internal/replica/handlers.go
+++ b/internal/replica/handlers.go
@@ -217,7 +217,7 @@
 	s := r.raft.Status()
 	r.updateLeader()
 	roles := map[raft.Role]string{
-		raft.Follower: "follower", raft.PreCandidate: "candidate", raft.Candidate: "candidate", raft.Leader: "leader",
+		raft.Follower: "follower", raft.PreCandidate: "candidate", raft.Candidate: "candidate", raft.Leader: RoleLeader,
 	}
 	status := &Status{
 		Group: r.opts.Group, Replica: s.ID, Cluster: r.clusterID.Load(), Address: r.opts.Address,
--- a/internal/replica/protocol.go
+++ b/internal/replica/protocol.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/boragelead/boragelead/internal/core/ledger"
+	"github.com/boragelead/boragelead/internal/core/quorum"
 	"github.com/boragelead/boragelead/internal/core/raft"
 	"github.com/boragelead/boragelead/internal/port"
 )
@@ -76,8 +77,9 @@
 	Replica raft.ID `json:"replica"`
 	Cluster uint64  `json:"cluster"`
 	Address string  `json:"address"`
-	Role    string  `json:"role"`
-	Term    uint64  `json:"term"`
+	// Role is RoleLeader, or a text for logs.
+	Role string `json:"role"`
+	Term uint64 `json:"term"`
 	// Leader is the address of the leader, empty if it is unknown.
 	Leader  string             `json:"leader"`
 	Commit  uint64             `json:"commit"`
@@ -93,6 +95,27 @@
 	Syncs uint64 `json:"syncs"`
 }
 
+// RoleLeader is the role of the leader in a Status.
+const RoleLeader = "leader"
+
+// TolerableLosses returns how many more voters the group can lose and still has a majority.
+// Only the status of a leader tells.
+func (s *Status) TolerableLosses() int {
+	return quorum.TolerableLosses(&raft.Status{ID: s.Replica, Config: s.Config, Active: s.Active})
+}
+
+// SilentMembers returns the addresses of the members that do not answer. Only the status of a
+// leader tells.
+func (s *Status) SilentMembers() []string {
+	var addresses []string
+	for _, m := range s.Config.Members() {
+		if m.ID != s.Replica && !s.Active[m.ID] {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
 func marshal(value any) []byte {
 	var buffer bytes.Buffer
 	encoder := msgpack.GetEncoder()
