Limit the memory of all request bodies together

Each body was read with io.ReadAll, which takes up to twice its size, and held until the last event of the answer; answers share a limit of 24 MB, bodies had none.

A request beyond it is read to its end without being kept, and refused as not run with a Retry-After. gateway_body_bytes shows the use.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -49,7 +49,7 @@
 	// workspace is empty for requests without a known key on anonymous routes.
 	workspace  string
 	priority   int
-	body       []byte
+	body       requestBody
 	receivedAt time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
@@ -118,7 +118,8 @@
 	ctx, span := e.options.Tracing.Start(telemetry.Extract(r.Context(), r.Header), telemetry.HopCaller)
 	defer span.End()
 	r = r.WithContext(ctx)
-	c := &call{entry: e, w: w, r: r, receivedAt: time.Now(), lastEventID: noID, meta: e.options.Dialect.ParseRequest(r.Header)}
+	c := &call{entry: e, w: w, r: r, receivedAt: time.Now(), lastEventID: noID, meta: e.options.Dialect.ParseRequest(r.Header), body: requestBody{budget: e.bodies}}
+	defer c.body.release()
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -80,6 +80,7 @@
 	reach         *reachability
 	migrations    *migrations
 	buffers       bufferBudget
+	bodies        *bodyBudget
 	rateLimits    *rateLimits
 	documents     *documents
 	origins       *streamOrigins
@@ -127,7 +128,8 @@
 		peerClient: exchange.New(exchange.Options{
 			Conn: httpconn.Options{DialTimeout: dialTimeout}, IdleTimeout: peerIdleTimeout,
 		}),
-		peers: peers.New(options.Settings.FailureDomain, rand.Float64),
+		peers:  peers.New(options.Settings.FailureDomain, rand.Float64),
+		bodies: newBodyBudget(options.Settings.Limits.MemoryMB),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.requests, e.cancelRequests = context.WithCancel(e.ctx)
@@ -213,6 +215,7 @@
 		case now := <-ticker.C:
 			e.client.Sweep(now)
 			e.peerClient.Sweep(now)
+			e.metrics.bodyBytes.Set(e.bodies.used.Load())
 			e.crashes.tracker.Expire(now)
 			e.logEndedBackoffs(e.board.Expire(now))
 			e.rateLimits.table.Expire(now)
--- a/internal/gateway/entry/forward_send.go
+++ b/internal/gateway/entry/forward_send.go
@@ -62,7 +62,7 @@
 	if err := c.forwardRequest(h).Write(header); err != nil {
 		return nil, &port.TransportError{Err: err}
 	}
-	request := &wire.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body}
+	request := &wire.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.data}
 	defer c.limitSilence(cancel)()
 	return c.entry.peerClient.Do(ctx, h.choice.Endpoint.Address, request)
 }
--- a/internal/gateway/entry/forward_serve.go
+++ b/internal/gateway/entry/forward_serve.go
@@ -68,8 +68,9 @@
 	defer span.End()
 	c := &call{
 		entry: e, w: w, r: r.WithContext(ctx), receivedAt: time.Now(), lastEventID: noID,
-		meta: e.options.Dialect.ParseRequest(r.Header), forwarded: request,
+		meta: e.options.Dialect.ParseRequest(r.Header), forwarded: request, body: requestBody{budget: e.bodies},
 	}
+	defer c.body.release()
 	span.Text("request", c.meta.AttemptID)
 	switch {
 	case err != nil:
@@ -105,7 +106,7 @@
 	}
 	// A write to an entry that stands still would otherwise never end.
 	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(deadlineGrace))
-	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body)
+	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body.data)
 	c.parts = c.suspectParts()
 	return nil
 }
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -13,7 +13,7 @@
 	forwards, forwardsFailed                            *telemetry.Counter
 	forwarded, forwardedFailed                          *telemetry.Counter
 	firstByte, total                                    *telemetry.Latency
-	inFlight, servicesCutOff                            *telemetry.Gauge
+	inFlight, servicesCutOff, bodyBytes                 *telemetry.Gauge
 	quotaRefunded                                       *telemetry.Counter
 	registry                                            *telemetry.Registry
 }
@@ -41,8 +41,8 @@
 		panics:        r.Counter("gateway_panics"), reachChecks: r.Counter("gateway_reach_checks"),
 		forwards: r.Counter("gateway_forwards"), forwardsFailed: r.Counter("gateway_forwards_failed"),
 		forwarded: r.Counter("gateway_forwarded"), forwardedFailed: r.Counter("gateway_forwarded_failed"),
-		servicesCutOff: r.Gauge("gateway_services_cut_off"),
-		firstByte:      r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
+		servicesCutOff: r.Gauge("gateway_services_cut_off"), bodyBytes: r.Gauge("gateway_body_bytes"),
+		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
 		quotaRefunded: r.Counter("gateway_quota_refunded"),
 		inFlight:      r.Gauge("gateway_in_flight"), registry: r,
 	}
--- a/internal/gateway/entry/prepare.go
+++ b/internal/gateway/entry/prepare.go
@@ -42,7 +42,7 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
-	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body)
+	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body.data)
 	c.service = table.Service(c.route.Pick(rand.Float64()))
 	c.parts = c.suspectParts()
 	return c.chargeQuota(workspace)
@@ -85,17 +85,22 @@
 	}
 	controller := http.NewResponseController(c.w)
 	_ = controller.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{})
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: err}
-		}
-		return &Refusal{Status: http.StatusRequestTimeout, Reason: ReasonUnreadable, Err: err}
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	reader := http.MaxBytesReader(c.w, c.r.Body, limit)
+	err := c.body.read(reader, c.r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errBodiesFull):
+		// The rest is read and dropped: closing a connection with unread bytes resets it, and
+		// the caller might lose the answer.
+		_, _ = io.Copy(io.Discard, reader)
+		return &Refusal{Status: statusNotRun, Reason: ReasonOverload, RetryAfter: c.retryAfter(defaultRetryAfter), Err: err}
+	case errors.As(err, &tooLarge):
+		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: err}
 	}
-	c.body = body
-	return nil
+	return &Refusal{Status: http.StatusRequestTimeout, Reason: ReasonUnreadable, Err: err}
 }
 
 // chargeQuota charges the request to the quota of the workspace.
