--- a/internal/gateway/entry/bodies.go
+++ b/internal/gateway/entry/bodies.go
@@ -7,9 +7,15 @@
 )
 
 const (
-	// bodyShare is the share of the memory of the VM that the bodies of all requests may take
-	// together. A body is held until the end of its request, since another endpoint may need it.
-	bodyShare = 0.45
+	// reservedBytes is the memory for everything but request bodies: the program, and answers
+	// up to their own limit.
+	reservedBytes = 64 << 20
+	// bodyShare is the share of the other memory that the bodies of all requests may take
+	// together, and minBodyShare that of all memory on a VM with little more than
+	// reservedBytes. The rest is for kernel buffers and for bodies that are not collected yet.
+	// A body is held until the end of its request, since another endpoint may need it.
+	bodyShare    = 0.7
+	minBodyShare = 0.25
 	// defaultBodyBytes is the limit if the settings name no memory, in bytes.
 	defaultBodyBytes = 256 << 20
 	// smallBodyBytes is the size up to which a body may use the whole limit. Larger ones leave
@@ -34,7 +40,8 @@
 	if memoryMB <= 0 {
 		return &bodyBudget{limit: defaultBodyBytes}
 	}
-	return &bodyBudget{limit: int64(bodyShare * float64(memoryMB) * (1 << 20))}
+	memory := float64(memoryMB) * (1 << 20)
+	return &bodyBudget{limit: int64(max(bodyShare*(memory-reservedBytes), minBodyShare*memory))}
 }
 
 // requestBody is the body of one request. The owner must call release.
