Accept connections of other daemons again after a failure

The listener for calls between daemons ended for good, without a log line, at the first error of accept, for example when descriptors ran out (seen by the review, by reading). It now logs the failure and goes on after a pause. Serve returns no error any more; TestCloseWhileConnectionsArrive waits for its return as before.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		return err
 	}
-	go func() { _ = g.rpc.Serve(peers) }()
+	go func() { g.rpc.Serve(peers) }()
 	s.Run()
 	control, err := net.Listen("tcp4", g.config.Listen.Control)
 	if err != nil {
--- a/internal/adapter/peerrpc/node.go
+++ b/internal/adapter/peerrpc/node.go
@@ -31,7 +31,8 @@
 	// ServerTLS and ClientTLS enable mutual TLS on accepted and on dialled
 	// connections; see tlsconfig.ForPeers.
 	ServerTLS, ClientTLS *tls.Config
-	// Log receives handler runs that fail unexpectedly; nil discards them.
+	// Log receives handler runs that fail unexpectedly and connections that are not accepted; nil
+	// discards them.
 	Log *zap.Logger
 	// MaxInFlight bounds the calls in flight; 0 means DefaultMaxInFlight.
 	MaxInFlight int
--- a/internal/adapter/peerrpc/server.go
+++ b/internal/adapter/peerrpc/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/guard"
+	"github.com/boragelead/boragelead/internal/wait"
 )
 
 const (
@@ -26,22 +27,39 @@
 // data is closed. A live client probes or closes the connection earlier.
 const serverIdleTimeout = idleTimeout + 2*idleProbeInterval
 
-// Serve accepts connections until the listener or the node is closed.
-func (n *Node) Serve(listener net.Listener) error {
+// Pauses before connections are accepted again after a failure, doubled with each failure in a
+// row. The usual failure is a lack of descriptors, which ends as connections do.
+const (
+	minAcceptPause = 20 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// Serve accepts connections until the listener or the node is closed. It goes on after other
+// failures to accept: a daemon that other daemons do not reach any more would be of no use.
+func (n *Node) Serve(listener net.Listener) {
 	if !n.addListener(listener) {
-		return nil
+		return
 	}
+	pause := minAcceptPause
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
 			if n.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
+				return
 			}
-			return err
+			if n.options.Log != nil {
+				n.options.Log.Warn("Connection of another daemon not accepted.", zap.Duration("pause", pause), zap.Error(err))
+			}
+			if !wait.For(n.ctx, pause) {
+				return
+			}
+			pause = min(2*pause, maxAcceptPause)
+			continue
 		}
+		pause = minAcceptPause
 		if !n.addServedConn() {
 			_ = raw.Close()
-			return nil
+			return
 		}
 		go func() {
 			defer n.servedConns.Done()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -163,7 +163,7 @@
 }
 
 func (d *Daemon) start() {
-	d.group.Go(func() { _ = d.rpc.Serve(d.listeners.peers) })
+	d.group.Go(func() { d.rpc.Serve(d.listeners.peers) })
 	d.cluster.Start()
 	d.entry.Start()
 	ctx, cancel := context.WithCancel(context.Background())
