Forget replicas that are no longer members

A replica kept an address, a goroutine and a queue of 4,096 messages for each replica that it ever sent to, for as long as its process ran; a client and a replica that looks for its group went through all those addresses. With machines that are replaced all the time, some hundred replacements would have used up the memory of a small VM (by the size of a queue, not measured). TestFormerMembersAreForgotten is new.

--- a/internal/replica/network.go
+++ b/internal/replica/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -107,6 +108,25 @@
 	}
 }
 
+// retain forgets all replicas but the given members and the leader: their addresses, and the
+// queues and goroutines that send to them. VMs are replaced all the time, and each queue takes
+// most of a megabyte. The event loop calls it, which alone writes to queues.
+func (n *network) retain(members []raft.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isGone := func(id raft.ID) bool {
+		return id != n.leader && !slices.ContainsFunc(members, func(m raft.Member) bool { return m.ID == id })
+	}
+	for id, queue := range n.queues {
+		if isGone(id) {
+			close(queue)
+			delete(n.queues, id)
+		}
+	}
+	maps.DeleteFunc(n.addresses, func(id raft.ID, _ string) bool { return isGone(id) })
+	maps.DeleteFunc(n.partialSnapshots, func(id raft.ID, _ []byte) bool { return isGone(id) })
+}
+
 // queue returns the send queue of a member. On the first call for the member it creates
 // the queue and starts the sending goroutine.
 func (n *network) queue(id raft.ID) chan raft.Message {
@@ -130,14 +150,20 @@
 	for {
 		var batch []raft.Message
 		select {
-		case m := <-queue:
+		case m, open := <-queue:
+			if !open {
+				return
+			}
 			batch = append(batch, m)
 		case <-n.replica.ctx.Done():
 			return
 		}
 		size := batch[0].Bytes()
 		for len(queue) > 0 && len(batch) < maxMessagesPerSend && size < maxBytesPerSend {
-			m := <-queue
+			m, open := <-queue
+			if !open {
+				break
+			}
 			size += m.Bytes()
 			batch = append(batch, m)
 		}
--- a/internal/replica/network_test.go
+++ b/internal/replica/network_test.go
@@ -61,3 +61,32 @@
 	n.close()
 	g.Expect(caller.largest).To(BeNumerically("<", maxBytesPerSend+2*entryBytes))
 }
+
+// Guards against a replica that keeps a queue, a goroutine and an address for each of the
+// hundreds of replicas that were replaced while it ran.
+func TestFormerMembersAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	r := &Replica{opts: Options{Address: "127.0.0.1:1", Caller: &recordingCaller{}, Log: zap.NewNop()}, log: zap.NewNop()}
+	var cancel context.CancelFunc
+	r.ctx, cancel = context.WithCancel(t.Context())
+	defer cancel()
+	node, err := raft.New(raft.Config{ID: 1, ElectionTicks: 10, HeartbeatTicks: 2, Rand: func(int) int { return 0 }})
+	g.Expect(err).NotTo(HaveOccurred())
+	r.raft = node
+	n := newNetwork(r)
+	const former = 300
+	for id := raft.ID(2); id <= former; id++ {
+		n.setAddress(id, "127.0.0.2:1")
+		n.send([]raft.Message{{Kind: raft.MsgHeartbeat, To: id}})
+	}
+	n.setLeader(2)
+	n.retain([]raft.Member{{ID: 1}, {ID: 3}})
+	g.Expect(n.queues).To(HaveLen(2))
+	g.Expect(n.addresses).To(HaveLen(2))
+	n.retain(nil)
+	g.Expect(n.queues).To(HaveLen(1))
+	n.setLeader(0)
+	n.retain(nil)
+	// Returns only if all goroutines have ended, although the replica runs on.
+	n.close()
+}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -43,7 +43,9 @@
 	// drive the expiry of claims, whose retention is hours. Lease requests carry the
 	// elapsed time themselves.
 	ledgerTickInterval = 10 * time.Second
-	maxAppendBytes     = 1 << 20
+	// forgetInterval is the interval at which former members are dropped.
+	forgetInterval = time.Second
+	maxAppendBytes = 1 << 20
 	// appendBytesPerTick is 640 KB/s: a document of 0.5 MB reaches the logs of four
 	// members within 0.3 s on a VM with half of a core.
 	appendBytesPerTick  = 32 << 10
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -59,7 +59,9 @@
 	// rejoining is set while a request to join the cluster again is in progress.
 	rejoining      atomic.Bool
 	lastLedgerTick time.Time
-	snapshot       struct {
+	// lastForgotten is when former members were last dropped.
+	lastForgotten time.Time
+	snapshot      struct {
 		index   uint64
 		bytes   int
 		running bool
@@ -257,6 +259,7 @@
 func (r *Replica) tick() {
 	r.raft.Tick()
 	r.rejoinIfLeaderless()
+	r.forgetFormerMembers()
 	if r.role != raft.Leader {
 		return
 	}
@@ -271,6 +274,17 @@
 	r.maintainMembership()
 }
 
+// forgetFormerMembers drops what is kept for replicas that are no longer members.
+func (r *Replica) forgetFormerMembers() {
+	now := time.Now()
+	if now.Sub(r.lastForgotten) < forgetInterval {
+		return
+	}
+	r.lastForgotten = now
+	config := r.raft.Status().Config
+	r.network.retain(config.Members())
+}
+
 // proposeInternal proposes a command that the leader itself issues. It does not wait
 // for the outcome and reports whether the command was proposed.
 func (r *Replica) proposeInternal(c *ledger.Command) bool {
