--- a/internal/replica/enroll.go
+++ b/internal/replica/enroll.go
@@ -15,6 +15,9 @@
 	// enrollInterval is the pause between two attempts to find and join a cluster.
 	enrollInterval = 200 * time.Millisecond
 	enrollTimeout  = time.Second
+	// rejoinTimeout bounds one try to join again. Connections that were opened during a cut
+	// hang for a second or more, and a try after the cut must not wait for them.
+	rejoinTimeout = 500 * time.Millisecond
 	// BootstrapIndex is the index of the snapshot that a new cluster starts from.
 	BootstrapIndex = 1
 	bootstrapTerm  = 1
@@ -25,7 +28,7 @@
 // replica joins as a learner under a new ID, or bootstraps a cluster if it may.
 func (r *Replica) enroll() error {
 	for r.identity.Cluster == 0 {
-		cluster := r.findCluster()
+		cluster := r.findCluster(enrollTimeout)
 		if cluster != 0 {
 			return r.setCluster(cluster)
 		}
@@ -53,8 +56,8 @@
 // findCluster sends join requests to all known addresses at once, since some of them may be
 // those of VMs that are gone and never answer. It asks the leaders that answers name as well,
 // and returns the cluster ID after the first success, or 0 if no request succeeded.
-func (r *Replica) findCluster() uint64 {
-	ctx, cancel := context.WithTimeout(r.ctx, enrollTimeout)
+func (r *Replica) findCluster(timeout time.Duration) uint64 {
+	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
 	change := raft.Change{Kind: raft.AddLearner, Member: raft.Member{ID: r.ID(), Address: r.opts.Address}}
 	answers := make(chan joinAnswer)
@@ -156,9 +159,9 @@
 }
 
 // rejoinAfter is the time without a known leader after which a replica asks to join
-// again. An election takes less, and a replica that was removed while it was cut off must
-// have its place back before the next loss.
-const rejoinAfter = 1200 * time.Millisecond
+// again. A replica that was removed while it was cut off or restarted is of no use to entries
+// and endpoints until it is a member again, and a request of a member changes nothing.
+const rejoinAfter = 300 * time.Millisecond
 
 // rejoinIfLeaderless runs in the event loop. A replica that was removed while it was
 // unreachable receives no messages from a leader. It then asks to join again as a
@@ -178,7 +181,7 @@
 	go func() {
 		defer r.background.Done()
 		defer r.rejoining.Store(false)
-		r.findCluster()
+		r.findCluster(rejoinTimeout)
 	}()
 }
 
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -16,6 +16,10 @@
 // be lost.
 const catchUpTime = 4 * time.Second
 
+// placeBackTime is how long a replica that was cut off may take to be a voter again: a quarter of
+// catchUpTime, since entries and endpoints that use it wait as long.
+const placeBackTime = catchUpTime / 4
+
 // replace ends a replica for good and starts an empty one at another address after a pause.
 func (c *cluster) replace(i int, pause time.Duration) {
 	c.stop(i)
@@ -57,7 +61,7 @@
 	c.g.Eventually(isVoter, "10s", "20ms").Should(BeFalse())
 	time.Sleep(time.Second)
 	cut(false)
-	c.g.Eventually(isVoter, catchUpTime, "20ms").Should(BeTrue())
+	c.g.Eventually(isVoter, placeBackTime, "20ms").Should(BeTrue())
 }
 
 // TestJoinThroughNewSeeds guards against an empty replica that never joins because the replicas
