Keep a silent attempt until its replacement is certain

Callers saw streams of sound endpoints end midway, and plain requests answered 502, while endpoints were silent for a second or more.

Cause: an entry ended the silent attempt first, and asked the route, the retry budget and the board for another one afterwards. Whatever then said no turned a late answer into none. The class is giving up what one has before its replacement is certain; errors of endpoints were discarded in the same way when no other endpoint was left.

Now a watch observes the attempt. It ends it only after it has chosen the next endpoint and taken the retry from the budget, and gives both back if they are not used. While most endpoints with work of the entry are silent at once, the attempt stays as long as its endpoint accepts connections, up to three times the usual patience: sending the work elsewhere would double it. A lost link, a failed probe and the silence of few endpoints replace attempts after the same time as before.

--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -83,6 +83,15 @@
 	return true
 }
 
+// ReturnRepeat gives back an attempt that AllowRepeat allowed and that was not sent.
+func (b *WindowBudget) ReturnRepeat(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.countsAt(service, now)
+	slot := c.slot % windowSlots
+	c.repeats[slot] = max(c.repeats[slot]-1, 0)
+}
+
 // countsAt returns the counts of a service after clearing the slots that have left
 // the window.
 func (b *WindowBudget) countsAt(service string, now time.Time) *windowCounts {
--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -102,10 +102,12 @@
 // deliverPlain reads the complete answer before it forwards it. If the answer is
 // truncated, the request can then still be retried or answered with an error.
 func (c *call) deliverPlain(ctx context.Context, h *hop, answer *wire.Answer) outcome {
-	if silence, limited := c.attemptSilence(c.attempts()); limited && answer.ContentLength < 0 {
+	var watch *silenceWatch
+	if answer.ContentLength < 0 {
 		// Without a length, only the time tells that a body does not end.
-		answer.SetDeadline(time.Now().Add(silence))
+		watch = c.watchSilence(h, c.attemptPatience(), c.attempts(), func() { answer.SetDeadline(time.Unix(1, 0)) })
 	}
+	defer func() { c.releaseReplacement(watch.stop()) }()
 	buffer := c.entry.buffers.newBuffer(plainBuffer)
 	defer buffer.release()
 	body, err := buffer.readBody(answer)
@@ -113,7 +115,7 @@
 		answer.Discard()
 		h.recordFailure(time.Now(), false)
 		c.checkForCrash(ctx, h)
-		return outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}
+		return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}, watch.stop())
 	}
 	c.countUsage()
 	c.complete = true
@@ -121,8 +123,11 @@
 	if answer.StatusCode >= http.StatusInternalServerError {
 		h.recordError(now)
 		c.possiblyRan = true
-		if answer.StatusCode != http.StatusGatewayTimeout && c.mayRetry() {
-			return outcome{sent: true, retryApproved: true, err: &AnswerError{h.endpoint.ID, "status " + strconv.Itoa(answer.StatusCode)}}
+		if answer.StatusCode != http.StatusGatewayTimeout {
+			// The error is the answer unless another attempt is certain to start.
+			if next := c.nextAfterError(ctx); next != nil {
+				return outcome{sent: true, next: next, err: &AnswerError{h.endpoint.ID, "status " + strconv.Itoa(answer.StatusCode)}}
+			}
 		}
 	} else {
 		h.choice.RecordSuccess(now)
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -22,7 +22,7 @@
 	connectionShareFactor = 2.5
 	// silentTargetFactor times the target latency of the route, but at least
 	// minAttemptSilence, is how long a repeatable request waits for an answer
-	// before it is sent to another endpoint.
+	// before another endpoint may get it.
 	silentTargetFactor = 3
 	minAttemptSilence  = 900 * time.Millisecond
 )
@@ -35,9 +35,10 @@
 	sent bool
 	// notRun is set if the endpoint proved that it did not run the request.
 	notRun bool
-	// retryApproved is set if a retry was already taken from the retry budget.
-	retryApproved bool
-	err           error
+	// next is the hop of the following attempt, if it is already chosen and the retry taken
+	// from the retry budget.
+	next *hop
+	err  error
 	// refusal is set if the request must not run at any endpoint now, because it is
 	// suspected of crashing endpoints.
 	refusal *Refusal
@@ -105,19 +106,37 @@
 
 // exchange sends the request to an endpoint and forwards the answer.
 func (c *call) exchange(ctx context.Context, cancel context.CancelFunc, h *hop) outcome {
-	answer, err := c.send(ctx, cancel, h)
+	watch := c.watchSilence(h, c.attemptPatience(), c.attempts()+1, cancel)
+	answer, err := c.send(ctx, h)
+	next := watch.stop()
+	if next != nil && err == nil {
+		answer.Discard()
+		err = errReplaced
+	}
 	if err != nil {
-		return c.classifyFailure(ctx, h.choice, err)
+		return c.replaced(c.classifyFailure(ctx, h.choice, err), next)
 	}
 	defer answer.Close()
 	c.tried = append(c.tried, h.endpoint.ID)
 	return c.handleAnswer(ctx, h, answer)
 }
 
-// send sends the request and waits for the header of the answer. For a repeatable
-// request with attempts left it stops waiting early, so that another endpoint can
-// still answer in time.
-func (c *call) send(ctx context.Context, cancel context.CancelFunc, h *hop) (*wire.Answer, error) {
+// replaced adds the reserved next attempt to the outcome of one that a silenceWatch has ended.
+// If the attempt did not reach its endpoint, the reservation is of no use: it counts as none.
+func (c *call) replaced(result outcome, next *hop) outcome {
+	if next == nil {
+		return result
+	}
+	if !result.sent || result.refusal != nil || c.r.Context().Err() != nil {
+		c.releaseReplacement(next)
+		return result
+	}
+	result.next = next
+	return result
+}
+
+// send sends the request and waits for the header of the answer.
+func (c *call) send(ctx context.Context, h *hop) (*wire.Answer, error) {
 	choice := h.choice
 	remaining := time.Until(c.deadline)
 	header := httpconn.WithoutHopByHop(c.r.Header)
@@ -137,7 +156,6 @@
 		Fresh: slices.Contains(c.addresses, address), KeptOnly: h.keptOnly, BeforeSend: func() error { return checkChoice(choice) },
 	}
 	c.addresses = append(c.addresses, address)
-	defer c.limitSilence(cancel)()
 	c.entry.metrics.attempts.Inc()
 	return c.entry.client.Do(ctx, address, request)
 }
@@ -151,21 +169,10 @@
 	return c.meta.ResumeAfter
 }
 
-// attemptSilence returns how long the last of the started attempts may wait for its
-// answer, if another endpoint could still answer after it.
-func (c *call) attemptSilence(started int) (silence time.Duration, limited bool) {
-	return max(silentTargetFactor*c.route.Target, minAttemptSilence), c.route.Repeatable() && started < c.route.MaxAttempts
-}
-
-// limitSilence cancels the attempt that starts now if it stays without an answer for too
-// long. The caller must call stop once there is an answer.
-func (c *call) limitSilence(cancel context.CancelFunc) (stop func()) {
-	silence, limited := c.attemptSilence(c.attempts() + 1)
-	if !limited {
-		return func() {}
-	}
-	timer := time.AfterFunc(silence, cancel)
-	return func() { timer.Stop() }
+// attemptPatience returns how long an attempt may wait for its answer before another one may
+// replace it.
+func (c *call) attemptPatience() time.Duration {
+	return max(silentTargetFactor*c.route.Target, minAttemptSilence)
 }
 
 // classifyFailure returns the outcome of an attempt without an answer and records
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -161,14 +161,18 @@
 	}
 	connectFailures := 0
 	var next *hop
-	for {
+	for retrying := false; ; {
 		var err error
 		if next == nil {
 			next, err = c.nextHop(ctx)
 		}
 		if err != nil {
+			if retrying {
+				c.entry.retries.ReturnRepeat(c.service.Name, time.Now())
+			}
 			return c.finalError(ctx, err)
 		}
+		retrying = false
 		current := next
 		next = nil
 		result := c.attempt(ctx, current)
@@ -199,7 +203,9 @@
 		case ctx.Err() != nil:
 			return c.finalError(ctx, result.err)
 		}
-		if !result.retryApproved && !c.mayRetry() {
+		if result.next != nil {
+			next = result.next
+		} else if retrying = c.mayRetry(); !retrying {
 			return c.finalError(ctx, result.err)
 		}
 		c.entry.metrics.retries.Inc()
@@ -235,6 +241,20 @@
 	return true
 }
 
+// nextAfterError returns the hop of the attempt that follows an error of an endpoint, or nil if
+// there is none. The retry is taken from the budget.
+func (c *call) nextAfterError(ctx context.Context) *hop {
+	if !c.mayRetry() {
+		return nil
+	}
+	next, err := c.nextHop(ctx)
+	if err != nil {
+		c.entry.retries.ReturnRepeat(c.service.Name, time.Now())
+		return nil
+	}
+	return next
+}
+
 // attempts returns how often the request may have run. A move continues a run
 // and does not count.
 func (c *call) attempts() int { return len(c.tried) - c.misdirected - c.moves }
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -78,6 +78,7 @@
 	replicaClient *replicaClient
 	crashes       *crashDetector
 	reach         *reachability
+	probes        *endpointProbes
 	migrations    *migrations
 	buffers       bufferBudget
 	bodies        *bodyBudget
@@ -136,6 +137,7 @@
 	e.replicaClient = newReplicaClient(e)
 	e.crashes = newCrashDetector(e)
 	e.reach = newReachability(e)
+	e.probes = newEndpointProbes(e)
 	e.forwarding = newForwarding(e)
 	e.migrations = newMigrations(e)
 	e.rateLimits = newRateLimits(e)
@@ -218,6 +220,7 @@
 			e.metrics.bodyBytes.Set(e.bodies.used.Load())
 			e.crashes.tracker.Expire(now)
 			e.logEndedBackoffs(e.board.Expire(now))
+			e.probes.expire(now)
 			e.rateLimits.table.Expire(now)
 			e.rateLimits.apply(now)
 		case <-e.ctx.Done():
--- a/internal/gateway/entry/forward_send.go
+++ b/internal/gateway/entry/forward_send.go
@@ -42,8 +42,15 @@
 	span.Text("peer", h.choice.Endpoint.ID)
 	c.entry.metrics.forwards.Inc()
 	var result outcome
-	if answer, err := c.sendToPeer(ctx, cancel, h); err != nil {
-		result = c.classifyPeerFailure(h, err)
+	watch := c.watchSilence(h, c.attemptPatience(), c.attempts()+1, cancel)
+	answer, err := c.sendToPeer(ctx, h)
+	next := watch.stop()
+	if next != nil && err == nil {
+		answer.Discard()
+		err = errReplaced
+	}
+	if err != nil {
+		result = c.replaced(c.classifyPeerFailure(h, err), next)
 	} else {
 		result = c.handlePeerAnswer(ctx, h, answer)
 		answer.Close()
@@ -56,14 +63,13 @@
 }
 
 // sendToPeer sends the request to a peer and waits for the header of its answer.
-func (c *call) sendToPeer(ctx context.Context, cancel context.CancelFunc, h *hop) (*wire.Answer, error) {
+func (c *call) sendToPeer(ctx context.Context, h *hop) (*wire.Answer, error) {
 	header := httpconn.WithoutHopByHop(c.r.Header)
 	telemetry.Inject(ctx, header)
 	if err := c.forwardRequest(h).Write(header); err != nil {
 		return nil, &port.TransportError{Err: err}
 	}
 	request := &wire.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.data}
-	defer c.limitSilence(cancel)()
 	return c.entry.peerClient.Do(ctx, h.choice.Endpoint.Address, request)
 }
 
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -10,6 +10,7 @@
 	pollBytes, pollsFailed, documentBytes               *telemetry.Counter
 	takeUpsUnknown, departures, backoffs, backoffsEnded *telemetry.Counter
 	panics, reachChecks, repeatsDenied                  *telemetry.Counter
+	silencesKept, silencesReplaced                      *telemetry.Counter
 	forwards, forwardsFailed                            *telemetry.Counter
 	forwarded, forwardedFailed                          *telemetry.Counter
 	firstByte, total                                    *telemetry.Latency
@@ -38,7 +39,8 @@
 		takeUpsUnknown: r.Counter("gateway_take_ups_unknown"), departures: r.Counter("gateway_departures"),
 		backoffs: r.Counter("gateway_backoffs"), backoffsEnded: r.Counter("gateway_backoffs_ended"),
 		repeatsDenied: r.Counter("gateway_repeats_denied"),
-		panics:        r.Counter("gateway_panics"), reachChecks: r.Counter("gateway_reach_checks"),
+		silencesKept:  r.Counter("gateway_silences_kept"), silencesReplaced: r.Counter("gateway_silences_replaced"),
+		panics: r.Counter("gateway_panics"), reachChecks: r.Counter("gateway_reach_checks"),
 		forwards: r.Counter("gateway_forwards"), forwardsFailed: r.Counter("gateway_forwards_failed"),
 		forwarded: r.Counter("gateway_forwarded"), forwardedFailed: r.Counter("gateway_forwarded_failed"),
 		servicesCutOff: r.Gauge("gateway_services_cut_off"), bodyBytes: r.Gauge("gateway_body_bytes"),
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -16,7 +16,7 @@
 const (
 	// silentGapFactor times the longest gap between events that the route
 	// allows, but at least minStreamSilence, is how long a resumable stream may
-	// be silent before it is resumed at another endpoint.
+	// be silent before another endpoint may continue it.
 	silentGapFactor  = 4
 	minStreamSilence = time.Second
 	// maxCommentBytes limits the comments that are held back until the next event.
@@ -33,19 +33,22 @@
 	if resuming {
 		c.entry.metrics.resumed.Inc()
 	}
-	silenceTimeout := c.silenceTimeout()
-	// progressed is set after an event. The time that the caller took for it does not count.
-	progressed := true
+	var watch *silenceWatch
+	if c.route.Resumable {
+		watch = c.watchSilence(h, max(silentGapFactor*c.route.MaxGap, minStreamSilence), c.attempts(), func() { answer.SetDeadline(time.Unix(1, 0)) })
+	}
+	defer func() { c.releaseReplacement(watch.stop()) }()
+	// silentSince is when the last event was passed on: the time that the caller took for it
+	// does not count.
+	silentSince := time.Now()
 	var firstEventAt time.Time
 	var comments []byte
 	var run *streamRun
 	defer func() { c.releaseRun(run, choice) }()
 	for {
-		if progressed && silenceTimeout > 0 {
-			answer.SetDeadline(time.Now().Add(silenceTimeout))
-		}
-		progressed = false
+		watch.resume(silentSince)
 		block, err := events.next()
+		watch.pause()
 		if errors.Is(err, io.EOF) {
 			if !c.responseStarted {
 				c.startStream(h, answer)
@@ -66,7 +69,7 @@
 			if c.r.Context().Err() == nil {
 				c.recordBrokenStream(ctx, h, err)
 			}
-			return outcome{sent: true, err: &AnswerError{h.endpoint.ID, "stream ended early: " + err.Error()}}
+			return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "stream ended early: " + err.Error()}}, watch.stop())
 		}
 		choice.RecordProgress(time.Now())
 		if !hasEvent(block) && len(comments)+len(block) <= maxCommentBytes {
@@ -75,7 +78,6 @@
 			comments = append(comments, block...)
 			continue
 		}
-		progressed = true
 		if len(comments) > 0 {
 			block, comments = append(comments, block...), nil
 		}
@@ -103,6 +105,7 @@
 		if run == nil && c.isMovable(h) {
 			run = c.entry.migrations.trackRun(c, h.endpoint.ID)
 		}
+		silentSince = time.Now()
 	}
 }
 
@@ -151,15 +154,6 @@
 	}
 }
 
-// silenceTimeout returns how long a stream may be silent; 0 means until the
-// deadline, since ending a stream early is of no use if it cannot be resumed.
-func (c *call) silenceTimeout() time.Duration {
-	if !c.route.Resumable || c.attempts() >= c.route.MaxAttempts {
-		return 0
-	}
-	return max(silentGapFactor*c.route.MaxGap, minStreamSilence)
-}
-
 // startStream writes the response header of a stream. The headers are those of the
 // first endpoint, also if another one continues the stream.
 func (c *call) startStream(h *hop, answer *wire.Answer) {
--- /dev/null
+++ b/internal/gateway/failover/failover.go
@@ -0,0 +1,71 @@
+// Package failover decides whether an attempt whose endpoint is silent is replaced by another
+// one. It does no I/O.
+package failover
+
+import "time"
+
+const (
+	// minCommon is the number of endpoints that must be silent at once to count as a common
+	// silence.
+	minCommon = 2
+	// commonPatience times the usual patience is how long a common silence is waited for while
+	// the endpoint accepts connections.
+	commonPatience = 3
+)
+
+// Silence is what an entry knows when an attempt has waited in vain for a byte.
+type Silence struct {
+	// Waited is how long the attempt has been silent, and Patience the time after which it
+	// may be replaced.
+	Waited, Patience time.Duration
+	// Silent counts the endpoints of the service that are silent for a similar time, and
+	// Busy all of them at which attempts of the entry run.
+	Silent, Busy int
+	// LinksLost is set if the entry reaches no endpoint of the service.
+	LinksLost bool
+	// Probe is the outcome of a connection to the endpoint.
+	Probe Probe
+}
+
+// Probe is the outcome of a connection to a silent endpoint.
+type Probe int
+
+// Outcomes of a probe.
+const (
+	// NotProbed means that no probe has ended yet.
+	NotProbed Probe = iota
+	// Accepted means that the VM of the endpoint is up and its links work.
+	Accepted
+	// Failed means that the endpoint is down or cannot be reached.
+	Failed
+)
+
+// Decision is what follows from a silence.
+type Decision int
+
+// Decisions on a silent attempt.
+const (
+	// Wait keeps the attempt.
+	Wait Decision = iota
+	// WaitAndProbe keeps the attempt, and asks for a connection to its endpoint.
+	WaitAndProbe
+	// Replace ends the attempt as soon as another one is certain to start.
+	Replace
+)
+
+// Decide returns what to do about a silence. The silence of one endpoint speaks against that
+// endpoint. A silence of most endpoints at once is likely to end for all of them, and sending
+// their work elsewhere would double it.
+func Decide(s Silence) Decision {
+	switch {
+	case s.Waited < s.Patience:
+		return Wait
+	case s.LinksLost || s.Probe == Failed || !s.isCommon() || s.Waited >= commonPatience*s.Patience:
+		return Replace
+	case s.Probe == NotProbed:
+		return WaitAndProbe
+	}
+	return Wait
+}
+
+func (s *Silence) isCommon() bool { return s.Silent >= minCommon && 2*s.Silent > s.Busy }
--- a/internal/gateway/pick/quiet.go
+++ b/internal/gateway/pick/quiet.go
@@ -38,6 +38,23 @@
 	return quiet > 0 && quiet >= min(ready, minQuiet)
 }
 
+// CountSilent returns the number of endpoints of a service at which attempts of this entry run,
+// and of those that have sent nothing for a time.
+func (b *Board) CountSilent(service string, silence time.Duration, now time.Time) (silent, busy int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services[service] {
+		if s.inFlight == 0 {
+			continue
+		}
+		busy++
+		if now.Sub(s.quietSince()) >= silence {
+			silent++
+		}
+	}
+	return silent, busy
+}
+
 // SilentFor returns how long no byte of an endpoint of a service has been received; very long
 // if none ever was.
 func (b *Board) SilentFor(service string, now time.Time) time.Duration {
