Name the requests that a stop breaks off

The lines of an entry could not tell why: one in twenty warnings was written once 120 with the same text had come in a second, and requests aborted at the end of the grace period were counted but not named.

Now the entry names each request that still runs near the end of the grace period and each that it aborts, waits up to 0.1 s for the lines of aborted requests before it ends, and writes the first 1000 warnings of a kind in each second.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -119,6 +119,8 @@
 	defer span.End()
 	r = r.WithContext(ctx)
 	c := &call{entry: e, w: w, r: r, receivedAt: time.Now(), lastEventID: noID, meta: e.options.Dialect.ParseRequest(r.Header), body: requestBody{budget: e.bodies}}
+	e.running.add(c)
+	defer e.running.remove(c)
 	defer c.body.release()
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -84,6 +84,7 @@
 	bodies        *bodyBudget
 	rateLimits    *rateLimits
 	documents     *documents
+	running       *runningCalls
 	origins       *streamOrigins
 	departures    *departures
 
@@ -142,6 +143,7 @@
 	e.migrations = newMigrations(e)
 	e.rateLimits = newRateLimits(e)
 	e.documents = newDocuments(e)
+	e.running = newRunningCalls()
 	e.origins = newStreamOrigins(e)
 	e.departures = newDepartures(e)
 	return e
--- a/internal/gateway/entry/forward_serve.go
+++ b/internal/gateway/entry/forward_serve.go
@@ -70,6 +70,8 @@
 		entry: e, w: w, r: r.WithContext(ctx), receivedAt: time.Now(), lastEventID: noID,
 		meta: e.options.Dialect.ParseRequest(r.Header), forwarded: request, body: requestBody{budget: e.bodies},
 	}
+	e.running.add(c)
+	defer e.running.remove(c)
 	defer c.body.release()
 	span.Text("request", c.meta.AttemptID)
 	switch {
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -38,6 +38,9 @@
 	// connections are closed.
 	drainCancelShare = 0.9
 	drainCutoffShare = 0.93
+	// abortLogTime is how long requests whose connections were closed may take to write their
+	// log lines before the process ends.
+	abortLogTime = 100 * time.Millisecond
 	// drainPollInterval is the time between two looks at the number of running requests.
 	drainPollInterval = 10 * time.Millisecond
 )
@@ -143,6 +146,7 @@
 	s.refuseNew()
 	if !s.awaitIdle(cancelAt) {
 		s.entry.log.Warn("Grace period almost over; running requests get their final answer.", zap.Int64("running", s.entry.runningRequests()))
+		s.entry.running.log(s.entry.log, "Request still runs near the end of the grace period.", time.Now())
 		s.entry.cancelRequests()
 		s.awaitIdle(end)
 	}
@@ -150,8 +154,10 @@
 	defer cancel()
 	if err := errors.Join(s.callers.Shutdown(ctx), s.forwarded.Shutdown(ctx)); err != nil {
 		s.entry.log.Warn("Grace period over; running requests are aborted.", zap.Int64("running", s.entry.runningRequests()), zap.Error(err))
+		s.entry.running.log(s.entry.log, "Request aborted at the end of the grace period.", time.Now())
 	}
 	s.close()
+	s.awaitIdle(time.Now().Add(abortLogTime))
 }
 
 // refuseNew closes the listeners for callers and other entries, and refuses what arrives on
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -23,6 +23,8 @@
 	// cause a flood of log lines.
 	sampleFirst      = 120
 	sampleThereafter = 20
+	// sampleFirstWarnings is that number for warnings, which tell of single failed requests.
+	sampleFirstWarnings = 1000
 )
 
 // boundedWriter writes lines in the background. Its Write method never blocks:
@@ -98,7 +100,8 @@
 const flushTimeout = 200 * time.Millisecond
 
 // NewBoundedLogger returns a logger of JSON lines that never blocks and whose
-// volume is bounded. Lines of level error are never sampled. The returned
+// volume is bounded. Warnings are sampled later than other lines, and those of level error
+// never. The returned
 // function logs how many lines were dropped, if any, and writes the queued lines.
 func NewBoundedLogger(config settings.Log, out io.Writer) (log *zap.Logger, flush func()) {
 	w := &boundedWriter{out: out, lines: make(chan []byte, queueCapacity), flush: make(chan chan struct{})}
@@ -111,10 +114,12 @@
 	encoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
 	sink := zapcore.AddSync(w)
 	jsonEncoder := zapcore.NewJSONEncoder(encoderConfig)
-	belowError := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l < zapcore.ErrorLevel })
+	belowWarning := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l < zapcore.WarnLevel })
+	warning := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l == zapcore.WarnLevel })
 	errorAndAbove := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= zapcore.ErrorLevel })
 	core := zapcore.NewTee(
-		zapcore.NewSamplerWithOptions(zapcore.NewCore(jsonEncoder, sink, belowError), time.Second, sampleFirst, sampleThereafter),
+		zapcore.NewSamplerWithOptions(zapcore.NewCore(jsonEncoder, sink, belowWarning), time.Second, sampleFirst, sampleThereafter),
+		zapcore.NewSamplerWithOptions(zapcore.NewCore(jsonEncoder, sink, warning), time.Second, sampleFirstWarnings, sampleThereafter),
 		zapcore.NewCore(jsonEncoder, sink, errorAndAbove),
 	)
 	log = zap.New(core)
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// Guards against failed requests that no line names, since many fail in the same second.
+func TestWarningsOfSingleFailuresAreWritten(t *testing.T) {
+	g := NewWithT(t)
+	out := &syncBuffer{}
+	log, flush := telemetry.NewBoundedLogger(settings.Log{Level: "info"}, out)
+	for i := range 500 {
+		log.Warn("Stream broken off.", zap.Int("n", i))
+		time.Sleep(20 * time.Microsecond)
+	}
+	flush()
+	g.Expect(strings.Count(out.String(), "Stream broken off.")).To(Equal(500))
+}
+
 // Guards against metrics that common metrics collectors cannot parse.
 func TestTextMetrics(t *testing.T) {
 	g := NewWithT(t)
