Mend what the review of silent attempts found

An attempt reserved as a replacement leaked its slot and its retry when the deadline came meanwhile. Data that arrived at the moment at which an attempt was given up could let the stream go on at another version. Endpoints counted as silent right after a byte when only unanswered requests were left. A retry for a move that failed was lost. Answers that could not be written to their callers were logged as answered, and lines beyond the queue of the log were dropped without a word.

The leak, the late data and the panics were found by reading and have no test.

--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -88,8 +88,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.countsAt(service, now)
-	slot := c.slot % windowSlots
-	c.repeats[slot] = max(c.repeats[slot]-1, 0)
+	for slot := c.slot; slot > c.slot-windowSlots && slot >= 0; slot-- {
+		if c.repeats[slot%windowSlots] >= 1 {
+			c.repeats[slot%windowSlots]--
+			return
+		}
+	}
 }
 
 // countsAt returns the counts of a service after clearing the slots that have left
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -101,3 +101,17 @@
 	r.play(9*time.Second, 40*time.Second)
 	g.Expect(countWithin(r.repeats, 39*time.Second)).To(BeNumerically(">", 50), "the allowance is used by those that are left")
 }
+
+// Guards against repeats that the budget loses because the attempt they were taken for was not
+// made.
+func TestReturnedRepeatIsAllowedAgain(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := retry.NewWindowBudget(retry.WindowLimits{Window: budgetWindow, Allowance: 1}, now)
+	g.Expect(b.AllowRepeat("s", now)).To(BeTrue())
+	later := now.Add(budgetWindow / 2)
+	g.Expect(b.AllowRepeat("s", later)).To(BeFalse())
+	b.ReturnRepeat("s", later)
+	g.Expect(b.AllowRepeat("s", later)).To(BeTrue())
+	b.ReturnRepeat("other", later)
+}
--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -107,15 +107,17 @@
 		// Without a length, only the time tells that a body does not end.
 		watch = c.watchSilence(h, c.attemptPatience(), c.attempts(), func() { answer.SetDeadline(time.Unix(1, 0)) })
 	}
-	defer func() { c.releaseReplacement(watch.stop()) }()
 	buffer := c.entry.buffers.newBuffer(plainBuffer)
 	defer buffer.release()
 	body, err := buffer.readBody(answer)
-	if err != nil {
+	next := watch.stop()
+	if err == nil {
+		c.releaseReplacement(next)
+	} else {
 		answer.Discard()
 		h.recordFailure(time.Now(), false)
 		c.checkForCrash(ctx, h)
-		return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}, watch.stop())
+		return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}, next)
 	}
 	c.countUsage()
 	c.complete = true
@@ -137,8 +139,9 @@
 	copyHeader(header, answer.Header)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	c.startResponse(h, answer.StatusCode)
-	// A write fails only if the caller has disconnected; no other answer can reach it.
-	_, _ = c.w.Write(body)
+	if _, err := c.w.Write(body); err != nil {
+		return outcome{done: true, sent: true, err: &CallerError{Err: err}}
+	}
 	return outcome{done: true, sent: true}
 }
 
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -163,6 +163,7 @@
 	}
 	connectFailures := 0
 	var next *hop
+	defer func() { c.releaseReplacement(next) }()
 	for retrying := false; ; {
 		var err error
 		if next == nil {
@@ -178,6 +179,7 @@
 		current := next
 		next = nil
 		result := c.attempt(ctx, current)
+		next = result.next
 		if result.mayHaveRun() {
 			c.possiblyRan = true
 			c.countUsage()
@@ -185,6 +187,8 @@
 		switch {
 		case result.refusal != nil:
 			return c.finalError(ctx, result.refusal)
+		case result.done && result.err != nil:
+			return &Refusal{Reason: ReasonCallerGone, Err: result.err}
 		case result.done:
 			return nil
 		case result.moved != nil:
@@ -205,10 +209,10 @@
 		case ctx.Err() != nil:
 			return c.finalError(ctx, result.err)
 		}
-		if result.next != nil {
-			next = result.next
-		} else if retrying = c.mayRetry(); !retrying {
-			return c.finalError(ctx, result.err)
+		if next == nil {
+			if retrying = c.mayRetry(); !retrying {
+				return c.finalError(ctx, result.err)
+			}
 		}
 		c.entry.metrics.retries.Inc()
 		c.entry.log.Info("Request sent again.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", current.endpoint.ID), zap.String("peer", current.peerName()),
--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -90,7 +90,7 @@
 			return h, nil
 		}
 	}
-	return c.choosePeer(request.Now)
+	return c.choosePeer(c.avoidedPeers, request.Now)
 }
 
 // maxWait returns how long the request may wait for an endpoint.
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -59,6 +59,15 @@
 // Unwrap returns the cause.
 func (e *Refusal) Unwrap() error { return e.Err }
 
+// CallerError reports that an answer could not be written to its caller.
+type CallerError struct{ Err error }
+
+// Error implements error.
+func (e *CallerError) Error() string { return "answer not written to the caller: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CallerError) Unwrap() error { return e.Err }
+
 // AnswerError reports why the answer of an endpoint cannot be used.
 type AnswerError struct {
 	Endpoint string
--- a/internal/gateway/entry/forward_send.go
+++ b/internal/gateway/entry/forward_send.go
@@ -15,9 +15,9 @@
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
 
-// choosePeer chooses the peer that the request is forwarded to. A request that was forwarded
+// choosePeer chooses the peer that the request is forwarded to, except those that are avoided. A request that was forwarded
 // to this entry is refused instead, so that none goes over more than one peer.
-func (c *call) choosePeer(now time.Time) (*hop, error) {
+func (c *call) choosePeer(avoided []string, now time.Time) (*hop, error) {
 	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonCutOff, RetryAfter: c.retryAfter(defaultRetryAfter)}
 	if c.forwarded != nil {
 		return nil, refusal
@@ -27,7 +27,7 @@
 		refusal.Reason = ReasonTimeout
 		return nil, refusal
 	}
-	chosen, err := c.entry.peers.Choose(c.service.Name, c.avoidedPeers, now)
+	chosen, err := c.entry.peers.Choose(c.service.Name, avoided, now)
 	if err != nil {
 		refusal.Err = err
 		return nil, refusal
--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -192,6 +192,16 @@
 	if !e.retries.AllowRepeat(run.request.Service, time.Now()) {
 		return &BudgetError{Service: run.request.Service}
 	}
+	err := m.callMove(mv, run, from)
+	if err != nil {
+		e.retries.ReturnRepeat(run.request.Service, time.Now())
+	}
+	return err
+}
+
+// callMove chooses the other endpoint and calls the current one.
+func (m *migrations) callMove(mv *move, run *streamRun, from *registry.Endpoint) error {
+	e := m.entry
 	request := run.request
 	request.Now, request.TimeOfDay = time.Now(), e.clock.Now()
 	choice, err := e.board.Choose(&request)
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
-	"io"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -38,9 +38,9 @@
 	// connections are closed.
 	drainCancelShare = 0.9
 	drainCutoffShare = 0.93
-	// abortLogTime is how long requests whose connections were closed may take to write their
-	// log lines before the process ends.
-	abortLogTime = 100 * time.Millisecond
+	// abortLogShare is the part of the grace period in which requests whose connections were
+	// closed may write their log lines before the process ends.
+	abortLogShare = 0.01
 	// drainPollInterval is the time between two looks at the number of running requests.
 	drainPollInterval = 10 * time.Millisecond
 )
@@ -75,17 +75,17 @@
 // ServeOn starts to listen on the given addresses and returns the bound ones,
 // which differ for port 0.
 func ServeOn(e *Entry, addresses Addresses) (*Server, Addresses, error) {
-	discardLog := stdlog.New(io.Discard, "", 0)
+	serverLog := stdlog.New(panicLog{e}, "", 0)
 	s := &Server{
 		entry: e,
 		callers: &http.Server{
-			Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
+			Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog,
 		},
 		ready: &http.Server{
-			Handler: e.ReadyHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
+			Handler: e.ReadyHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog,
 		},
 		forwarded: &http.Server{
-			Handler: e.forwarding, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxForwardedHeaderBytes, ErrorLog: discardLog,
+			Handler: e.forwarding, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxForwardedHeaderBytes, ErrorLog: serverLog,
 		},
 	}
 	var bound Addresses
@@ -106,6 +106,19 @@
 	return s, bound, nil
 }
 
+// panicLog logs the panics of handlers that an HTTP server reports. The other messages of a
+// server are about connections of callers, and are as many as callers want.
+type panicLog struct{ entry *Entry }
+
+// Write implements io.Writer.
+func (l panicLog) Write(message []byte) (int, error) {
+	if bytes.Contains(message, []byte("panic serving")) {
+		l.entry.metrics.panics.Inc()
+		l.entry.log.Error("Handling of a request failed unexpectedly.", zap.ByteString("message", message))
+	}
+	return len(message), nil
+}
+
 // listen serves on an address in the background and returns the bound address.
 func (s *Server) listen(server *http.Server, address string) (string, error) {
 	listen := net.ListenConfig{KeepAlive: callerKeepAlive}
@@ -157,7 +170,7 @@
 		s.entry.running.log(s.entry.log, "Request aborted at the end of the grace period.", time.Now())
 	}
 	s.close()
-	s.awaitIdle(time.Now().Add(abortLogTime))
+	s.awaitIdle(at(abortLogShare))
 }
 
 // refuseNew closes the listeners for callers and other entries, and refuses what arrives on
--- a/internal/gateway/entry/silence.go
+++ b/internal/gateway/entry/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/boragelead/boragelead/internal/gateway/failover"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/guard"
 	"github.com/boragelead/boragelead/internal/port"
 )
 
@@ -22,8 +24,9 @@
 )
 
 // silenceWatch observes an attempt that another one may replace. It ends the attempt only
-// once the replacement is certain: the endpoint is chosen, and the retry is taken from the
-// budget.
+// once the replacement is reserved: the endpoint is chosen, and the retry is taken from the
+// budget. The endpoint may still reject it, since two runs of one request at a time are not
+// allowed.
 type silenceWatch struct {
 	call     *call
 	hop      *hop
@@ -55,19 +58,32 @@
 	w := &silenceWatch{call: c, hop: h, patience: patience, started: started, giveUp: giveUp, silentSince: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(patience, w.check)
+	w.timer = time.AfterFunc(patience, func() {
+		if err := guard.Run(w.check); err != nil {
+			c.entry.metrics.panics.Inc()
+			c.entry.log.Error("Watch of a silent attempt failed unexpectedly.", zap.String("request", c.meta.AttemptID), zap.Error(err))
+		}
+	})
 	return w
 }
 
-// pause suspends the watch while the call handles what it received, which may change what a
-// replacement depends on.
-func (w *silenceWatch) pause() {
+// pause suspends the watch while the call handles what it received. If the watch has just ended
+// the attempt, the attempt goes on, since what was received may rule the replacement out. The
+// caller must then undo what giveUp did.
+func (w *silenceWatch) pause() (undo bool) {
 	if w == nil {
-		return
+		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.silentSince = time.Time{}
+	if w.replacement == nil {
+		return false
+	}
+	w.call.releaseReplacement(w.replacement)
+	w.replacement = nil
+	w.timer.Reset(w.patience)
+	return true
 }
 
 // resume goes on with the watch. The silence begins now if the attempt has made progress.
@@ -80,7 +96,7 @@
 	w.silentSince = since
 }
 
-// stop ends the watch, and returns the replacement if the watch has ended the attempt. The
+// stop ends the watch once nothing more is received, and returns the replacement if the watch has ended the attempt. The
 // caller must use it or release it.
 func (w *silenceWatch) stop() *hop {
 	if w == nil {
@@ -201,11 +217,16 @@
 
 func (c *call) chooseReplacement(silent *hop, now time.Time) (*hop, error) {
 	if c.entry.reach.monitor.CutOff(c.service.Name) {
-		return c.choosePeer(now)
+		avoided := c.avoidedPeers
+		if silent.viaPeer() {
+			avoided = append(slices.Clone(avoided), silent.choice.Endpoint.ID)
+		}
+		return c.choosePeer(avoided, now)
 	}
 	request := c.pickRequest()
 	request.Now, request.TimeOfDay = now, c.entry.clock.Now()
-	request.Avoid = append(append([]string(nil), request.Avoid...), silent.endpoint.ID)
+	request.Avoid = append(slices.Clone(request.Avoid), silent.endpoint.ID)
+	request.WithRoom = true
 	choice, err := c.chooseOnce(request)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -48,7 +48,9 @@
 	for {
 		watch.resume(silentSince)
 		block, err := events.next()
-		watch.pause()
+		if err == nil && watch.pause() {
+			answer.SetDeadline(time.Time{})
+		}
 		if errors.Is(err, io.EOF) {
 			if !c.responseStarted {
 				c.startStream(h, answer)
@@ -100,7 +102,7 @@
 		}
 		if err := c.writeEvents(h, answer, block); err != nil {
 			answer.Discard()
-			return outcome{done: true, sent: true, err: err}
+			return outcome{done: true, sent: true, err: &CallerError{Err: err}}
 		}
 		if run == nil && c.isMovable(h) {
 			run = c.entry.migrations.trackRun(c, h.endpoint.ID)
--- a/internal/gateway/pick/filters.go
+++ b/internal/gateway/pick/filters.go
@@ -55,6 +55,17 @@
 	return r.IgnorePauses || !r.Now.Before(v.pausedUntil)
 }
 
+// RoomFilter drops endpoints whose slots are taken from requests that need a free one.
+type RoomFilter struct{}
+
+// Name implements Filter.
+func (RoomFilter) Name() string { return "room" }
+
+// Keep implements Filter.
+func (RoomFilter) Keep(r *Request, v *View) bool {
+	return !r.WithRoom || v.endpoint.Slots <= 0 || v.requests(r.Now) < v.endpoint.Slots
+}
+
 // ConnectionFilter drops endpoints to which this entry already has its share of
 // the connections. An endpoint resets connections above its limit.
 type ConnectionFilter struct{}
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -24,7 +24,10 @@
 	SoftwareVersion *string
 	// IgnorePauses admits endpoints that are paused after a failure.
 	IgnorePauses bool
-	Now          time.Time
+	// WithRoom drops endpoints whose slots are taken, as far as this entry knows: the request
+	// gives up another attempt, and a rejection would be its end.
+	WithRoom bool
+	Now      time.Time
 	// TimeOfDay is the time that all entries agree on. They take turns at brittle endpoints
 	// by it.
 	TimeOfDay time.Time
--- a/internal/gateway/pick/pick_test.go
+++ b/internal/gateway/pick/pick_test.go
@@ -33,6 +33,19 @@
 	return c
 }
 
+// Guards against an attempt that is given up for an endpoint that rejects the request.
+func TestReplacementNeedsAFreeSlot(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard(newEngine("full", "a"))
+	choose(g, b, newRequest(start)).RecordAnswer(&port.EndpointLoad{Running: 8, Slots: 8}, start)
+	r := newRequest(start.Add(time.Millisecond))
+	r.WithRoom = true
+	_, err := b.Choose(r)
+	g.Expect(err).To(MatchError(ContainSubstring("room")))
+	r.Now = start.Add(2 * loadReportTTL)
+	choose(g, b, r)
+}
+
 // Guards against sending a request to an endpoint that drains, was tried before,
 // failed recently or has no free connection.
 func TestFilters(t *testing.T) {
--- a/internal/gateway/pick/quiet.go
+++ b/internal/gateway/pick/quiet.go
@@ -48,7 +48,12 @@
 			continue
 		}
 		busy++
-		if now.Sub(s.quietSince()) >= silence {
+		// Without an answer under way, silentSince is zero after the last byte.
+		since := s.quietSince()
+		if since.Before(s.lastByteAt) {
+			since = s.lastByteAt
+		}
+		if now.Sub(since) >= silence {
 			silent++
 		}
 	}
--- a/internal/gateway/pick/quiet_test.go
+++ b/internal/gateway/pick/quiet_test.go
@@ -59,3 +59,19 @@
 	choices[0].End()
 	g.Expect(b.IsQuiet("pool", now.Add(quietTime))).To(BeFalse(), "two of three endpoints do not tell")
 }
+
+// Guards against an endpoint that counts as silent right after a byte, because only requests
+// without an answer are left there.
+func TestEndpointIsNotSilentAfterAByte(t *testing.T) {
+	g := NewWithT(t)
+	b := newBoard(newEngine("one", "a"))
+	stream, pending := choose(g, b, newRequest(start)), choose(g, b, newRequest(start))
+	now := start.Add(time.Second)
+	stream.RecordAnswer(nil, now)
+	stream.End()
+	silent, busy := b.CountSilent("pool", time.Second/2, now.Add(time.Millisecond))
+	g.Expect([]int{silent, busy}).To(Equal([]int{0, 1}))
+	silent, busy = b.CountSilent("pool", time.Second/2, now.Add(time.Second))
+	g.Expect([]int{silent, busy}).To(Equal([]int{1, 1}))
+	pending.End()
+}
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -13,7 +13,7 @@
 
 const (
 	// queueCapacity is the most lines that wait for a slow output.
-	queueCapacity = 512
+	queueCapacity = 2048
 	// batchInterval is how long lines are collected before they are written together.
 	batchInterval = 100 * time.Millisecond
 	// maxBatchBytes is the size from which a batch is written without waiting further.
@@ -99,6 +99,16 @@
 // flushTimeout bounds the wait for a slow output when the process ends.
 const flushTimeout = 200 * time.Millisecond
 
+// flushQueue writes the queued lines, unless the output is slow.
+func (w *boundedWriter) flushQueue() {
+	done := make(chan struct{})
+	select {
+	case w.flush <- done:
+		<-done
+	case <-time.After(flushTimeout):
+	}
+}
+
 // NewBoundedLogger returns a logger of JSON lines that never blocks and whose
 // volume is bounded. Warnings are sampled later than other lines, and those of level error
 // never. The returned
@@ -124,14 +134,10 @@
 	)
 	log = zap.New(core)
 	return log, func() {
+		w.flushQueue()
 		if n := w.dropped.Load(); n > 0 {
 			log.Error("Log lines dropped because the output was slow.", zap.Int64("lines", n))
-		}
-		done := make(chan struct{})
-		select {
-		case w.flush <- done:
-			<-done
-		case <-time.After(flushTimeout):
+			w.flushQueue()
 		}
 	}
 }
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -89,6 +90,22 @@
 	g.Expect(strings.Count(out.String(), "Stream broken off.")).To(Equal(500))
 }
 
+// Guards against lines that a full queue drops and that nothing tells of.
+func TestDroppedLinesAreReported(t *testing.T) {
+	g := NewWithT(t)
+	out := &syncBuffer{}
+	log, flush := telemetry.NewBoundedLogger(settings.Log{Level: "info"}, out)
+	const count = 5000
+	for i := range count {
+		log.Error("A line.", zap.Int("n", i))
+	}
+	flush()
+	written := strings.Count(out.String(), "A line.")
+	if written < count {
+		g.Expect(out.String()).To(ContainSubstring(fmt.Sprintf(`"lines":%d`, count-written)))
+	}
+}
+
 // Guards against metrics that common metrics collectors cannot parse.
 func TestTextMetrics(t *testing.T) {
 	g := NewWithT(t)
