Learn the speed of endpoints from the time between events of streams

Callers of long prompts waited at slow VMs: an entry compared times to the first event, of which it sees one in seven seconds for each endpoint of a large service, and those hold the waits behind other prompts too.

Now the pace of an endpoint is the 30th percentile of the times between events of its streams, relative to the median of its service. A part of one stream tells it.

--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -80,6 +81,7 @@
 			comments = append(comments, block...)
 			continue
 		}
+		choice.RecordEvents(bytes.Count(block, eventEnd), time.Now())
 		if len(comments) > 0 {
 			block, comments = append(comments, block...), nil
 		}
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -60,6 +60,8 @@
 	// refusedAt is when the endpoint last refused a connection: its process had ended,
 	// and the next one may have another software version.
 	refusedAt time.Time
+	// pace is the learned time between the events of its streams.
+	pace pace
 	// idHash is the hash of the endpoint's ID, for rendezvous hashing.
 	idHash uint64
 	// lastByteAt is when the last byte of an answer was received.
@@ -80,6 +82,7 @@
 	// demand for their time to process prompts.
 	models map[string]*prefillModel
 	work   map[string]*demand.Meter
+	paces  map[string]*usualPace
 	// unlisted holds the endpoints that are not listed at present and that wanted no
 	// requests, in case that they are listed again meanwhile.
 	unlisted map[string]*stats
@@ -104,6 +107,7 @@
 		services:  make(map[string][]*stats),
 		models:    make(map[string]*prefillModel),
 		work:      make(map[string]*demand.Meter),
+		paces:     make(map[string]*usualPace),
 		unlisted:  make(map[string]*stats),
 
 		lastByteAt: make(map[string]time.Time),
--- a/internal/gateway/pick/choice.go
+++ b/internal/gateway/pick/choice.go
@@ -27,8 +27,10 @@
 	uncachedTokens int
 	// queuedTokens is the number of uncached prompt tokens of this entry that were pending
 	// at the endpoint when the attempt started.
-	queuedTokens   int
-	startedAt      time.Time
+	queuedTokens int
+	startedAt    time.Time
+	// lastEventAt is when events of the stream last arrived.
+	lastEventAt    time.Time
 	awaitingAnswer bool
 	// ramped is set if the attempt counts against the ramp after a back-off.
 	ramped bool
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -69,6 +69,8 @@
 	uncachedTokens int
 	// secondsPerToken is the time in which endpoints of the service process a prompt token.
 	secondsPerToken float64
+	// slowdown is how many times longer the endpoint takes than is usual for its service.
+	slowdown float64
 }
 
 // Filter drops endpoints that must not get a request.
@@ -112,11 +114,13 @@
 	scores := b.scores
 	parts := SharedParts(r.Prefix)
 	secondsPerToken := b.model(r.Service).secondsPerTokenOrInitial()
+	usual := b.paceOf(r.Service, r.Now)
 	if preferred := preferredIndex(parts, views); preferred >= 0 {
 		scores[preferred] = -float64(affinityTokens(parts)) * secondsPerToken
 	}
 	for i := range views {
 		views[i].secondsPerToken = secondsPerToken
+		views[i].slowdown = views[i].slownessAt(usual)
 		for _, scorer := range b.scorers {
 			scores[i] += scorer.Seconds(r, &views[i])
 		}
