Let entries tell each other of long prompts

The cost of an endpoint counts them until they are processed. Besides, the slowdown that load reports and the last event tell is used, weighed by its age. It is switched on by placement.share_long_prompts.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -157,6 +157,7 @@
 	}
 	c.addresses = append(c.addresses, address)
 	c.entry.metrics.attempts.Inc()
+	c.entry.longPrompts.note(choice)
 	return c.entry.client.Do(ctx, address, request)
 }
 
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -84,6 +84,7 @@
 	bodies        *bodyBudget
 	rateLimits    *rateLimits
 	documents     *documents
+	longPrompts   *longPrompts
 	running       *runningCalls
 	origins       *streamOrigins
 	departures    *departures
@@ -143,6 +144,7 @@
 	e.migrations = newMigrations(e)
 	e.rateLimits = newRateLimits(e)
 	e.documents = newDocuments(e)
+	e.longPrompts = newLongPrompts(e)
 	e.running = newRunningCalls()
 	e.origins = newStreamOrigins(e)
 	e.departures = newDepartures(e)
@@ -156,6 +158,10 @@
 	e.goLoop("documents", e.documents.loop)
 	e.goLoop("stream origins", e.origins.loop)
 	e.goLoop("departures", e.departures.loop)
+	if e.options.Settings.Placement.ShareLongPrompts {
+		e.goLoop("long prompts sent", e.longPrompts.sendLoop)
+		e.goLoop("long prompts received", e.longPrompts.receiveLoop)
+	}
 }
 
 // goLoop runs a function in the background until the entry is closed. If it panics, it
--- a/internal/gateway/entry/leader.go
+++ b/internal/gateway/entry/leader.go
@@ -80,6 +80,12 @@
 // callLeader asks the leading replica for a permission that one request needs, and
 // returns its address.
 func (c *replicaClient) callLeader(ctx context.Context, method string, request, reply any) (leader string, err error) {
+	return c.callLeaderWithin(ctx, leaderCallTimeout, method, request, reply)
+}
+
+// callLeaderWithin calls the leading replica, which may delay its answer, and returns its
+// address.
+func (c *replicaClient) callLeaderWithin(ctx context.Context, timeout time.Duration, method string, request, reply any) (leader string, err error) {
 	known := c.leader.Load()
 	if known == nil {
 		return "", &UnknownLeaderError{}
@@ -89,7 +95,7 @@
 	if err != nil {
 		return leader, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	data, err := c.entry.options.Caller.Call(ctx, leader, method, params)
 	if err != nil {
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -11,6 +11,7 @@
 	takeUpsUnknown, departures, backoffs, backoffsEnded *telemetry.Counter
 	panics, reachChecks, repeatsDenied                  *telemetry.Counter
 	silencesKept, silencesReplaced                      *telemetry.Counter
+	promptsShared, promptsUnshared, promptsLearned      *telemetry.Counter
 	forwards, forwardsFailed                            *telemetry.Counter
 	forwarded, forwardedFailed                          *telemetry.Counter
 	firstByte, total                                    *telemetry.Latency
@@ -40,7 +41,9 @@
 		backoffs: r.Counter("gateway_backoffs"), backoffsEnded: r.Counter("gateway_backoffs_ended"),
 		repeatsDenied: r.Counter("gateway_repeats_denied"),
 		silencesKept:  r.Counter("gateway_silences_kept"), silencesReplaced: r.Counter("gateway_silences_replaced"),
-		panics: r.Counter("gateway_panics"), reachChecks: r.Counter("gateway_reach_checks"),
+		promptsShared: r.Counter("gateway_long_prompts_shared"), promptsUnshared: r.Counter("gateway_long_prompts_unshared"),
+		promptsLearned: r.Counter("gateway_long_prompts_learned"),
+		panics:         r.Counter("gateway_panics"), reachChecks: r.Counter("gateway_reach_checks"),
 		forwards: r.Counter("gateway_forwards"), forwardsFailed: r.Counter("gateway_forwards_failed"),
 		forwarded: r.Counter("gateway_forwarded"), forwardedFailed: r.Counter("gateway_forwarded_failed"),
 		servicesCutOff: r.Gauge("gateway_services_cut_off"), bodyBytes: r.Gauge("gateway_body_bytes"),
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/boragelead/boragelead/internal/gateway/docsync"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/prompts"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
@@ -41,6 +42,10 @@
 	MethodDeparture = "gateway.departure"
 	// MethodDocument is called by entries on state replicas, to fetch a document.
 	MethodDocument = "gateway.document"
+	// MethodPromptsNotice notifies the leader of long prompts that an entry has sent to
+	// endpoints, and MethodPrompts asks the leader for those of the other entries.
+	MethodPromptsNotice = "gateway.prompts_notice"
+	MethodPrompts       = "gateway.prompts"
 )
 
 // MaxFollowed is the number of state replicas that an entry polls while there is a
@@ -274,3 +279,26 @@
 func Decode(data []byte, message any) error {
 	return eris.Wrap(msgpack.Unmarshal(data, message), "decode message between daemons")
 }
+
+// PromptsNotice reports long prompts that an entry has just sent to endpoints.
+type PromptsNotice struct {
+	Entry   string           `msgpack:"n"`
+	Prompts []prompts.Prompt `msgpack:"p"`
+}
+
+// PromptsRequest asks for the long prompts of other entries.
+type PromptsRequest struct {
+	Entry string `msgpack:"n"`
+	// ReplicaRun and Position are those of the last reply.
+	ReplicaRun uint64 `msgpack:"r"`
+	Position   uint64 `msgpack:"s"`
+	// WaitMS is how long the replica may wait for prompts, in milliseconds.
+	WaitMS int64 `msgpack:"w"`
+}
+
+// PromptsReply answers a PromptsRequest.
+type PromptsReply struct {
+	ReplicaRun uint64           `msgpack:"r"`
+	Position   uint64           `msgpack:"s"`
+	Prompts    []prompts.Prompt `msgpack:"p,omitempty"`
+}
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -62,6 +62,11 @@
 	refusedAt time.Time
 	// pace is the learned time between the events of its streams.
 	pace pace
+	// slowdown is the ratio of the last time between two events to the pace, at slowdownAt.
+	slowdown   float64
+	slowdownAt time.Time
+	// othersUntil is when the long prompts of other entries are estimated to be processed.
+	othersUntil time.Time
 	// idHash is the hash of the endpoint's ID, for rendezvous hashing.
 	idHash uint64
 	// lastByteAt is when the last byte of an answer was received.
@@ -101,7 +106,7 @@
 	return &Board{
 		random:    random,
 		filters:   []Filter{ReadyFilter{}, VersionFilter{}, AvoidFilter{}, PauseFilter{}, BackoffFilter{}, ConnectionFilter{}, RateFilter{}, RoomFilter{}},
-		scorers:   []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}},
+		scorers:   []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}, OthersScorer{}},
 		picker:    LowestScorePicker{Random: random},
 		endpoints: make(map[string]*stats),
 		services:  make(map[string][]*stats),
--- a/internal/gateway/pick/choice.go
+++ b/internal/gateway/pick/choice.go
@@ -29,6 +29,8 @@
 	// at the endpoint when the attempt started.
 	queuedTokens int
 	startedAt    time.Time
+	// secondsPerToken is the estimated time to process a prompt token.
+	secondsPerToken float64
 	// lastEventAt is when events of the stream last arrived.
 	lastEventAt    time.Time
 	awaitingAnswer bool
--- a/internal/gateway/pick/pace.go
+++ b/internal/gateway/pick/pace.go
@@ -17,6 +17,9 @@
 	minPaceEvents = 12
 	// paceRefresh is how often the usual pace of a service is computed.
 	paceRefresh = 500 * time.Millisecond
+	// slowdownTime is the time in which a reported slowdown loses most of its weight. VMs share
+	// their hardware with others, and the load of those changes within tenths of a second.
+	slowdownTime = 400 * time.Millisecond
 	// maxPaceRatio limits the effect of a pace on the choice.
 	maxPaceRatio = 4
 )
@@ -80,11 +83,25 @@
 }
 
 // slownessAt returns how many times longer the endpoint takes than is usual for its service.
-func (s *stats) slownessAt(usual float64) float64 {
-	if usual <= 0 || !s.pace.known() {
-		return s.slowness
+func (s *stats) slownessAt(usual float64, now time.Time) float64 {
+	ratio := s.slowness
+	if usual > 0 && s.pace.known() {
+		ratio = s.pace.seconds / usual
 	}
-	return min(max(s.pace.seconds/usual, 1/maxPaceRatio), maxPaceRatio)
+	return min(max(ratio*s.momentarySlowdown(now), 1/maxPaceRatio), maxPaceRatio)
+}
+
+// momentarySlowdown returns how many times longer work takes at the endpoint at this moment, as
+// the last event of a stream or the last load report says. The older it is, the nearer to 1.
+func (s *stats) momentarySlowdown(now time.Time) float64 {
+	slowdown, at := s.reportedLoad.Slowdown, s.reportedAt
+	if s.slowdownAt.After(at) {
+		slowdown, at = s.slowdown, s.slowdownAt
+	}
+	if slowdown <= 0 || at.IsZero() {
+		return 1
+	}
+	return 1 + (slowdown-1)*math.Exp(-now.Sub(at).Seconds()/slowdownTime.Seconds())
 }
 
 // RecordEvents records that events of a stream arrived.
@@ -92,7 +109,15 @@
 	c.board.mu.Lock()
 	defer c.board.mu.Unlock()
 	if !c.lastEventAt.IsZero() && count > 0 {
-		c.stats.pace.observe(now.Sub(c.lastEventAt).Seconds() / float64(count))
+		c.stats.observeGap(now.Sub(c.lastEventAt).Seconds()/float64(count), now)
 	}
 	c.lastEventAt = now
 }
+
+// observeGap learns from the time between two events of a stream.
+func (s *stats) observeGap(seconds float64, now time.Time) {
+	s.pace.observe(seconds)
+	if s.pace.known() {
+		s.slowdown, s.slowdownAt = min(max(seconds/s.pace.seconds, 1), maxPaceRatio), now
+	}
+}
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -69,8 +69,8 @@
 	uncachedTokens int
 	// secondsPerToken is the time in which endpoints of the service process a prompt token.
 	secondsPerToken float64
-	// slowdown is how many times longer the endpoint takes than is usual for its service.
-	slowdown float64
+	// slownessNow is how many times longer the endpoint takes now than is usual for its service.
+	slownessNow float64
 }
 
 // Filter drops endpoints that must not get a request.
@@ -120,7 +120,7 @@
 	}
 	for i := range views {
 		views[i].secondsPerToken = secondsPerToken
-		views[i].slowdown = views[i].slownessAt(usual)
+		views[i].slownessNow = views[i].slownessAt(usual, r.Now)
 		for _, scorer := range b.scorers {
 			scores[i] += scorer.Seconds(r, &views[i])
 		}
@@ -228,7 +228,7 @@
 	s := v.stats
 	c := &Choice{
 		Endpoint: s.endpoint, Score: score, Requests: s.requests(r.Now), Cached: r.PromptTokens - v.uncachedTokens,
-		Candidates: candidates, board: b, stats: s, uncachedTokens: v.uncachedTokens, queuedTokens: s.prefillTokens, startedAt: r.Now, awaitingAnswer: true,
+		Candidates: candidates, board: b, stats: s, uncachedTokens: v.uncachedTokens, queuedTokens: s.prefillTokens, startedAt: r.Now, awaitingAnswer: true, secondsPerToken: v.secondsPerToken,
 	}
 	if s.permits != nil {
 		s.permits.Take(r.Now)
--- a/internal/gateway/pick/score_prefill.go
+++ b/internal/gateway/pick/score_prefill.go
@@ -9,5 +9,5 @@
 
 // Seconds implements Scorer.
 func (PrefillScorer) Seconds(_ *Request, v *View) float64 {
-	return float64(v.uncachedTokens+v.prefillTokens) * v.secondsPerToken * v.slowdown
+	return float64(v.uncachedTokens+v.prefillTokens) * v.secondsPerToken * v.slownessNow
 }
--- a/internal/gateway/pick/score_queue.go
+++ b/internal/gateway/pick/score_queue.go
@@ -24,5 +24,5 @@
 	waiting := max(requests+1-slots, 0)
 	utilization := float64(min(requests, slots)) / float64(slots)
 	cost := runningSeconds*float64(requests) + utilizationSeconds*utilization + waitingSeconds*float64(waiting)
-	return cost * v.slowdown
+	return cost * v.slownessNow
 }
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -17,6 +17,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/entry"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/meter"
+	"github.com/boragelead/boragelead/internal/gateway/prompts"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
@@ -106,6 +107,8 @@
 	// entries.
 	suspects  *suspect.Tracker
 	crashNews *crashNews
+	// prompts holds the long prompts that entries have sent to endpoints.
+	prompts *prompts.Feed
 	// rateLimits holds the request rates to which endpoints limit all entries.
 	rateLimits *ratelimit.Table
 	// origins holds the software versions at which streams began.
@@ -149,7 +152,7 @@
 		usage:    meter.NewLedger(),
 		entries:  newEntries(),
 		clock:    walltime.New(time.Now(), bootclock.Now()),
-		suspects: suspect.NewTracker(entry.Quarantine), crashNews: newCrashNews(), rateLimits: ratelimit.NewTable(), origins: streams.NewTable(),
+		suspects: suspect.NewTracker(entry.Quarantine), crashNews: newCrashNews(), prompts: prompts.NewFeed(), rateLimits: ratelimit.NewTable(), origins: streams.NewTable(),
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
@@ -177,6 +180,8 @@
 	options.RPC.Handle(link.MethodSpend, st.handleSpend)
 	options.RPC.Handle(link.MethodPartProbe, st.handlePartProbe)
 	options.RPC.Handle(link.MethodCrashes, st.handleCrashes)
+	options.RPC.Handle(link.MethodPromptsNotice, st.handlePromptsNotice)
+	options.RPC.Handle(link.MethodPrompts, st.handlePrompts)
 	return st, nil
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,6 +45,7 @@
 	Limits     GatewayLimits `json:"limits"`
 	Bounds     GatewayBounds `json:"bounds"`
 	Cloud      GatewayCloud  `json:"cloud"`
+	Placement  Placement     `json:"placement"`
 	Log        Log           `json:"log"`
 	Trace      Trace         `json:"trace"`
 }
@@ -106,6 +107,13 @@
 	Address string `json:"address"`
 }
 
+// Placement switches parts of the choice of endpoints on.
+type Placement struct {
+	// ShareLongPrompts lets entries tell each other, through the leader, which long prompts
+	// they have sent to which endpoints.
+	ShareLongPrompts bool `json:"share_long_prompts"`
+}
+
 // LoadGateway reads and checks the settings of a gateway daemon. The error is an *Error.
 func LoadGateway(path string) (*Gateway, error) {
 	data, err := os.ReadFile(path)
