Keep the last attempt when its endpoint leaves

Callers saw a request end without its answer although an attempt was still generating it: the primary attempt was lost, its successor was regenerating delivered tokens, and the endpoint of the successor announced that it leaves.

Machine.Notice cancelled the successor first and asked for another attempt afterwards. A denial (retry budget, no endpoint) then found no attempt and failed the request, with the whole notice of the successor unused.

The successor now goes on while the next attempt is asked for, and Granted cancels it. A denial leaves it running; if it catches up before the grant it becomes the primary, as in any hand-over. With a primary that runs or is granted, the successor is cancelled as before. The request for the next attempt has the reason Handover, as for a notice of a primary, so an announced reclaim is not counted as a failure. registerAttempt carries out the cancellation that Granted now returns.

TestLastAttemptContinuesWhileItsReplacementIsUncertain failed before in the cases denied, granted and caught up: Notice returned Cancel and Ask. TestGrantedAttemptEndsTheOneItReplaces fails without the change of registerAttempt.

--- a/internal/core/attempt/machine.go
+++ b/internal/core/attempt/machine.go
@@ -113,18 +113,25 @@
 	m.askPending = false
 	granted := &attemptState{id: id, endpoint: endpointID}
 	send := Action{Kind: Send, Attempt: id, Endpoint: endpointID}
-	if m.primary != nil {
+	switch {
+	case m.primary != nil:
 		m.successor = granted
 		send.Source, send.SourceEndpoint = m.primary.id, m.primary.endpoint
-	} else {
+	case m.successor != nil:
+		// The endpoint of the successor leaves. The successor was the last running
+		// attempt, so it was kept until now.
+		m.cancel(m.successor)
+		m.successor = nil
+		m.primary = granted
+	default:
 		m.primary = granted
 	}
 	m.actions = append(m.actions, send)
 	return m.actions
 }
 
-// Denied answers Ask and reports that no attempt can be made. If a hand-over is
-// denied, the old attempt continues.
+// Denied answers Ask and reports that no attempt can be made. A running attempt
+// continues.
 func (m *Machine) Denied(cause error) []Action {
 	m.actions = m.actions[:0]
 	if m.ended || !m.askPending {
@@ -185,6 +192,12 @@
 		return m.actions
 	}
 	switch {
+	case m.successor != nil && m.successor.endpoint == endpointID && m.primary == nil:
+		// No other attempt runs, and the next one may be denied. Granted cancels the
+		// successor.
+		if !m.askPending {
+			m.ask(Handover)
+		}
 	case m.successor != nil && m.successor.endpoint == endpointID:
 		m.cancel(m.successor)
 		m.dropSuccessor()
--- a/internal/core/attempt/machine_test.go
+++ b/internal/core/attempt/machine_test.go
@@ -142,6 +142,61 @@
 	}
 }
 
+// newRegeneratingMachine returns a machine whose primary is lost while its
+// successor "b" at endpoint "B" still regenerates delivered tokens.
+func newRegeneratingMachine() *Machine {
+	m := newSentMachine(Config{MaxTokens: 9})
+	m.Frame("a", tokensFrame("a", 0, 2))
+	m.Notice("A")
+	m.Granted("b", "B")
+	m.Sent("b")
+	m.Frame("a", tokensFrame("a", 2, 3))
+	m.Lost("a", true, errLost)
+	return m
+}
+
+// Guards against a request that fails although an attempt could complete it: the
+// only running attempt was cancelled because its endpoint leaves, before another
+// attempt was granted.
+func TestLastAttemptContinuesWhileItsReplacementIsUncertain(t *testing.T) {
+	t.Run("denied", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newRegeneratingMachine()
+		g.Expect(m.Notice("B")).To(ConsistOf(And(HaveField("Kind", Ask), HaveField("Reason", Handover))))
+		g.Expect(m.Denied(errLost)).To(BeEmpty())
+		g.Expect(kinds(m.Frame("b", tokensFrame("b", 2, 7)))).To(Equal([]Kind{Deliver}))
+		g.Expect(kinds(m.Frame("b", doneFrame("b", 9)))).To(Equal([]Kind{Finish}))
+	})
+	t.Run("granted", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newRegeneratingMachine()
+		m.Notice("B")
+		actions := m.Granted("c", "C")
+		g.Expect(kinds(actions)).To(Equal([]Kind{Cancel, Send}))
+		g.Expect(actions[0]).To(HaveField("Attempt", "b"))
+		emitted, offset, wanted := m.Sent("c")
+		g.Expect(wanted).To(BeTrue())
+		g.Expect(emitted).To(Equal("0.1.2.3.4."))
+		g.Expect(offset).To(Equal(5))
+		g.Expect(kinds(m.Frame("c", tokensFrame("c", 5, 4)))).To(Equal([]Kind{Deliver}))
+	})
+	t.Run("lost before the answer", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newRegeneratingMachine()
+		m.Notice("B")
+		g.Expect(m.Lost("b", true, errLost)).To(BeEmpty())
+		g.Expect(kinds(m.Granted("c", "C"))).To(Equal([]Kind{Send}))
+	})
+	t.Run("caught up before the answer", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newRegeneratingMachine()
+		m.Notice("B")
+		m.Frame("b", tokensFrame("b", 2, 4))
+		g.Expect(m.Granted("c", "C")).To(ConsistOf(And(HaveField("Kind", Send), HaveField("Source", "b"))))
+		g.Expect(m.Running("b")).To(BeTrue())
+	})
+}
+
 // Guards against an unnecessary attempt after all tokens were delivered and only
 // the done frame was lost.
 func TestLostLastFrameNeedsNoAttempt(t *testing.T) {
--- a/internal/core/attempt/property_test.go
+++ b/internal/core/attempt/property_test.go
@@ -147,6 +147,11 @@
 func isLive(r *engineAttempt) bool   { return r.sent && !r.ended }
 func isUnsent(r *engineAttempt) bool { return !r.sent && !r.ended }
 
+// isRunning reports whether an attempt runs or is granted.
+func (s *simulation) isRunning(r *engineAttempt) bool {
+	return !r.ended && s.machine.Running(r.id)
+}
+
 func (s *simulation) grantAttempt(t *rapid.T) {
 	if !s.askPending {
 		return
@@ -211,7 +216,15 @@
 	}
 }
 
+// notice announces that an endpoint leaves. A notice must not end the last
+// attempt that runs or is granted, since its replacement may be denied.
 func (s *simulation) notice(t *rapid.T) {
+	running := s.hasAttempt(s.isRunning)
+	defer func() {
+		if running && !s.hasAttempt(s.isRunning) {
+			s.t.Fatalf("a notice ended the last attempt")
+		}
+	}()
 	s.apply(s.machine.Notice(rapid.SampledFrom([]string{"A", "B", "C"}).Draw(t, "endpoint")))
 }
 
--- a/internal/entry/attempt_runner.go
+++ b/internal/entry/attempt_runner.go
@@ -54,6 +54,9 @@
 	wanted := false
 	for _, action := range g.machine.Granted(r.id, r.state.id) {
 		wanted = wanted || action.Kind == attempt.Send
+		if action.Kind == attempt.Cancel {
+			g.performAction(&action)
+		}
 		if action.Source != "" {
 			source = &kvSource{attempt: action.Source, endpoint: action.SourceEndpoint}
 		}
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/attempt"
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/core/member"
 	"github.com/boragelead/boragelead/internal/port"
@@ -221,3 +222,29 @@
 	g.Expect(time.Since(started)).To(BeNumerically("<", 5*time.Second))
 	g.Expect(engine.receivedRequests()).To(BeEmpty())
 }
+
+// Guards against an attempt that keeps running at its leaving endpoint after the
+// machine cancelled it in favour of the granted one.
+func TestGrantedAttemptEndsTheOneItReplaces(t *testing.T) {
+	g := NewWithT(t)
+	m := attempt.New(attempt.Config{MaxTokens: answerTokens})
+	tokens := func(id string, offset, count int) {
+		m.Frame(id, &endpoint.Frame{AttemptID: id, Type: endpoint.FrameTokens, Offset: offset, Count: count, Text: "abcdef"[offset : offset+count]})
+	}
+	m.Begin()
+	m.Granted("a", "A")
+	m.Sent("a")
+	tokens("a", 0, 1)
+	m.Notice("A")
+	m.Granted("b", "B")
+	m.Sent("b")
+	tokens("a", 1, 2)
+	m.Lost("a", true, io.ErrUnexpectedEOF)
+	m.Notice("B")
+	cancelled := false
+	generation := &generation{machine: m, cancels: map[string]context.CancelFunc{"b": func() { cancelled = true }}}
+	runner := &attemptRunner{generation: generation, id: "c", state: &endpointState{id: "C"}}
+	_, wanted := runner.registerAttempt(func() {})
+	g.Expect(wanted).To(BeTrue())
+	g.Expect(cancelled).To(BeTrue())
+}
