Ask a peer before a running request is given up at a drain

Callers of a daemon that drains got the error shutting_down ("no peer took the request") at 0.7 of the drain time, although their answers would have ended within the rest of it: with no live peer, or with all peers draining.

HandOverAll cancelled each run and asked the peers afterwards.

A run now goes on while peers are asked, and ends only when one has accepted it. Peers are asked again every second until the end of the drain; a run that none takes by then is refused with its run state. An offer that is open at that moment is awaited for one second, so that an acceptance is not given up either.

A peer continues from the tokens that the caller has. Tokens that are generated while a peer is asked are therefore held back, and delivered if it refuses. An answer that is complete meanwhile is delivered, and entry.release tells the peer to stop; so does an offer without an answer, since the peer may have accepted it. A peer that does not answer within 2 s is not asked again for that request, because its caller waits meanwhile.

--- a/internal/core/attempt/machine.go
+++ b/internal/core/attempt/machine.go
@@ -92,9 +92,13 @@
 }
 
 // Begin starts the request. The actions that Begin and the other methods return
-// are valid until the next call.
+// are valid until the next call. A request that was abandoned before does not
+// start.
 func (m *Machine) Begin() []Action {
 	m.actions = m.actions[:0]
+	if m.ended {
+		return m.actions
+	}
 	if m.offset == 0 {
 		m.ask(First)
 		return m.actions
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -5,20 +5,24 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/internal/entry"
 )
 
 const (
 	// drainPollInterval is how often a drain checks whether requests still run.
 	drainPollInterval = 50 * time.Millisecond
 	// handOverShare is the share of the drain timeout after which requests that
-	// still run are handed over to peers. The rest of the time is for the hand-over.
+	// still run are offered to peers. The rest of the time is for the hand-over,
+	// and for requests that no peer takes.
 	handOverShare = 0.7
 )
 
 // Drain shuts the daemon down without breaking off a request. It withdraws
 // readiness, waits for the load balancer to notice, refuses new requests and
 // lets running ones end. Requests that do not end within handOverShare of the
-// timeout are handed over to a peer. Drain returns immediately; the channel of
+// timeout are offered to peers, and run on until one takes them or the timeout
+// ends. Drain returns immediately; the channel of
 // Drained is closed at the end. A timeout of 0 means the one in the settings.
 func (d *Daemon) Drain(timeout time.Duration) {
 	d.drainOnce.Do(func() {
@@ -38,9 +42,9 @@
 	d.entry.Drain()
 	handOverAt := deadline.Add(-time.Duration(float64(timeout) * (1 - handOverShare)))
 	if !d.awaitIdle(handOverAt) {
-		count := d.entry.HandOverAll()
-		d.log.Info("Requests handed over.", zap.Int("requests", count))
-		d.awaitIdle(deadline)
+		count := d.entry.HandOverAll(deadline)
+		d.log.Info("Hand-over of running requests started.", zap.Int("requests", count))
+		d.awaitIdle(deadline.Add(entry.HandOverGrace))
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(closeTimeout))
 	defer cancel()
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -217,4 +217,39 @@
 		Expect(moved[true]).To(BeNumerically(">", 0))
 		Expect(moved[false]).To(BeNumerically(">", 0))
 	})
+
+	// Guards against requests that are refused after a part of the drain timeout,
+	// although they end within the rest of it, because no peer takes them.
+	DescribeTable("lets requests that no peer takes go on until its end", func(daemons int) {
+		const timeout = 6 * time.Second
+		s := newSystem(rig.Config{Daemons: daemons, Domains: 1})
+		// One token takes 5 ms, so the answers take about 5 s. Hand-over begins
+		// after 4.2 s.
+		(&fleet{s.Rig}).addEngine(engine.Config{Slots: 4, TimeScale: 5 * float64(time.Millisecond) / float64(fastSpeed.DecodeStep)})
+		Expect(s.Await(5 * time.Second)).To(Succeed())
+		draining := s.daemon(0)
+		for number := range daemons - 1 {
+			peer := s.daemon(number + 1)
+			peer.Entry().Drain()
+		}
+		call := load.Call{Key: testKey, Model: testModel, Prompt: "drain", MaxTokens: 1000}
+		var streamed, whole requestOutcome
+		var group sync.WaitGroup
+		group.Go(func() { streamed = streamAndResume(draining, draining, call) })
+		group.Go(func() { whole = requestAndFollow(draining, draining, call) })
+		Eventually(draining.Entry().InFlight, 5*time.Second, time.Millisecond).Should(Equal(2))
+		started := time.Now()
+		draining.Drain(timeout)
+		group.Wait()
+		GinkgoWriter.Printf("answers ended after %v\n", time.Since(started))
+		for _, out := range []requestOutcome{streamed, whole} {
+			Expect(out.err).NotTo(HaveOccurred())
+			Expect(out.complete).To(BeTrue())
+			Expect(out.moved).To(BeFalse())
+		}
+		Expect(time.Since(started)).To(BeNumerically(">", timeout*7/10), "the answers ended before the hand-over")
+	},
+		Entry("no live peer", 1),
+		Entry("all peers drain", 3),
+	)
 })
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -32,8 +32,8 @@
 	mu      sync.Mutex
 	machine *attempt.Machine
 	sink    Sink
-	// runCtx ends when the caller is gone, the request is handed over or the
-	// service closes; its cause says why. ctx is the context of the attempts:
+	// runCtx ends when the caller is gone, a peer has taken the request over,
+	// the daemon stops or the service closes; its cause says why. ctx is the context of the attempts:
 	// it also ends when the answer is complete.
 	runCtx, ctx  context.Context
 	stopAttempts context.CancelFunc
@@ -51,6 +51,11 @@
 	// reclaim.
 	failures int
 	attempts sync.WaitGroup
+
+	// offer is the hand-over that a peer is asked for; nil if there is none.
+	offer *offer
+	// closing is set when no further offer may begin.
+	closing bool
 }
 
 // Complete answers a request. The error is a *RefusalError or a *MovedError.
@@ -99,7 +104,7 @@
 	runCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	g.runCtx = runCtx
 	g.ctx, g.stopAttempts = context.WithCancel(runCtx)
-	g.journal.setCancel(cancel)
+	g.journal.setRun(cancel, g.handOver)
 	g.journal.Attach()
 	stopCaller := context.AfterFunc(ctx, func() {
 		if g.req.Resumable {
@@ -121,7 +126,11 @@
 func (g *generation) answer() {
 	slot, err := g.service.admit(g.ctx, g.req, g.journal.Tokens() > 0, g.record)
 	if err != nil {
-		g.err = g.callerError(g.handOver(err), endpoint.NotRun)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.err == nil {
+			g.err = g.callerError(err, endpoint.NotRun)
+		}
 		return
 	}
 	g.slot = slot
@@ -198,8 +207,17 @@
 	}
 }
 
-// deliver appends tokens to the journal and sends them to the caller.
+// deliver appends tokens to the journal and sends them to the caller, or holds
+// them back while a peer is asked to take the request over.
 func (g *generation) deliver(a *attempt.Action) {
+	if g.offer != nil {
+		g.offer.held = append(g.offer.held, *a)
+		return
+	}
+	g.deliverNow(a)
+}
+
+func (g *generation) deliverNow(a *attempt.Action) {
 	g.journal.Append(a.Count, a.Text)
 	g.service.metrics.tokens.Add(int64(a.Count))
 	g.recordLatency(time.Now())
@@ -242,6 +260,7 @@
 }
 
 func (g *generation) finish(a *attempt.Action) {
+	g.deliverHeld()
 	stats := g.machine.Stats()
 	g.result = Result{
 		FinishReason: a.FinishReason, Attempts: stats.Attempts, RecomputedTokens: stats.RecomputedTokens,
@@ -281,11 +300,12 @@
 	return &RefusalError{Type: RefusedUpstream, Run: run, Message: message, Err: cause}
 }
 
-// finalize hands over a request whose daemon stops, and records the outcome in
-// the journal, the metrics and the explain record.
+// finalize records the outcome in the journal, the metrics and the explain
+// record.
 func (g *generation) finalize() {
+	g.awaitOffer()
 	if cause := context.Cause(g.runCtx); g.err != nil && cause != nil {
-		g.err = g.callerError(g.handOver(cause), g.runState())
+		g.err = g.callerError(cause, g.runState())
 	}
 	g.recordOutcome()
 	now := time.Now()
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -32,6 +32,9 @@
 	// silent keeps the stream open without further frames instead of breaking
 	// it.
 	silent bool
+	// gate, if set, makes the stream wait at tokens for the next offset up to
+	// which it goes on. A negative offset breaks it.
+	gate chan int
 }
 
 // fakeEngine answers each attempt by the next script. The last script is
@@ -85,6 +88,19 @@
 }
 
 func (s *fakeStream) Next(frame *endpoint.Frame) error {
+	for s.script.gate != nil && s.next >= s.script.tokens && s.next < answerTokens {
+		select {
+		case s.script.tokens = <-s.script.gate:
+			if s.script.tokens < 0 {
+				return &port.TransportError{Sent: true, Err: io.ErrUnexpectedEOF}
+			}
+		case <-s.ctx.Done():
+			s.engine.mu.Lock()
+			defer s.engine.mu.Unlock()
+			s.engine.cancelled++
+			return &port.TransportError{Sent: true, Err: s.ctx.Err()}
+		}
+	}
 	switch {
 	case s.ended:
 		return io.EOF
@@ -126,7 +142,7 @@
 func (*fakeSink) Flush() error { return nil }
 
 // newTestService starts a service with two endpoints of the same model.
-func newTestService(t *testing.T, engine *fakeEngine) *Service {
+func newTestService(t *testing.T, engine *fakeEngine, options ...func(*Options)) *Service {
 	store, registry := conf.NewStore(), member.NewRegistry()
 	store.Install(1, &conf.Document{
 		Ranks: []conf.Rank{{Name: "urgent", MaxWaitMS: 500, PerTokenMS: 100, FirstTokenMS: 1000}},
@@ -138,10 +154,14 @@
 			State: endpoint.StateReady, LeaseMS: 60_000, KVCapacityTokens: 100_000, Models: []endpoint.LoadedModel{{Name: "m"}},
 		}, time.Now())
 	}
-	s := New(Options{
+	all := Options{
 		Name: "d", FailureDomain: "a", Config: store, Registry: registry, Cluster: singleDaemonCluster{}, Engine: engine,
 		Explainer: telemetry.NewExplainer(10), Metrics: telemetry.NewRegistry(), Log: zap.NewNop(),
-	})
+	}
+	for _, change := range options {
+		change(&all)
+	}
+	s := New(all)
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
--- a/internal/entry/journal.go
+++ b/internal/entry/journal.go
@@ -28,7 +28,10 @@
 	resumeDeadline time.Time
 	// takenOver is set when a peer handed the request over to this daemon.
 	takenOver bool
-	cancelRun context.CancelCauseFunc
+	// offer identifies the hand-over by which this daemon got the request.
+	offer       string
+	cancelRun   context.CancelCauseFunc
+	handOverRun func(deadline time.Time)
 }
 
 // frameStart records that the token at offset starts at position in the text.
@@ -51,11 +54,23 @@
 // Request returns the request that the journal belongs to.
 func (j *Journal) Request() *Request { return j.request }
 
-// setCancel sets the function that cancels the attempts of the request.
-func (j *Journal) setCancel(cancel context.CancelCauseFunc) {
+// setRun sets the functions that cancel the attempts of the request and that
+// offer the request to peers.
+func (j *Journal) setRun(cancel context.CancelCauseFunc, handOver func(deadline time.Time)) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.cancelRun = cancel
+	j.handOverRun = handOver
+}
+
+// handOver offers the request to peers until the deadline.
+func (j *Journal) handOver(deadline time.Time) {
+	j.mu.Lock()
+	handOver := j.handOverRun
+	j.mu.Unlock()
+	if handOver != nil {
+		handOver(deadline)
+	}
 }
 
 // cancel cancels the attempts of the request with a cause.
--- a/internal/entry/journals.go
+++ b/internal/entry/journals.go
@@ -54,6 +54,27 @@
 	return true
 }
 
+// replace stores a journal under the ID of its request and returns the journal
+// that was stored there before, or nil.
+func (j *Journals) replace(journal *Journal) *Journal {
+	shard := j.shard(journal.request.ID)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	old := shard.byID[journal.request.ID]
+	shard.byID[journal.request.ID] = journal
+	return old
+}
+
+// removeJournal deletes a journal unless another one has replaced it.
+func (j *Journals) removeJournal(journal *Journal) {
+	shard := j.shard(journal.request.ID)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if shard.byID[journal.request.ID] == journal {
+		delete(shard.byID, journal.request.ID)
+	}
+}
+
 // Get returns the journal of a request, or nil if there is none.
 func (j *Journals) Get(id string) *Journal {
 	shard := j.shard(id)
