Keep a silent engine stream until its replacement generates

Callers lost answers that would have been late: a stream that was silent for longer than limits.silent_stream_ms (or 2 s before the head of the answer) was ended, and budget, route and endpoint were asked afterwards. With the attempts of the request used up, the caller got retries_exhausted, although nothing could follow the ended attempt.

The adapter ended the stream by a read deadline, so that no later stage could decide. The entry now watches the silence itself. It asks the machine for another attempt (Machine.Silent) while the silent one runs on, as in a hand-over: the silent attempt is cancelled when its replacement has generated a token. A denial leaves it running, and if it goes on before the grant, the grant is not used. A replacement that is silent too is replaced in turn, which keeps two attempts at most.

Each replacement that is sent counts as a failure for the limits of the retry package as before; one that is denied or not sent is not counted, because the silent attempt has not failed. Requests that must run alone on an endpoint (suspects of a crash) still end with their silence: their next attempt must not run beside the first.

TestSilentAttemptContinues and the property test cover the machine.

--- a/internal/adapter/enginehttp/probe.go
+++ b/internal/adapter/enginehttp/probe.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/boragelead/boragelead/api/endpoint"
 	"github.com/boragelead/boragelead/internal/adapter/httpconn"
+	"github.com/boragelead/boragelead/internal/port"
 )
 
 // suspect starts a check of an engine that stopped responding on one of its
@@ -14,6 +16,13 @@
 	c.pools.Suspect(baseURL, pool, func() bool { return c.Ping(context.Background(), baseURL) == nil })
 }
 
+var _ port.SilenceChecker = (*Client)(nil)
+
+// CheckSilent implements port.SilenceChecker. Running streams are not ended.
+func (c *Client) CheckSilent(baseURL string) {
+	c.suspect(baseURL, c.pools.Get(baseURL, time.Now()))
+}
+
 // Ping checks whether an engine responds on a new connection.
 func (c *Client) Ping(ctx context.Context, baseURL string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.probeTimeout)
--- a/internal/core/attempt/action.go
+++ b/internal/core/attempt/action.go
@@ -52,6 +52,9 @@
 	// Reason is set for Ask, and Cause for Ask and Fail.
 	Reason Reason
 	Cause  error
+	// Silent is set for Ask if the attempt to be replaced still runs and is only
+	// silent.
+	Silent bool
 
 	// Offset is set for Deliver as the position of its first token, and for Ask
 	// as the number of tokens delivered so far.
--- a/internal/core/attempt/frame.go
+++ b/internal/core/attempt/frame.go
@@ -16,6 +16,7 @@
 		m.stats.Dropped++
 		return m.actions
 	}
+	a.silent = false
 	switch frame.Type {
 	case endpoint.FramePing:
 	case endpoint.FrameTokens:
--- a/internal/core/attempt/machine.go
+++ b/internal/core/attempt/machine.go
@@ -38,6 +38,8 @@
 	// pendingText is the text of tokens that are not delivered yet: those of a
 	// successor until it takes over, and those of a primary that are held back.
 	pendingText strings.Builder
+	// silent is set while the attempt makes no progress.
+	silent bool
 }
 
 // Machine is the state machine of one request.
@@ -50,7 +52,9 @@
 	// tokens.
 	successor  *attemptState
 	askPending bool
-	ended      bool
+	// silentAsk is the attempt whose silence is the only reason of the pending Ask.
+	silentAsk *attemptState
+	ended     bool
 	// mayHaveRun is set when an attempt has ended that may have run.
 	mayHaveRun bool
 	// nondeterministic is set when attempts may generate different tokens.
@@ -108,22 +112,34 @@
 }
 
 // Granted answers Ask and allows an attempt with the given ID at the given
-// endpoint. It returns no actions if the attempt is no longer needed.
+// endpoint. It returns no actions if the attempt is no longer needed: the request
+// has ended, or the silent attempt that it was to replace has gone on.
 func (m *Machine) Granted(id, endpointID string) []Action {
 	m.actions = m.actions[:0]
 	if m.ended || !m.askPending {
 		return m.actions
 	}
 	m.askPending = false
+	silent := m.silentAsk
+	m.silentAsk = nil
+	if silent != nil && !silent.silent && m.find(silent.id) != nil {
+		return m.actions
+	}
 	granted := &attemptState{id: id, endpoint: endpointID}
 	send := Action{Kind: Send, Attempt: id, Endpoint: endpointID}
 	switch {
 	case m.primary != nil:
+		if m.successor != nil {
+			m.cancel(m.successor)
+			m.dropSuccessor()
+		}
 		m.successor = granted
-		send.Source, send.SourceEndpoint = m.primary.id, m.primary.endpoint
+		if !m.primary.silent {
+			send.Source, send.SourceEndpoint = m.primary.id, m.primary.endpoint
+		}
 	case m.successor != nil:
-		// The endpoint of the successor leaves. The successor was the last running
-		// attempt, so it was kept until now.
+		// The endpoint of the successor leaves or is silent. The successor was the
+		// last running attempt, so it was kept until now.
 		m.cancel(m.successor)
 		m.successor = nil
 		m.primary = granted
@@ -141,7 +157,7 @@
 	if m.ended || !m.askPending {
 		return m.actions
 	}
-	m.askPending = false
+	m.askPending, m.silentAsk = false, nil
 	if m.primary == nil && m.successor == nil {
 		m.fail(cause)
 	}
@@ -195,6 +211,9 @@
 	if m.ended {
 		return m.actions
 	}
+	if a := m.silentAsk; a != nil && a.endpoint == endpointID {
+		m.silentAsk = nil
+	}
 	switch {
 	case m.successor != nil && m.successor.endpoint == endpointID && m.primary == nil:
 		// No other attempt runs, and the next one may be denied. Granted cancels the
@@ -212,6 +231,32 @@
 	return m.actions
 }
 
+// Silent reports that an attempt makes no progress. It requests another attempt,
+// and the silent one continues until that generates tokens. If the request is
+// denied, the silent attempt continues.
+func (m *Machine) Silent(id string, cause error) []Action {
+	m.actions = m.actions[:0]
+	a := m.find(id)
+	if a == nil || !a.sent {
+		return m.actions
+	}
+	a.silent = true
+	if m.askPending || (a == m.primary && m.successor != nil) {
+		return m.actions
+	}
+	if m.offset >= m.config.MaxTokens {
+		// Only the done frame is missing.
+		m.endAttempts(nil)
+		m.finish(finishLength, nil)
+		return m.actions
+	}
+	m.cause = cause
+	m.silentAsk = a
+	m.askRecovery()
+	m.actions[len(m.actions)-1].Silent = true
+	return m.actions
+}
+
 // askNext requests an attempt that replaces the primary or, without a running
 // attempt, one that continues the request.
 func (m *Machine) askNext() {
--- a/internal/core/attempt/machine_test.go
+++ b/internal/core/attempt/machine_test.go
@@ -197,6 +197,57 @@
 	})
 }
 
+// Guards against a silent attempt that is ended before another one is granted, and
+// against a needless attempt after the silent one has gone on.
+func TestSilentAttemptContinues(t *testing.T) {
+	newSilentMachine := func(g *WithT) *Machine {
+		m := newSentMachine(Config{MaxTokens: 9})
+		m.Frame("a", tokensFrame("a", 0, 2))
+		g.Expect(m.Silent("a", errLost)).To(ConsistOf(And(HaveField("Kind", Ask), HaveField("Reason", Resume), HaveField("Cause", errLost))))
+		g.Expect(m.Silent("a", errLost)).To(BeEmpty())
+		return m
+	}
+	t.Run("denied", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newSilentMachine(g)
+		g.Expect(m.Denied(errLost)).To(BeEmpty())
+		g.Expect(kinds(m.Frame("a", tokensFrame("a", 2, 7)))).To(Equal([]Kind{Deliver}))
+	})
+	t.Run("granted", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newSilentMachine(g)
+		g.Expect(m.Granted("b", "B")).To(ConsistOf(And(HaveField("Kind", Send), HaveField("Source", ""))))
+		m.Sent("b")
+		g.Expect(m.Running("a")).To(BeTrue())
+		g.Expect(kinds(m.Frame("b", tokensFrame("b", 2, 1)))).To(Equal([]Kind{Cancel, Deliver}))
+	})
+	t.Run("gone on", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newSilentMachine(g)
+		m.Frame("a", tokensFrame("a", 2, 1))
+		g.Expect(m.Granted("b", "B")).To(BeEmpty())
+		g.Expect(m.Running("b")).To(BeFalse())
+	})
+	t.Run("gone on, then leaving", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newSilentMachine(g)
+		m.Frame("a", tokensFrame("a", 2, 1))
+		m.Notice("A")
+		g.Expect(kinds(m.Granted("b", "B"))).To(Equal([]Kind{Send}))
+	})
+	t.Run("silent replacement", func(t *testing.T) {
+		g := NewWithT(t)
+		m := newSilentMachine(g)
+		m.Granted("b", "B")
+		m.Sent("b")
+		g.Expect(kinds(m.Silent("b", errLost))).To(Equal([]Kind{Ask}))
+		actions := m.Granted("c", "C")
+		g.Expect(kinds(actions)).To(Equal([]Kind{Cancel, Send}))
+		g.Expect(actions[0]).To(HaveField("Attempt", "b"))
+		g.Expect(m.Running("a")).To(BeTrue())
+	})
+}
+
 // Guards against an unnecessary attempt after all tokens were delivered and only
 // the done frame was lost.
 func TestLostLastFrameNeedsNoAttempt(t *testing.T) {
--- a/internal/core/attempt/property_test.go
+++ b/internal/core/attempt/property_test.go
@@ -228,6 +228,18 @@
 	s.apply(s.machine.Notice(rapid.SampledFrom([]string{"A", "B", "C"}).Draw(t, "endpoint")))
 }
 
+// silence reports that an attempt makes no progress. It must not end an attempt
+// before the answer is complete.
+func (s *simulation) silence(t *rapid.T) {
+	if r := s.drawAttempt(t, isLive); r != nil {
+		running := s.machine.Running(r.id)
+		s.apply(s.machine.Silent(r.id, errLost))
+		if running && !s.machine.Running(r.id) && !s.finished {
+			s.t.Fatalf("silence ended an attempt")
+		}
+	}
+}
+
 // replayFrame delivers an earlier frame again, on its own or another stream.
 func (s *simulation) replayFrame(t *rapid.T) {
 	if len(s.sentFrames) == 0 {
@@ -290,13 +302,13 @@
 		s.machine = New(Config{MaxTokens: s.maxTokens, PromptTokens: 3, Sampled: known})
 		s.apply(s.machine.Begin())
 		events := map[string]func(t *rapid.T){
-			"grant": s.grantAttempt, "send": func(t *rapid.T) { s.sendAttempt(t, true) }, "step": s.deliverFrame, "lose": s.loseConnection, "notice": s.notice,
+			"grant": s.grantAttempt, "send": func(t *rapid.T) { s.sendAttempt(t, true) }, "step": s.deliverFrame, "lose": s.loseConnection, "notice": s.notice, "silence": s.silence,
 			"replay": s.replayFrame, "gap": s.skipFrame, "error": s.errorFrame, "deny": s.denyAttempt, "abandon": s.abandon,
 		}
 		// Events that make progress are drawn more often than faults.
 		names := []string{
 			"grant", "grant", "grant", "send", "send", "send", "step", "step", "step", "step", "step", "step",
-			"lose", "notice", "notice", "replay", "replay", "gap", "error", "deny", "abandon",
+			"lose", "notice", "notice", "silence", "silence", "replay", "replay", "gap", "error", "deny", "abandon",
 		}
 		for range rapid.IntRange(0, 150).Draw(t, "events") {
 			if s.finished || s.failed != nil {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -24,7 +24,7 @@
 // because the components that follow use them.
 func (d *Daemon) build(options Options) error {
 	var err error
-	d.engines = enginehttp.NewClient(enginehttp.WithHeaders(telemetry.Inject))
+	d.engines = enginehttp.NewClient(enginehttp.WithHeaderTimeout(entry.MaxSilence), enginehttp.WithHeaders(telemetry.Inject))
 	d.services = servicehttp.NewClient(httpconn.Options{}, servicehttp.WithHeaders(telemetry.Inject))
 	d.explainer = telemetry.NewExplainer(maxExplainRecords)
 	if d.tracing, err = telemetry.NewTracing(d.settings.Trace, d.settings.Name, d.settings.FailureDomain); err != nil {
--- a/internal/entry/attempt_runner.go
+++ b/internal/entry/attempt_runner.go
@@ -30,6 +30,9 @@
 	moveAt        time.Time
 	moveRequested bool
 	complete      bool
+	// alone is set if the request must run alone on its endpoint.
+	alone   bool
+	silence *silenceWatch
 }
 
 // gapMeter accumulates the time between tokens for the limiter.
@@ -54,7 +57,7 @@
 	wanted := false
 	for _, action := range g.machine.Granted(r.id, r.state.id) {
 		wanted = wanted || action.Kind == attempt.Send
-		if action.Kind == attempt.Cancel {
+		if action.Kind != attempt.Send {
 			g.performAction(&action)
 		}
 		if action.Source != "" {
@@ -98,19 +101,24 @@
 // run sends the attempt and reads its frames. The error is nil if the answer is
 // complete.
 func (r *attemptRunner) run(ctx context.Context, req *endpoint.GenerateRequest) error {
+	if !r.alone {
+		r.silence = watchSilence(headerPatience, r.reportSilence)
+		defer r.silence.stop()
+	}
 	stream, err := r.generation.service.options.Engine.Generate(ctx, r.state.baseURL, req)
 	if err != nil {
 		r.reportLoss(err)
 		return err
 	}
 	defer stream.Close()
-	if idle, ok := stream.(port.IdleStream); ok {
-		idle.SetIdle(time.Duration(r.generation.doc.Limits.SilentStreamMS) * time.Millisecond)
-	}
+	r.limitSilence(stream)
 	buffered, _ := stream.(port.BufferedStream)
 	var frame endpoint.Frame
 	for {
-		if err := stream.Next(&frame); err != nil {
+		r.silence.begin()
+		err := stream.Next(&frame)
+		r.silence.end()
+		if err != nil {
 			if errors.Is(err, io.EOF) && r.complete {
 				return nil
 			}
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -37,6 +37,13 @@
 // runAttempt handles an Ask action of the machine: it decides whether an
 // attempt is allowed, chooses its endpoint and carries it out.
 func (g *generation) runAttempt(ask attempt.Action) {
+	sent := false
+	defer func() {
+		if ask.Silent && !sent && retryKind(&ask) != retry.AfterReclaim {
+			// The silent attempt has not failed yet.
+			g.withdrawFailure()
+		}
+	}()
 	if err := g.allowAttempt(&ask); err != nil {
 		g.handleEvent(func() []attempt.Action { return g.machine.Denied(err) })
 		return
@@ -63,7 +70,7 @@
 	if alone {
 		defer g.service.releaseIsolation(state)
 	}
-	completed = g.executeAttempt(&decision, state)
+	sent, completed = g.executeAttempt(&decision, state, alone)
 }
 
 // allowAttempt takes a retry from the budget and waits for the backoff before a
@@ -142,6 +149,14 @@
 	return g.failures
 }
 
+// withdrawFailure takes back countFailure for a silent attempt that nothing has
+// replaced.
+func (g *generation) withdrawFailure() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failures--
+}
+
 func (g *generation) avoidList() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -266,23 +281,23 @@
 	return max(minRetryWindow, time.Duration(g.rank().MaxWaitMS)*time.Millisecond)
 }
 
-// executeAttempt carries out one attempt and reports whether it completed the
-// answer.
-func (g *generation) executeAttempt(decision *route.Decision, state *endpointState) bool {
+// executeAttempt carries out one attempt, and reports whether it was sent and
+// whether it completed the answer.
+func (g *generation) executeAttempt(decision *route.Decision, state *endpointState, alone bool) (sent, completed bool) {
 	s := g.service
 	ctx, cancel := context.WithCancel(g.ctx)
 	defer cancel()
 	ctx, span := s.options.Tracing.Start(ctx, telemetry.HopAttempt)
 	defer span.End()
 	span.Text("endpoint", state.id)
-	runner := &attemptRunner{generation: g, state: state, id: newUUID(), sentAt: time.Now()}
+	runner := &attemptRunner{generation: g, state: state, id: newUUID(), sentAt: time.Now(), alone: alone}
 	source, wanted := runner.registerAttempt(cancel)
 	if !wanted {
-		return false
+		return false, false
 	}
 	req, wanted := runner.buildRequest(ctx, source)
 	if !wanted {
-		return false
+		return false, false
 	}
 	s.metrics.attempts.Inc()
 	g.record.Add(time.Now(), telemetry.Event{Type: telemetry.EventAttemptStarted, Endpoint: state.id, Attempt: runner.id, Tokens: req.EmittedTokens})
@@ -294,7 +309,7 @@
 	err := runner.run(ctx, req)
 	span.Fail(err)
 	g.recordAttemptEnd(runner, err)
-	return err == nil
+	return true, err == nil
 }
 
 func (g *generation) recordAttemptEnd(runner *attemptRunner, err error) {
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -35,6 +36,8 @@
 	// gate, if set, makes the stream wait at tokens for the next offset up to
 	// which it goes on. A negative offset breaks it.
 	gate chan int
+	// headDelay delays the acceptance of the attempt.
+	headDelay time.Duration
 }
 
 // fakeEngine answers each attempt by the next script. The last script is
@@ -49,9 +52,14 @@
 
 func (f *fakeEngine) Generate(ctx context.Context, _ string, req *endpoint.GenerateRequest) (port.FrameStream, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	step := f.scripts[min(len(f.requests), len(f.scripts)-1)]
 	f.requests = append(f.requests, *req)
+	f.mu.Unlock()
+	select {
+	case <-time.After(step.headDelay):
+	case <-ctx.Done():
+		return nil, &port.TransportError{Sent: true, Err: ctx.Err()}
+	}
 	if step.refused != nil {
 		return nil, &port.RefusedError{Status: 503, Body: *step.refused}
 	}
@@ -85,6 +93,7 @@
 	attempt string
 	next    int
 	ended   bool
+	idle    <-chan time.Time
 }
 
 func (s *fakeStream) Next(frame *endpoint.Frame) error {
@@ -94,6 +103,8 @@
 			if s.script.tokens < 0 {
 				return &port.TransportError{Sent: true, Err: io.ErrUnexpectedEOF}
 			}
+		case <-s.idle:
+			return &port.TransportError{Sent: true, Silent: true, Err: os.ErrDeadlineExceeded}
 		case <-s.ctx.Done():
 			s.engine.mu.Lock()
 			defer s.engine.mu.Unlock()
@@ -124,6 +135,14 @@
 
 func (*fakeStream) Close() error { return nil }
 
+// SetIdle implements port.IdleStream. The fake stream breaks after the idle
+// timeout while it waits at its gate.
+func (s *fakeStream) SetIdle(d time.Duration) {
+	if d > 0 {
+		s.idle = time.After(d)
+	}
+}
+
 // fakeSink stores the received text. It calls onTokens for each group of
 // tokens.
 type fakeSink struct {
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -43,6 +43,12 @@
 	SetIdle(d time.Duration)
 }
 
+// SilenceChecker is an Engine that can check the connections to an endpoint whose
+// stream is silent, so that further attempts do not use dead ones.
+type SilenceChecker interface {
+	CheckSilent(baseURL string)
+}
+
 // BufferedStream is a FrameStream that reports whether the next frame has
 // already arrived, so that tokens that arrive together can be forwarded
 // together.
