--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/core/attempt"
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/core/member"
 	"github.com/boragelead/boragelead/internal/port"
@@ -31,6 +33,11 @@
 	// silent keeps the stream open without further frames instead of breaking
 	// it.
 	silent bool
+	// gate, if set, makes the stream wait at tokens for the next offset up to
+	// which it goes on. A negative offset breaks it.
+	gate chan int
+	// headDelay delays the acceptance of the attempt.
+	headDelay time.Duration
 }
 
 // fakeEngine answers each attempt by the next script. The last script is
@@ -45,9 +52,14 @@
 
 func (f *fakeEngine) Generate(ctx context.Context, _ string, req *endpoint.GenerateRequest) (port.FrameStream, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	step := f.scripts[min(len(f.requests), len(f.scripts)-1)]
 	f.requests = append(f.requests, *req)
+	f.mu.Unlock()
+	select {
+	case <-time.After(step.headDelay):
+	case <-ctx.Done():
+		return nil, &port.TransportError{Sent: true, Err: ctx.Err()}
+	}
 	if step.refused != nil {
 		return nil, &port.RefusedError{Status: 503, Body: *step.refused}
 	}
@@ -81,9 +93,25 @@
 	attempt string
 	next    int
 	ended   bool
+	idle    <-chan time.Time
 }
 
 func (s *fakeStream) Next(frame *endpoint.Frame) error {
+	for s.script.gate != nil && s.next >= s.script.tokens && s.next < answerTokens {
+		select {
+		case s.script.tokens = <-s.script.gate:
+			if s.script.tokens < 0 {
+				return &port.TransportError{Sent: true, Err: io.ErrUnexpectedEOF}
+			}
+		case <-s.idle:
+			return &port.TransportError{Sent: true, Silent: true, Err: os.ErrDeadlineExceeded}
+		case <-s.ctx.Done():
+			s.engine.mu.Lock()
+			defer s.engine.mu.Unlock()
+			s.engine.cancelled++
+			return &port.TransportError{Sent: true, Err: s.ctx.Err()}
+		}
+	}
 	switch {
 	case s.ended:
 		return io.EOF
@@ -107,6 +135,14 @@
 
 func (*fakeStream) Close() error { return nil }
 
+// SetIdle implements port.IdleStream. The fake stream breaks after the idle
+// timeout while it waits at its gate.
+func (s *fakeStream) SetIdle(d time.Duration) {
+	if d > 0 {
+		s.idle = time.After(d)
+	}
+}
+
 // fakeSink stores the received text. It calls onTokens for each group of
 // tokens.
 type fakeSink struct {
@@ -125,7 +161,7 @@
 func (*fakeSink) Flush() error { return nil }
 
 // newTestService starts a service with two endpoints of the same model.
-func newTestService(t *testing.T, engine *fakeEngine) *Service {
+func newTestService(t *testing.T, engine *fakeEngine, options ...func(*Options)) *Service {
 	store, registry := conf.NewStore(), member.NewRegistry()
 	store.Install(1, &conf.Document{
 		Ranks: []conf.Rank{{Name: "urgent", MaxWaitMS: 500, PerTokenMS: 100, FirstTokenMS: 1000}},
@@ -137,10 +173,14 @@
 			State: endpoint.StateReady, LeaseMS: 60_000, KVCapacityTokens: 100_000, Models: []endpoint.LoadedModel{{Name: "m"}},
 		}, time.Now())
 	}
-	s := New(Options{
+	all := Options{
 		Name: "d", FailureDomain: "a", Config: store, Registry: registry, Cluster: singleDaemonCluster{}, Engine: engine,
 		Explainer: telemetry.NewExplainer(10), Metrics: telemetry.NewRegistry(), Log: zap.NewNop(),
-	})
+	}
+	for _, change := range options {
+		change(&all)
+	}
+	s := New(all)
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
@@ -221,3 +261,29 @@
 	g.Expect(time.Since(started)).To(BeNumerically("<", 5*time.Second))
 	g.Expect(engine.receivedRequests()).To(BeEmpty())
 }
+
+// Guards against an attempt that keeps running at its leaving endpoint after the
+// machine cancelled it in favour of the granted one.
+func TestGrantedAttemptEndsTheOneItReplaces(t *testing.T) {
+	g := NewWithT(t)
+	m := attempt.New(attempt.Config{MaxTokens: answerTokens})
+	tokens := func(id string, offset, count int) {
+		m.Frame(id, &endpoint.Frame{AttemptID: id, Type: endpoint.FrameTokens, Offset: offset, Count: count, Text: "abcdef"[offset : offset+count]})
+	}
+	m.Begin()
+	m.Granted("a", "A")
+	m.Sent("a")
+	tokens("a", 0, 1)
+	m.Notice("A")
+	m.Granted("b", "B")
+	m.Sent("b")
+	tokens("a", 1, 2)
+	m.Lost("a", true, io.ErrUnexpectedEOF)
+	m.Notice("B")
+	cancelled := false
+	generation := &generation{machine: m, cancels: map[string]context.CancelFunc{"b": func() { cancelled = true }}}
+	runner := &attemptRunner{generation: generation, id: "c", state: &endpointState{id: "C"}}
+	_, wanted := runner.registerAttempt(func() {})
+	g.Expect(wanted).To(BeTrue())
+	g.Expect(cancelled).To(BeTrue())
+}
