Let requests wait for endpoints in an ordered queue

Each request polled the endpoints every 15 ms for 0.12 of its target, and the first to look was served first.

--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -55,6 +55,7 @@
 	c.observeBrittle(choice, &meta, now)
 	if meta.NoCapacity {
 		choice.RecordFull(meta.Load, now)
+		h.full = true
 	}
 	if meta.NotRun {
 		return c.refusedBy(choice, answer, fmt.Sprintf("request not run, status %d, back-off %s", answer.StatusCode, meta.Backoff))
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -61,7 +61,7 @@
 
 // attempt runs one attempt, at an endpoint or through a peer.
 func (c *call) attempt(ctx context.Context, h *hop) outcome {
-	defer h.choice.End()
+	defer c.endAttempt(h, time.Now())
 	c.countFirst()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -75,6 +75,12 @@
 	return c.attemptAtEndpoint(ctx, cancel, h)
 }
 
+// endAttempt frees the place of an attempt for requests that wait.
+func (c *call) endAttempt(h *hop, startedAt time.Time) {
+	h.choice.End()
+	c.entry.queues.of(c.service.Name).ended(h.gated, time.Since(startedAt), h.full)
+}
+
 // countFirst counts the request once in the retry budget, however often it fails to be sent.
 // A forwarded request is counted by the entry that has the caller.
 func (c *call) countFirst() {
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -57,6 +57,8 @@
 	charge quotaCharge
 	// tried lists the IDs of the endpoints that the request was sent to.
 	tried []string
+	// waited is how long the request has waited for endpoints in all.
+	waited time.Duration
 	// addresses lists the addresses of the endpoints that attempts of this entry were meant for.
 	addresses []string
 	// forwarded is set if another entry passed the request on to this one. This entry then
--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -8,17 +8,14 @@
 	"time"
 
 	"github.com/boragelead/boragelead/internal/gateway/pick"
-	"github.com/boragelead/boragelead/internal/wait"
 )
 
 const (
 	// maxWaitShare is the part of the route's target latency that a request may
-	// wait for an endpoint with free capacity.
+	// wait for an endpoint while none can become free by the end of other requests.
 	maxWaitShare = 0.12
 	// maxRetryWait limits the wait for an endpoint before a retry.
 	maxRetryWait = time.Second
-	// choiceInterval is the time between two tries to choose an endpoint.
-	choiceInterval = 15 * time.Millisecond
 	// keptAliveTime is how long ago a byte of an endpoint may have arrived for kept connections
 	// to count as alive, while new ones are refused.
 	keptAliveTime = 200 * time.Millisecond
@@ -44,10 +41,11 @@
 }
 
 // nextHop chooses the endpoint of the next attempt or, while this entry reaches none of the
-// service, the peer that chooses it. If none is available, it waits for one for a limited
-// time, or refuses the request at once if none can be available in that time.
+// service, the peer that chooses it. If none is available, the request waits for one in the queue
+// of its service, or is refused at once if none can be available in time.
 func (c *call) nextHop(ctx context.Context) (*hop, error) {
 	request := c.pickRequest()
+	queue := c.entry.queues.of(c.service.Name)
 	waitEnd := time.Now().Add(c.maxWait())
 	checked := false
 	for {
@@ -62,16 +60,19 @@
 			}
 			checked = true
 		}
-		choice, err := c.chooseOnce(request)
-		if err == nil {
-			return directHop(choice), nil
+		choice, err := queue.choose(c, request)
+		if err != nil {
+			choice, err = c.waitForEndpoint(ctx, queue, request, err, waitEnd)
 		}
-		if refusal := c.noEndpoint(err, request.Now, waitEnd); refusal != nil {
-			return nil, refusal
+		if errors.Is(err, errReconsider) {
+			continue
 		}
-		if !wait.For(ctx, choiceInterval) {
-			return nil, ctx.Err()
+		if err != nil {
+			return nil, err
 		}
+		next := directHop(choice)
+		next.gated = c.service.Engine == nil
+		return next, nil
 	}
 }
 
@@ -93,7 +94,8 @@
 	return c.choosePeer(request.Now)
 }
 
-// maxWait returns how long the request may wait for an endpoint.
+// maxWait returns how long the request may wait while no endpoint can become free by the end of
+// other requests, but only after a pause or as the endpoints change.
 func (c *call) maxWait() time.Duration {
 	if c.possiblyRan {
 		// A request that may have run can no longer be refused: a late answer is
@@ -109,7 +111,7 @@
 	none := &pick.NoEndpointError{}
 	errors.As(err, &none)
 	c.excluded = none.Backoff
-	if !none.VersionGone && !now.After(waitEnd) && !none.AvailableAt.After(waitEnd) {
+	if !none.VersionGone && !none.AvailableAt.After(waitEnd) {
 		return nil
 	}
 	retryAfter := max(none.ReturnAt.Sub(now), defaultRetryAfter)
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -87,6 +87,8 @@
 	running       *runningCalls
 	origins       *streamOrigins
 	departures    *departures
+	queues        *queues
+	load          *ownLoad
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -146,6 +148,8 @@
 	e.running = newRunningCalls()
 	e.origins = newStreamOrigins(e)
 	e.departures = newDepartures(e)
+	e.queues = newQueues(e)
+	e.load = newOwnLoad(e)
 	return e
 }
 
@@ -156,6 +160,7 @@
 	e.goLoop("documents", e.documents.loop)
 	e.goLoop("stream origins", e.origins.loop)
 	e.goLoop("departures", e.departures.loop)
+	e.goLoop("own load", e.load.loop)
 }
 
 // goLoop runs a function in the background until the entry is closed. If it panics, it
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -29,8 +29,10 @@
 	ReasonLostAnswer    Reason = "answer_lost"
 	ReasonQuarantined   Reason = "quarantined"
 	ReasonOverload      Reason = "entry_overloaded"
-	ReasonCallerGone    Reason = "caller_gone"
-	ReasonStreamBroken  Reason = "stream_broken"
+	// ReasonWait is that of a request that no endpoint takes in time.
+	ReasonWait         Reason = "no_endpoint_in_time"
+	ReasonCallerGone   Reason = "caller_gone"
+	ReasonStreamBroken Reason = "stream_broken"
 	// ReasonCutOff is that of a request for a service whose endpoints this entry does not
 	// reach, while no other entry takes the request.
 	ReasonCutOff Reason = "cut_off"
--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/gateway/pick"
+	"github.com/boragelead/boragelead/internal/gateway/waiting"
 )
 
 // finish answers the caller if no endpoint did, and logs the request. It panics
@@ -91,14 +92,30 @@
 	if c.excluded != nil {
 		fields = append(fields, zap.String("backoff_endpoint", c.excluded.Endpoint), zap.Int64("backoff_age_ms", c.excluded.Age.Milliseconds()))
 	}
+	if c.waited > 0 {
+		fields = append(fields, zap.Int64("waited_ms", c.waited.Milliseconds()))
+	}
 	if refusal == nil {
 		c.entry.log.Info(message, fields...)
 		return
 	}
+	fields = append(fields, waitFields(refusal.Err)...)
 	fields = append(fields, c.sharedPartsField(), zap.String("reason", string(refusal.Reason)), zap.Duration("retry_after", refusal.RetryAfter), zap.Error(refusal.Err))
 	c.entry.log.Warn(message, fields...)
 }
 
+// waitFields describes why a request does not wait for an endpoint, or no longer.
+func waitFields(err error) []zap.Field {
+	var refused *waiting.RefusedError
+	if !errors.As(err, &refused) {
+		return nil
+	}
+	return []zap.Field{
+		zap.String("wait_reason", string(refused.Reason)), zap.Int("ahead", refused.Ahead),
+		zap.Int64("wait_ms", refused.Wait.Milliseconds()), zap.Int64("drain_ms", refused.Drain.Milliseconds()),
+	}
+}
+
 // quotaFields describes what was charged to the quota and the share of this entry now.
 func (c *call) quotaFields() []zap.Field {
 	if c.charge.cost <= 0 {
--- a/internal/gateway/entry/forward_send.go
+++ b/internal/gateway/entry/forward_send.go
@@ -139,10 +139,10 @@
 		return outcome{sent: true, notRun: !refusal.MayHaveRun, err: err}
 	}
 	switch reason {
-	case ReasonNoEndpoint, ReasonQuarantined:
+	case ReasonNoEndpoint, ReasonWait, ReasonQuarantined:
 		// Another peer would refuse it as well.
 		wait := time.Duration(refusal.RetryAfterMS) * time.Millisecond
-		if reason == ReasonNoEndpoint {
+		if reason != ReasonQuarantined {
 			wait = c.retryAfter(wait)
 		}
 		return outcome{refusal: &Refusal{Status: statusNotRun, Reason: reason, RetryAfter: wait, Err: err}}
--- a/internal/gateway/entry/hop.go
+++ b/internal/gateway/entry/hop.go
@@ -21,6 +21,9 @@
 	// keptOnly is set if the request may be sent over a kept connection only, because new
 	// ones are refused.
 	keptOnly bool
+	// gated is set if the attempt counts at the gate of its service, and full if the endpoint
+	// rejected it because it was full.
+	gated, full bool
 }
 
 func directHop(choice *pick.Choice) *hop { return &hop{choice: choice, endpoint: choice.Endpoint} }
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -1,6 +1,9 @@
 package entry
 
-import "github.com/boragelead/boragelead/internal/telemetry"
+import (
+	"github.com/boragelead/boragelead/internal/gateway/waiting"
+	"github.com/boragelead/boragelead/internal/telemetry"
+)
 
 // metrics holds the metrics of an entry. Latencies are in seconds.
 type metrics struct {
@@ -13,7 +16,8 @@
 	silencesKept, silencesReplaced                      *telemetry.Counter
 	forwards, forwardsFailed                            *telemetry.Counter
 	forwarded, forwardedFailed                          *telemetry.Counter
-	firstByte, total                                    *telemetry.Latency
+	firstByte, total, waited                            *telemetry.Latency
+	waiting, schedulingDelay                            *telemetry.Gauge
 	inFlight, servicesCutOff, bodyBytes                 *telemetry.Gauge
 	quotaRefunded                                       *telemetry.Counter
 	registry                                            *telemetry.Registry
@@ -28,6 +32,12 @@
 	m.registry.Counter("gateway_quota_granted_" + string(source)).Add(int64(cost))
 }
 
+// countWaitRefusal counts the refusal of a request that does not wait, or no longer. The set of
+// reasons is fixed.
+func (m *metrics) countWaitRefusal(r waiting.Reason) {
+	m.registry.Counter("gateway_wait_refused_" + string(r)).Inc()
+}
+
 func newMetrics(r *telemetry.Registry) *metrics {
 	return &metrics{
 		requests: r.Counter("gateway_requests"), answered: r.Counter("gateway_answered"),
@@ -44,6 +54,7 @@
 		forwards: r.Counter("gateway_forwards"), forwardsFailed: r.Counter("gateway_forwards_failed"),
 		forwarded: r.Counter("gateway_forwarded"), forwardedFailed: r.Counter("gateway_forwarded_failed"),
 		servicesCutOff: r.Gauge("gateway_services_cut_off"), bodyBytes: r.Gauge("gateway_body_bytes"),
+		waiting: r.Gauge("gateway_waiting"), waited: r.Latency("gateway_waited"), schedulingDelay: r.Gauge("gateway_scheduling_delay_us"),
 		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
 		quotaRefunded: r.Counter("gateway_quota_refunded"),
 		inFlight:      r.Gauge("gateway_in_flight"), registry: r,
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -19,7 +19,9 @@
 // ownDemand is the demand of this entry that a poll reports, and the time of the poll.
 type ownDemand struct {
 	workspaces, services map[string]float64
-	polledAt             bootclock.Instant
+	// running is the number of running attempts by service.
+	running  map[string]int
+	polledAt bootclock.Instant
 }
 
 // pollState is what an entry and a replica have acknowledged to each other.
@@ -63,7 +65,7 @@
 	connected := false
 	for ctx.Err() == nil {
 		now := time.Now()
-		own := ownDemand{workspaces: e.quotas.Demand(now), services: e.rateLimits.demand(now), polledAt: bootclock.Now()}
+		own := ownDemand{workspaces: e.quotas.Demand(now), services: e.rateLimits.demand(now), running: e.board.Load(), polledAt: bootclock.Now()}
 		reply, err := c.sendPoll(ctx, address, state, own)
 		if ctx.Err() != nil {
 			return
@@ -90,7 +92,7 @@
 	e := c.entry
 	request := &link.PollRequest{
 		Entry: e.options.Settings.Name, Incarnation: e.incarnation, ReplicaRun: state.replicaRun, RegistryVersion: state.registryVersion, CrashVersion: state.crashVersion, RateLimitVersion: state.rateLimitVersion,
-		WaitMS: state.maxWait.Milliseconds(), Demand: own.workspaces, UsesLeases: true, ServiceDemand: own.services, Load: e.board.Load(), Work: e.board.Work(time.Now()),
+		WaitMS: state.maxWait.Milliseconds(), Demand: own.workspaces, UsesLeases: true, ServiceDemand: own.services, Load: own.running, Work: e.board.Work(time.Now()),
 		Offer: e.forwarding.offer(), PeersID: state.peersID,
 	}
 	var ackedCounts map[uint64]int
@@ -151,6 +153,7 @@
 	if reply.PolledByAll {
 		e.rateLimits.setTotal(demand.Total{Entries: reply.Entries, Rank: reply.Rank, PerS: reply.ServiceDemand}, own.services, now)
 		e.board.SetRunning(reply.Running, now)
+		e.queues.setSums(reply.Running, own.running, now)
 		e.setEntryCount(reply.Entries)
 		c.entryCount.Store(int64(reply.Entries))
 	}
@@ -173,6 +176,7 @@
 	list := c.directory.Endpoints()
 	unusedAddresses := e.departures.updateBoard(list, now)
 	c.mu.Unlock()
+	e.queues.wakeAll()
 	e.migrations.moveFromDraining(list)
 	e.migrations.forgetUnknown(list)
 	for _, unused := range unusedAddresses {
--- a/internal/gateway/entry/prepare.go
+++ b/internal/gateway/entry/prepare.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	if err := e.load.admit(c); err != nil {
+		return err
+	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
--- a/internal/gateway/entry/rate_limits.go
+++ b/internal/gateway/entry/rate_limits.go
@@ -109,6 +109,13 @@
 	l.division.SetTotal(total, own, now)
 }
 
+// share returns the part of this entry of the demand for a service.
+func (l *rateLimits) share(service string, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.division.Share(service, now)
+}
+
 // apply gives the board this entry's shares of the limits in force.
 func (l *rateLimits) apply(now time.Time) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/gateway/waiting/gate.go
@@ -0,0 +1,190 @@
+package waiting
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// sumsTTL is how long the sums of all entries are used. Polls bring them each 0.4 s; two
+	// polls may be lost before the gate no longer relies on them.
+	sumsTTL = 1500 * time.Millisecond
+	// fullShare is the number of requests of all entries at the endpoints, relative to their
+	// slots, from which entries keep to their shares. Below it each sends as it wants. It
+	// exceeds 1 because the sums are up to 0.8 s old, and so that no slot waits for an entry.
+	fullShare = 1.5
+	// windowTTL is how long after a rejection the entry limits its requests in flight.
+	windowTTL = 2 * time.Second
+	// windowCut is the factor by which a rejection shrinks that limit.
+	windowCut = 0.7
+	// firstHold and maxHold are the pauses after rejections while the limit is one request.
+	firstHold = 50 * time.Millisecond
+	maxHold   = 400 * time.Millisecond
+)
+
+// Sums is what all entries together do with a service, as a replica reports it.
+type Sums struct {
+	// Running is the number of requests of all entries at the endpoints, and Own that of them
+	// which this entry reported.
+	Running, Own int
+	// Share is the part of this entry of the demand of all entries.
+	Share float64
+}
+
+// Gate limits the requests that one entry has at the endpoints of a service while those are
+// full. It is not safe for concurrent use.
+type Gate struct {
+	slots    int
+	sums     Sums
+	sumsAt   time.Time
+	inFlight int
+	// window limits inFlight until windowUntil.
+	window      float64
+	windowUntil time.Time
+	// cutAt is when the window shrank last.
+	cutAt time.Time
+	// heldUntil is when the next request may start after a rejection, and holds counts the
+	// rejections in a row.
+	heldUntil time.Time
+	holds     int
+	// credit is the number of requests that may start beyond whole shares, at creditAt.
+	credit   float64
+	creditAt time.Time
+	// workSeconds is the average time of an attempt.
+	workSeconds float64
+}
+
+// SetSlots sets the number of slots of the ready endpoints; 0 if it is not known.
+func (g *Gate) SetSlots(slots int) { g.slots = slots }
+
+// SetSums sets the sums of all entries.
+func (g *Gate) SetSums(s Sums, now time.Time) { g.sums, g.sumsAt = s, now }
+
+// Open reports whether a request may start now. If not, it returns when it may, or zero if that
+// depends on the end of another request.
+func (g *Gate) Open(now time.Time) (open bool, at time.Time) {
+	known := g.sumsKnown(now)
+	if known && g.running() < g.slots {
+		// A rejection by a single endpoint does not show that the others are full.
+		return true, time.Time{}
+	}
+	if now.Before(g.windowUntil) && float64(g.inFlight) >= math.Max(g.window, 1) {
+		return false, g.windowUntil
+	}
+	if now.Before(g.heldUntil) {
+		return false, g.heldUntil
+	}
+	if !known || !g.full(now) {
+		return true, time.Time{}
+	}
+	share := g.sums.Share * fullShare * float64(g.slots)
+	if float64(g.inFlight+1) <= share {
+		return true, time.Time{}
+	}
+	return g.fractionOpen(share, now)
+}
+
+// full reports whether the requests of all entries fill the endpoints, as far as is known.
+func (g *Gate) full(now time.Time) bool {
+	return g.sumsKnown(now) && float64(g.running()) >= fullShare*float64(g.slots)
+}
+
+// sumsKnown reports whether the sums of all entries are recent enough.
+func (g *Gate) sumsKnown(now time.Time) bool {
+	return g.slots > 0 && !g.sumsAt.IsZero() && now.Sub(g.sumsAt) <= sumsTTL
+}
+
+// running estimates the number of requests of all entries at the endpoints.
+func (g *Gate) running() int { return max(g.sums.Running-g.sums.Own, 0) + g.inFlight }
+
+// fractionOpen reports whether the fraction of the share beyond whole requests lets one more
+// start. With 86 entries and 36 slots each entry has less than one slot: it uses it in turns.
+func (g *Gate) fractionOpen(share float64, now time.Time) (bool, time.Time) {
+	if float64(g.inFlight) >= math.Ceil(share) {
+		return false, time.Time{}
+	}
+	g.accrue(share, now)
+	if g.credit >= 1 {
+		return true, time.Time{}
+	}
+	perS := g.fractionPerS(share)
+	if perS <= 0 {
+		return false, time.Time{}
+	}
+	return false, now.Add(time.Duration((1 - g.credit) / perS * float64(time.Second)))
+}
+
+// fractionPerS returns how many requests a second the fraction of a share allows.
+func (g *Gate) fractionPerS(share float64) float64 {
+	return (share - math.Floor(share)) / max(g.workSeconds, minWorkSeconds)
+}
+
+// minWorkSeconds limits the rate that follows from short attempts.
+const minWorkSeconds = 0.005
+
+func (g *Gate) accrue(share float64, now time.Time) {
+	if g.creditAt.IsZero() {
+		g.credit = 1
+	} else if elapsed := now.Sub(g.creditAt); elapsed > 0 {
+		g.credit = min(g.credit+g.fractionPerS(share)*elapsed.Seconds(), 1)
+	}
+	g.creditAt = now
+}
+
+// Start records the start of a request.
+func (g *Gate) Start(now time.Time) {
+	if share := g.sums.Share * fullShare * float64(g.slots); g.full(now) && float64(g.inFlight+1) > share {
+		g.credit = max(g.credit-1, 0)
+	}
+	g.inFlight++
+}
+
+// Cancel records that a started request was not sent.
+func (g *Gate) Cancel() { g.inFlight-- }
+
+// workWeight is the weight of one attempt in the average time of attempts.
+const workWeight = 0.1
+
+// End records the end of a request, how long it took, and whether an endpoint rejected it because
+// it was full.
+func (g *Gate) End(took time.Duration, rejected bool, random float64, now time.Time) {
+	if rejected {
+		g.reject(random, now.Add(-took), now)
+	} else {
+		g.holds = 0
+		if g.window > 0 {
+			g.window += 1 / g.window
+		}
+		if g.workSeconds == 0 {
+			g.workSeconds = took.Seconds()
+		}
+		g.workSeconds += workWeight * (took.Seconds() - g.workSeconds)
+	}
+	g.inFlight--
+}
+
+// reject shrinks the limit after the rejection of a request that started at a time. Requests that
+// were sent before the limit shrank last do not shrink it again.
+func (g *Gate) reject(random float64, started, now time.Time) {
+	if started.Before(g.cutAt) {
+		return
+	}
+	limit := float64(g.inFlight)
+	if now.Before(g.windowUntil) {
+		limit = min(limit, g.window)
+	}
+	g.window = max(limit*windowCut, 1)
+	g.windowUntil, g.cutAt = now.Add(windowTTL), now
+	if g.window > 1 {
+		return
+	}
+	hold := min(firstHold<<min(g.holds, maxHoldDoublings), maxHold)
+	g.holds++
+	g.heldUntil = now.Add(time.Duration(float64(hold) * (0.5 + random)))
+}
+
+// maxHoldDoublings limits the doublings of a pause, so that the shift cannot overflow.
+const maxHoldDoublings = 4
+
+// Work returns the average time of an attempt, 0 if it is not known.
+func (g *Gate) Work() time.Duration { return time.Duration(g.workSeconds * float64(time.Second)) }
