--- a/internal/gateway/entry/queues.go
+++ b/internal/gateway/entry/queues.go
@@ -254,25 +254,33 @@
 	return true
 }
 
-// limitHopeless bounds the waits of all requests while no endpoint can become free. The caller
-// must hold mu.
+// limitHopeless bounds the wait of a request for which none was found, and of all others that the
+// same endpoints can take, while no endpoint can become free. The caller must hold mu.
 func (q *serviceQueue) limitHopeless(t *waiting.Ticket, err error, now time.Time) {
+	hopeless := !errors.Is(err, errGateClosed) && !q.entry.board.MayFree(t.Owner.(*waiter).request)
 	if t.Request.Selective {
+		limitWait(t, hopeless, now)
 		return
 	}
-	hopeless := !errors.Is(err, errGateClosed) && !q.entry.board.MayFree(t.Owner.(*waiter).request)
-	q.queue.Each(func(t *waiting.Ticket) {
-		w := t.Owner.(*waiter)
-		switch {
-		case t.Request.Selective || hopeless == w.hopeless:
-		case hopeless && t.Request.GiveUp.IsZero():
-			w.hopeless, t.Request.GiveUp = true, now.Add(w.call.maxWait())
-		case !hopeless:
-			w.hopeless, t.Request.GiveUp = false, time.Time{}
+	q.queue.Each(func(other *waiting.Ticket) {
+		if !other.Request.Selective {
+			limitWait(other, hopeless, now)
 		}
 	})
 }
 
+// limitWait bounds the wait of a request while no endpoint can become free.
+func limitWait(t *waiting.Ticket, hopeless bool, now time.Time) {
+	w := t.Owner.(*waiter)
+	switch {
+	case hopeless == w.hopeless:
+	case !hopeless:
+		w.hopeless, t.Request.GiveUp = false, time.Time{}
+	case t.Request.GiveUp.IsZero():
+		w.hopeless, t.Request.GiveUp = true, now.Add(w.call.maxWait())
+	}
+}
+
 // end tells requests that left the queue why. The caller must hold mu.
 func (q *serviceQueue) end(tickets []*waiting.Ticket, reason waiting.Reason, now time.Time) {
 	for _, t := range tickets {
--- a/internal/gateway/entry/wait.go
+++ b/internal/gateway/entry/wait.go
@@ -19,11 +19,14 @@
 		if refusal := c.noEndpoint(err, request.Now, waitEnd); refusal != nil {
 			return nil, refusal
 		}
-		if c.possiblyRan || !c.entry.board.MayFree(request) {
+		if !c.entry.board.MayFree(request) {
 			giveUp = waitEnd
 		}
 	}
 	w := &waiter{call: c, request: request, result: make(chan waitResult, 1), lastErr: err, hopeless: !giveUp.IsZero()}
+	if c.possiblyRan {
+		giveUp, w.hopeless = waitEnd, false
+	}
 	began := request.Now
 	choice, err := queue.wait(ctx, w, giveUp)
 	c.waited += time.Since(began)
--- a/internal/gateway/waiting/estimate.go
+++ b/internal/gateway/waiting/estimate.go
@@ -2,44 +2,50 @@
 
 import "time"
 
+// Estimate returns how long a new request is expected to wait; 0 if that is not known.
+func (q *Queue) Estimate(r *Request, now time.Time) time.Duration {
+	wait, _ := q.estimate(r, now)
+	return wait
+}
+
 // refuse returns why a request cannot wait, or nil if it can.
 func (q *Queue) refuse(r *Request, now time.Time) *RefusedError {
-	if r.MayHaveRun {
-		return nil
-	}
-	wait := q.Estimate(r, now)
-	if now.Add(wait).After(r.latestStart()) {
-		return q.refusal(Unreachable, r, 0)
+	if !r.MayHaveRun && now.Add(q.Estimate(r, now)).After(r.latestStart()) {
+		return q.refusal(Unreachable, r, 0, now)
 	}
 	return nil
 }
 
 // Refusal describes the end of a wait without an endpoint.
 func (q *Queue) Refusal(reason Reason, t *Ticket, now time.Time) *RefusedError {
-	return q.refusal(reason, &t.Request, t.Waited(now))
+	return q.refusal(reason, &t.Request, t.Waited(now), now)
 }
 
-func (q *Queue) refusal(reason Reason, r *Request, waited time.Duration) *RefusedError {
-	wait, ahead := q.estimate(r)
+func (q *Queue) refusal(reason Reason, r *Request, waited time.Duration, now time.Time) *RefusedError {
+	wait, ahead := q.estimate(r, now)
 	return &RefusedError{Reason: reason, Ahead: ahead, Wait: wait, Drain: q.drain(), Waited: waited}
 }
 
-// Estimate returns how long a new request is expected to wait; 0 if that is not known.
-func (q *Queue) Estimate(r *Request, _ time.Time) time.Duration {
-	wait, _ := q.estimate(r)
-	return wait
+// estimate returns the expected wait of a new request and the number of requests ahead of it.
+// Those that can no longer meet their targets are ahead of it only if it cannot meet its own.
+func (q *Queue) estimate(r *Request, now time.Time) (wait time.Duration, ahead int) {
+	wait, ahead = q.waitBehind(r, func(t *Ticket) bool { return !now.After(t.Request.onTimeStart()) })
+	if now.Add(wait).After(r.onTimeStart()) {
+		return q.waitBehind(r, func(*Ticket) bool { return true })
+	}
+	return wait, ahead
 }
 
-// estimate returns the expected wait of a new request and the number of requests ahead of it.
-// Those are the requests of more urgent ranks and, within its own rank, at most those that are
-// served while its workspace gets its turns.
-func (q *Queue) estimate(r *Request) (wait time.Duration, ahead int) {
+// waitBehind returns the expected wait of a request, if those of its rank for which a function
+// holds are served before it as far as its workspace has no turn earlier, and all of more urgent
+// ranks.
+func (q *Queue) waitBehind(r *Request, before func(*Ticket) bool) (wait time.Duration, ahead int) {
 	rank := r.rank()
-	own := q.aheadInRank(r)
+	own := q.aheadInRank(r, before)
+	ahead = own
 	for i := range rank {
 		ahead += q.rankCount[i]
 	}
-	ahead += own
 	rate := q.rate.perSecond()
 	if rate <= 0 {
 		return 0, ahead
@@ -50,30 +56,31 @@
 		urgent += q.rankRate[i].perSecond()
 	}
 	seconds := float64(ahead) / rate
-	if left := max(rate-urgent, rate*floorShare); urgent > 0 {
-		seconds = max(seconds, float64(own)/left)
+	if urgent > 0 {
+		seconds = max(seconds, float64(own)/max(rate-urgent, rate*floorShare))
 	}
 	return time.Duration(seconds * float64(time.Second)), ahead
 }
 
-// aheadInRank returns how many requests of its rank are served before a new request. While one
-// workspace waits with many requests, another one that begins to wait has its turns.
-func (q *Queue) aheadInRank(r *Request) int {
+// aheadInRank returns how many requests of its rank for which a function holds are served before a
+// new request. While one workspace waits with many requests, another one that begins to wait has
+// its turns.
+func (q *Queue) aheadInRank(r *Request, before func(*Ticket) bool) int {
 	rank := r.rank()
-	mine := 0
 	waiting := make(map[*flow]int)
 	for _, t := range q.tickets {
-		if t.Request.rank() != rank {
-			continue
+		if t.Request.rank() == rank && before(t) {
+			waiting[t.workspace]++
 		}
-		if t.Request.Workspace == r.Workspace {
-			mine++
-		}
-		waiting[t.workspace]++
+	}
+	own := q.workspaces[r.Workspace]
+	mine := 0
+	if own != nil {
+		mine = waiting[own]
 	}
 	ahead := mine
 	for f, n := range waiting {
-		if f != q.workspaces[r.Workspace] {
+		if f != own {
 			ahead += min(n, mine+maxLead)
 		}
 	}
--- a/internal/gateway/waiting/gate.go
+++ b/internal/gateway/waiting/gate.go
@@ -9,14 +9,20 @@
 	// sumsTTL is how long the sums of all entries are used. Polls bring them each 0.4 s; two
 	// polls may be lost before the gate no longer relies on them.
 	sumsTTL = 1500 * time.Millisecond
-	// fullShare is the number of requests of all entries at the endpoints, relative to their
+	// overcommit is the number of requests of all entries at the endpoints, relative to their
 	// slots, from which entries keep to their shares. Below it each sends as it wants. It
-	// exceeds 1 because the sums are up to 0.8 s old, and so that no slot waits for an entry.
-	fullShare = 1.5
+	// exceeds 1 because the sums are up to 0.8 s old. A small share cannot be used as evenly:
+	// overcommitSmall is added for an entry with a share of one slot, at most
+	// maxOvercommitSmall. In the simulation of a burst, 86 entries before 36 slots left 20 s of
+	// slot time idle at 1.5, and 3 s at 2.5; one entry served 0.71 on time at 1.5, and 0.57 at 2.5.
+	overcommit         = 1.5
+	overcommitSmall    = 0.5
+	maxOvercommitSmall = 1.0
 	// windowTTL is how long after a rejection the entry limits its requests in flight.
 	windowTTL = 2 * time.Second
-	// windowCut is the factor by which a rejection shrinks that limit.
-	windowCut = 0.7
+	// fullInRow is the number of rejections in a row from which they count although the sums
+	// show free slots. A single full endpoint does not cause as many: it is paused.
+	fullInRow = 3
 	// firstHold and maxHold are the pauses after rejections while the limit is one request.
 	firstHold = 50 * time.Millisecond
 	maxHold   = 400 * time.Millisecond
@@ -41,10 +47,10 @@
 	// window limits inFlight until windowUntil.
 	window      float64
 	windowUntil time.Time
-	// cutAt is when the window shrank last.
-	cutAt time.Time
-	// heldUntil is when the next request may start after a rejection, and holds counts the
-	// rejections in a row.
+	// inRow counts the rejections since an endpoint took a request.
+	inRow int
+	// heldUntil is when the next request may start after a rejection, and holds counts such
+	// pauses since an endpoint took a request.
 	heldUntil time.Time
 	holds     int
 	// credit is the number of requests that may start beyond whole shares, at creditAt.
@@ -64,7 +70,7 @@
 // depends on the end of another request.
 func (g *Gate) Open(now time.Time) (open bool, at time.Time) {
 	known := g.sumsKnown(now)
-	if known && g.running() < g.slots {
+	if known && g.running() < g.slots && g.inRow < fullInRow {
 		// A rejection by a single endpoint does not show that the others are full.
 		return true, time.Time{}
 	}
@@ -77,7 +83,7 @@
 	if !known || !g.full(now) {
 		return true, time.Time{}
 	}
-	share := g.sums.Share * fullShare * float64(g.slots)
+	share := g.share()
 	if float64(g.inFlight+1) <= share {
 		return true, time.Time{}
 	}
@@ -86,9 +92,18 @@
 
 // full reports whether the requests of all entries fill the endpoints, as far as is known.
 func (g *Gate) full(now time.Time) bool {
-	return g.sumsKnown(now) && float64(g.running()) >= fullShare*float64(g.slots)
+	return g.sumsKnown(now) && float64(g.running()) >= g.bearable()
 }
 
+// bearable is the number of requests of all entries that the endpoints get while they are full.
+func (g *Gate) bearable() float64 {
+	share := g.sums.Share * float64(g.slots)
+	return (overcommit + min(overcommitSmall/max(share, overcommitSmall), maxOvercommitSmall)) * float64(g.slots)
+}
+
+// share is the part of this entry of the bearable requests.
+func (g *Gate) share() float64 { return g.sums.Share * g.bearable() }
+
 // sumsKnown reports whether the sums of all entries are recent enough.
 func (g *Gate) sumsKnown(now time.Time) bool {
 	return g.slots > 0 && !g.sumsAt.IsZero() && now.Sub(g.sumsAt) <= sumsTTL
@@ -133,7 +148,7 @@
 
 // Start records the start of a request.
 func (g *Gate) Start(now time.Time) {
-	if share := g.sums.Share * fullShare * float64(g.slots); g.full(now) && float64(g.inFlight+1) > share {
+	if share := g.share(); g.full(now) && float64(g.inFlight+1) > share {
 		g.credit = max(g.credit-1, 0)
 	}
 	g.inFlight++
@@ -149,9 +164,9 @@
 // it was full.
 func (g *Gate) End(took time.Duration, rejected bool, random float64, now time.Time) {
 	if rejected {
-		g.reject(random, now.Add(-took), now)
+		g.reject(random, now)
 	} else {
-		g.holds = 0
+		g.holds, g.inRow = 0, 0
 		if g.window > 0 {
 			g.window += 1 / g.window
 		}
@@ -163,19 +178,17 @@
 	g.inFlight--
 }
 
-// reject shrinks the limit after the rejection of a request that started at a time. Requests that
-// were sent before the limit shrank last do not shrink it again.
-func (g *Gate) reject(random float64, started, now time.Time) {
-	if started.Before(g.cutAt) {
-		return
-	}
-	limit := float64(g.inFlight)
+// reject limits the requests in flight to those that the endpoints may still hold, after a rejection
+// of another one.
+func (g *Gate) reject(random float64, now time.Time) {
+	g.inRow++
+	limit := float64(g.inFlight - 1)
 	if now.Before(g.windowUntil) {
 		limit = min(limit, g.window)
 	}
-	g.window = max(limit*windowCut, 1)
-	g.windowUntil, g.cutAt = now.Add(windowTTL), now
-	if g.window > 1 {
+	g.window = max(limit, 1)
+	g.windowUntil = now.Add(windowTTL)
+	if g.window > 1 || now.Before(g.heldUntil) {
 		return
 	}
 	hold := min(firstHold<<min(g.holds, maxHoldDoublings), maxHold)
--- a/internal/gateway/waiting/queue.go
+++ b/internal/gateway/waiting/queue.go
@@ -10,6 +10,8 @@
 	// requests of more urgent ranks there are. maxFloors bounds the sum of these parts.
 	floorShare = 0.1
 	maxFloors  = 0.4
+	// maxCredit bounds the places that a rank is owed of its floor.
+	maxCredit = 2
 	// maxSelective is the number of selective requests that are tried for one free place.
 	maxSelective = 16
 )
@@ -62,7 +64,7 @@
 			if r.MayHaveRun {
 				break
 			}
-			return nil, displaced, q.refusal(QueueFull, &r, 0)
+			return nil, displaced, q.refusal(QueueFull, &r, 0, now)
 		}
 		q.Remove(victim)
 		displaced = append(displaced, victim)
@@ -138,17 +140,6 @@
 	return ended
 }
 
-// Clear removes all requests that may be refused as not run.
-func (q *Queue) Clear() []*Ticket {
-	var ended []*Ticket
-	for _, t := range slices.Clone(q.tickets) {
-		if !t.Request.MayHaveRun && q.Remove(t) {
-			ended = append(ended, t)
-		}
-	}
-	return ended
-}
-
 // Each calls a function for each waiting request.
 func (q *Queue) Each(do func(*Ticket)) {
 	for _, t := range q.tickets {
@@ -156,17 +147,6 @@
 	}
 }
 
-// NextEnd returns when the next wait ends; zero if no request waits.
-func (q *Queue) NextEnd() time.Time {
-	var next time.Time
-	for _, t := range q.tickets {
-		if end := t.Request.end(); next.IsZero() || end.Before(next) {
-			next = end
-		}
-	}
-	return next
-}
-
 // advance counts the time in which requests waited.
 func (q *Queue) advance(now time.Time) {
 	waited := len(q.tickets) > 0
@@ -181,7 +161,7 @@
 	rank := t.Request.rank()
 	for i := range q.rankCount {
 		if q.rankCount[i] > 0 {
-			q.credit[i] = min(q.credit[i]+q.floor(), 1)
+			q.credit[i] = min(q.credit[i]+q.floor(), maxCredit)
 		}
 	}
 	q.credit[rank] = max(q.credit[rank]-1, 0)
