--- a/internal/gateway/waiting/overload.go
+++ b/internal/gateway/waiting/overload.go
@@ -7,9 +7,11 @@
 	// An entry measures 50 times a second, so that the average follows within a second: the
 	// processor quota of a small VM stops it for 0.08 s at a time also under ordinary load.
 	delayWeight = 0.02
-	// delaysPerRequest is how often a request waits for the processor of the entry. All of its
-	// waits together must stay below its target.
+	// delaysPerRequest is how often a request waits for the processor of the entry, and
+	// targetsBorne the part of its target that all of these waits may take. Above it even the
+	// least urgent rank (part 0.55) misses its target for certain.
 	delaysPerRequest = 3
+	targetsBorne     = 2
 	// reservedMB is the memory for everything but requests, and perMB the number of requests
 	// for each further megabyte: a stream needs up to a quarter of one.
 	reservedMB = 64
@@ -53,5 +55,5 @@
 	if o.limit > 0 && float64(inFlight) >= part*float64(o.limit) {
 		return false
 	}
-	return target <= 0 || float64(delaysPerRequest*o.delay) <= part*float64(target)
+	return target <= 0 || float64(delaysPerRequest*o.delay) <= part*targetsBorne*float64(target)
 }
