--- a/internal/gateway/entry/queues.go
+++ b/internal/gateway/entry/queues.go
@@ -135,7 +135,7 @@
 func (q *serviceQueue) chooseGated(c *call, request *pick.Request) (*pick.Choice, error) {
 	gated := c.service.Engine == nil
 	if gated {
-		if open, _ := q.gate.Open(request.Now); !open {
+		if !q.gate.Open(request.Now) {
 			return nil, errGateClosed
 		}
 	}
--- a/internal/gateway/waiting/burst_test.go
+++ b/internal/gateway/waiting/burst_test.go
@@ -39,6 +39,11 @@
 			r.byRank[rank][i] += n
 		}
 	}
+	for quarter := range x.byQuarter {
+		for i, n := range x.byQuarter[quarter] {
+			r.byQuarter[quarter][i] += n
+		}
+	}
 	for w, n := range x.byWorkspace {
 		if r.byWorkspace[w] == nil {
 			r.byWorkspace[w] = &[2]int{}
@@ -168,3 +173,23 @@
 	}
 	return share(r.byWorkspace[0][1], r.byWorkspace[0][0]), share(sum[1], sum[0])
 }
+
+// Guards against callers of one domain that are served later because those of another one have moved
+// to a third, and against places that stay free because shares follow the former demand.
+func TestCallersMoveBetweenDomains(t *testing.T) {
+	for _, entries := range []int{12, 84} {
+		site := plainSite()
+		site.entries, site.moves = entries, true
+		queue, polling := compare(t, site)
+		var onTime [4]float64
+		for quarter, n := range queue.byQuarter {
+			onTime[quarter] = share(n[1], n[0])
+		}
+		t.Logf("on time by quarter %.3f", onTime)
+		g := NewWithT(t)
+		g.Expect(queue.onTime).To(BeNumerically(">", polling.onTime))
+		for _, quarter := range []int{0, 2, 3} {
+			g.Expect(onTime[quarter]).To(BeNumerically(">", share(polling.onTime, polling.offered)))
+		}
+	}
+}
--- a/internal/gateway/waiting/estimate.go
+++ b/internal/gateway/waiting/estimate.go
@@ -67,21 +67,23 @@
 // its turns.
 func (q *Queue) aheadInRank(r *Request, before func(*Ticket) bool) int {
 	rank := r.rank()
-	waiting := make(map[*flow]int)
+	for _, f := range q.workspaces {
+		f.ahead = 0
+	}
 	for _, t := range q.tickets {
 		if t.Request.rank() == rank && before(t) {
-			waiting[t.workspace]++
+			t.workspace.ahead++
 		}
 	}
 	own := q.workspaces[r.Workspace]
 	mine := 0
 	if own != nil {
-		mine = waiting[own]
+		mine = own.ahead
 	}
 	ahead := mine
-	for f, n := range waiting {
+	for _, f := range q.workspaces {
 		if f != own {
-			ahead += min(n, mine+maxLead)
+			ahead += min(f.ahead, mine+maxLead)
 		}
 	}
 	return ahead
--- a/internal/gateway/waiting/flow.go
+++ b/internal/gateway/waiting/flow.go
@@ -11,6 +11,8 @@
 	// of the flow that was served least when this one joined.
 	served  int
 	callers map[string]*flow
+	// ahead is a counter of aheadInRank.
+	ahead int
 }
 
 // join adds a request of a named flow and returns the flow.
--- a/internal/gateway/waiting/gate.go
+++ b/internal/gateway/waiting/gate.go
@@ -66,28 +66,22 @@
 // SetSums sets the sums of all entries.
 func (g *Gate) SetSums(s Sums, now time.Time) { g.sums, g.sumsAt = s, now }
 
-// Open reports whether a request may start now. If not, it returns when it may, or zero if that
-// depends on the end of another request.
-func (g *Gate) Open(now time.Time) (open bool, at time.Time) {
+// Open reports whether a request may start now. What closes the gate ends with another request, or
+// within the interval in which the entry looks at its queue.
+func (g *Gate) Open(now time.Time) bool {
 	known := g.sumsKnown(now)
 	if known && g.running() < g.slots && g.inRow < fullInRow {
 		// A rejection by a single endpoint does not show that the others are full.
-		return true, time.Time{}
+		return true
 	}
-	if now.Before(g.windowUntil) && float64(g.inFlight) >= math.Max(g.window, 1) {
-		return false, g.windowUntil
+	if now.Before(g.windowUntil) && float64(g.inFlight) >= max(g.window, 1) || now.Before(g.heldUntil) {
+		return false
 	}
-	if now.Before(g.heldUntil) {
-		return false, g.heldUntil
-	}
-	if !known || !g.full(now) {
-		return true, time.Time{}
+	if !g.full(now) {
+		return true
 	}
 	share := g.share()
-	if float64(g.inFlight+1) <= share {
-		return true, time.Time{}
-	}
-	return g.fractionOpen(share, now)
+	return float64(g.inFlight+1) <= share || g.fractionOpen(share, now)
 }
 
 // full reports whether the requests of all entries fill the endpoints, as far as is known.
@@ -114,19 +108,12 @@
 
 // fractionOpen reports whether the fraction of the share beyond whole requests lets one more
 // start. With 86 entries and 36 slots each entry has less than one slot: it uses it in turns.
-func (g *Gate) fractionOpen(share float64, now time.Time) (bool, time.Time) {
+func (g *Gate) fractionOpen(share float64, now time.Time) bool {
 	if float64(g.inFlight) >= math.Ceil(share) {
-		return false, time.Time{}
+		return false
 	}
 	g.accrue(share, now)
-	if g.credit >= 1 {
-		return true, time.Time{}
-	}
-	perS := g.fractionPerS(share)
-	if perS <= 0 {
-		return false, time.Time{}
-	}
-	return false, now.Add(time.Duration((1 - g.credit) / perS * float64(time.Second)))
+	return g.credit >= 1
 }
 
 // fractionPerS returns how many requests a second the fraction of a share allows.
--- a/internal/gateway/waiting/queue_test.go
+++ b/internal/gateway/waiting/queue_test.go
@@ -188,7 +188,7 @@
 	g := NewWithT(t)
 	gate := &Gate{}
 	gate.SetSlots(36)
-	isOpen := func(now time.Time) bool { open, _ := gate.Open(now); return open }
+	isOpen := gate.Open
 	g.Expect(isOpen(simStart)).To(BeTrue())
 	gate.SetSums(Sums{Running: 200, Share: 0.1}, simStart)
 	started := 0
@@ -209,15 +209,14 @@
 	sends := 0
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
-		if open, _ := gate.Open(now); open {
+		if gate.Open(now) {
 			sends++
 			gate.Start(now)
 			gate.End(time.Millisecond, true, 0.5, now.Add(time.Millisecond))
 		}
 	}
 	g.Expect(sends).To(BeNumerically("<=", 8))
-	open, _ := gate.Open(now.Add(maxHold * 2))
-	g.Expect(open).To(BeTrue())
+	g.Expect(gate.Open(now.Add(2 * maxHold))).To(BeTrue())
 }
 
 // Guards against an entry that takes more than its VM bears, or refuses urgent requests first.
--- a/internal/gateway/waiting/sim_test.go
+++ b/internal/gateway/waiting/sim_test.go
@@ -28,6 +28,9 @@
 	sumsEvery, sumsAge time.Duration
 	// polling plays entries without a queue.
 	polling bool
+	// moves lets half of the callers of the first quarter of the entries go to the second quarter
+	// during the burst.
+	moves bool
 	// workspaces is the number of workspaces, of which the first is the largest.
 	workspaces int
 }
@@ -37,6 +40,7 @@
 	offered, onTime, served, sends, rejections int
 	byRank                                     [maxRank + 1][3]int // offered, on time, served
 	byWorkspace                                map[int]*[2]int     // offered, on time
+	byQuarter                                  [4][2]int           // offered, on time, by the quarter of the first entry
 	// idle is the slot time that was free while requests waited at entries, in seconds.
 	idle, credit float64
 	returns      []time.Duration
@@ -68,8 +72,10 @@
 type simRequest struct {
 	rank, workspace int
 	born            time.Duration
-	attempts        int
-	tried           []int
+	// quarter is that of the entry which the caller came to first, -1 before that.
+	quarter  int
+	attempts int
+	tried    []int
 	// work is the time that it takes at an endpoint.
 	work    time.Duration
 	counted bool
@@ -207,7 +213,7 @@
 	case s.inBurst() && s.burst > 0:
 		perS *= s.burst
 	}
-	r := &simRequest{born: s.now, work: time.Duration(s.arrivals.ExpFloat64() * float64(s.work)), counted: s.now >= s.burstFrom && s.now < s.burstTo+2*time.Second}
+	r := &simRequest{born: s.now, quarter: -1, work: time.Duration(s.arrivals.ExpFloat64() * float64(s.work)), counted: s.now >= s.burstFrom && s.now < s.burstTo+2*time.Second}
 	if !flood {
 		x := s.arrivals.Float64()
 		for r.workspace = 0; r.workspace < s.workspaces-1 && x > s.workspaceShare(r.workspace); r.workspace++ {
@@ -244,7 +250,18 @@
 // offer sends a request of a caller to an entry.
 func (s *sim) offer(r *simRequest) {
 	r.attempts, r.tried = 0, nil
-	e := s.entries[s.random.IntN(len(s.entries))]
+	n := len(s.entries)
+	i := s.random.IntN(n)
+	if s.moves && s.inBurst() && 4*i < n && s.random.IntN(2) == 0 {
+		i += n / 4
+	}
+	if r.quarter < 0 {
+		r.quarter = 4 * i / n
+		if r.counted {
+			s.result.byQuarter[r.quarter][0]++
+		}
+	}
+	e := s.entries[i]
 	if s.polling {
 		s.pollFor(e, r, s.now+time.Duration(0.12*float64(s.target)))
 		return
@@ -342,7 +359,7 @@
 }
 
 func (s *sim) open(e *simEntry, r *simRequest) int {
-	if open, _ := e.gate.Open(s.clock()); !open {
+	if !e.gate.Open(s.clock()) {
 		return -1
 	}
 	return s.choose(e, r)
@@ -451,5 +468,6 @@
 		s.result.onTime++
 		s.result.byRank[r.rank][1]++
 		s.result.byWorkspace[r.workspace][1]++
+		s.result.byQuarter[r.quarter][1]++
 	}
 }
