--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/forward"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
+	"github.com/boragelead/boragelead/internal/gateway/waiting"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
@@ -151,6 +153,12 @@
 	return max(min(wait, time.Duration(float64(remaining)*maxRetryAfterShare)), 0)
 }
 
+// spreadRetryAfter draws a Retry-After from the time in which places are expected to become free,
+// so that callers do not return together.
+func (c *call) spreadRetryAfter(drain time.Duration) time.Duration {
+	return waiting.ReturnAfter(drain, c.retryAfter(drain), rand.Float64())
+}
+
 // run sends the request to endpoints, one after the other, until one answers or
 // no further attempt is allowed.
 func (c *call) run() error {
@@ -279,5 +287,5 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonFull, RetryAfter: c.retryAfter(defaultRetryAfter), Err: err}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonFull, RetryAfter: c.spreadRetryAfter(defaultRetryAfter), Err: err}
 }
--- a/internal/gateway/entry/own_load.go
+++ b/internal/gateway/entry/own_load.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -54,6 +53,6 @@
 	l.entry.metrics.countWaitRefusal(waiting.Overloaded)
 	return &Refusal{
 		Status: statusNotRun, Reason: ReasonOverload, Err: &waiting.RefusedError{Reason: waiting.Overloaded, Ahead: inFlight, Wait: delay},
-		RetryAfter: waiting.ReturnAfter(defaultRetryAfter, c.retryAfter(defaultRetryAfter), rand.Float64()),
+		RetryAfter: c.spreadRetryAfter(defaultRetryAfter),
 	}
 }
--- a/internal/gateway/entry/wait.go
+++ b/internal/gateway/entry/wait.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/boragelead/boragelead/internal/gateway/pick"
@@ -52,10 +51,9 @@
 	case errors.As(err, &none):
 		reason, c.excluded = ReasonNoEndpoint, none.Backoff
 	}
-	drain := max(refused.Drain, defaultRetryAfter)
 	return &Refusal{
 		Status: statusNotRun, Reason: reason, Err: err,
-		RetryAfter: waiting.ReturnAfter(drain, c.retryAfter(drain), rand.Float64()),
+		RetryAfter: c.spreadRetryAfter(max(refused.Drain, defaultRetryAfter)),
 	}
 }
 
--- a/internal/gateway/waiting/burst_test.go
+++ b/internal/gateway/waiting/burst_test.go
@@ -51,7 +51,7 @@
 		r.byWorkspace[w][0] += n[0]
 		r.byWorkspace[w][1] += n[1]
 	}
-	r.returns = append(r.returns, x.returns...)
+	r.estimated, r.waited = r.estimated+x.estimated, r.waited+x.waited
 }
 
 // playAll plays a site with several seeds.
@@ -114,6 +114,8 @@
 		g.Expect(queue.onTime).To(BeNumerically(">", polling.onTime))
 		g.Expect(share(queue.served, queue.offered)).To(BeNumerically(">", 0.9))
 		g.Expect(queue.rejections).To(BeNumerically("<=", polling.rejections/4))
+		t.Logf("waited %.2f of the estimate", queue.waited/queue.estimated)
+		g.Expect(queue.waited / queue.estimated).To(BeNumerically("~", 1.05, 0.45))
 		for rank, least := range []float64{0.99, 0.99, 0.6} {
 			g.Expect(share(queue.byRank[rank][2], queue.byRank[rank][0])).To(BeNumerically(">", least), "rank %d", rank)
 		}
--- a/internal/gateway/waiting/sim_test.go
+++ b/internal/gateway/waiting/sim_test.go
@@ -43,7 +43,9 @@
 	byQuarter                                  [4][2]int           // offered, on time, by the quarter of the first entry
 	// idle is the slot time that was free while requests waited at entries, in seconds.
 	idle, credit float64
-	returns      []time.Duration
+	// estimated and waited are the sums of the estimated and the true waits of the requests
+	// that waited, in seconds.
+	estimated, waited float64
 	// refused counts the requests that were refused at once, and expired those that had waited.
 	refused, expired int
 }
@@ -76,6 +78,8 @@
 	quarter  int
 	attempts int
 	tried    []int
+	// estimate is the expected wait.
+	estimate time.Duration
 	// work is the time that it takes at an endpoint.
 	work    time.Duration
 	counted bool
@@ -317,9 +321,6 @@
 
 // refuse tells the caller to return after a time, if its deadline allows it.
 func (s *sim) refuse(r *simRequest, after time.Duration) {
-	if s.inBurst() {
-		s.result.returns = append(s.result.returns, s.now+after)
-	}
 	if s.now+after+20*time.Millisecond < r.born+s.deadline && after > 0 {
 		s.after(after, func() { s.offer(r) })
 	}
@@ -337,6 +338,7 @@
 		Workspace: string(rune('a' + r.workspace)), Rank: r.rank, Target: simStart.Add(r.born + s.target),
 		Deadline: simStart.Add(r.born + s.deadline), Work: e.gate.Work(), Selective: len(r.tried) > 0,
 	}
+	r.estimate = e.queue.Estimate(&request, s.clock())
 	_, displaced, err := e.queue.Add(request, r, s.clock())
 	for _, t := range displaced {
 		s.refuseTicket(e, t, Displaced)
@@ -373,7 +375,7 @@
 		if rejected && r.attempts < 2 {
 			s.enqueue(e, r)
 		} else if rejected {
-			s.refuse(r, min(600*time.Millisecond, s.returnLimit(r)))
+			s.refuse(r, ReturnAfter(600*time.Millisecond, s.returnLimit(r), s.random.Float64()))
 		}
 		s.pump(e)
 	})
@@ -391,6 +393,10 @@
 			return false
 		}
 		s.waiting--
+		if r.estimate > 0 {
+			s.result.estimated += r.estimate.Seconds()
+			s.result.waited += t.Waited(s.clock()).Seconds()
+		}
 		s.start(e, r, i)
 		return true
 	})
