--- a/internal/gateway/entry/dispatch.go
+++ b/internal/gateway/entry/dispatch.go
@@ -50,7 +50,7 @@
 // limitHopeless bounds the wait of a request for which none was found, and of all others that the
 // same endpoints can take, while no endpoint can become free. The caller must hold mu.
 func (q *serviceQueue) limitHopeless(t *waiting.Ticket, err error, now time.Time) {
-	hopeless := !errors.Is(err, errGateClosed) && !q.entry.board.MayFree(t.Owner.(*waiter).request)
+	hopeless := !q.entry.mayFree(t.Owner.(*waiter).request, err)
 	if t.Request.Selective {
 		limitWait(t, hopeless, now)
 		return
--- a/internal/gateway/entry/own_load.go
+++ b/internal/gateway/entry/own_load.go
@@ -8,7 +8,8 @@
 )
 
 // loadInterval is the time between two measurements of the delay of the entry's own goroutines.
-const loadInterval = 20 * time.Millisecond
+// Each costs a wake-up of the process, also at rest.
+const loadInterval = 50 * time.Millisecond
 
 // ownLoad refuses requests that this entry has no memory or processor time for.
 type ownLoad struct {
--- a/internal/gateway/entry/wait.go
+++ b/internal/gateway/entry/wait.go
@@ -18,7 +18,7 @@
 		if refusal := c.noEndpoint(err, request.Now, waitEnd); refusal != nil {
 			return nil, refusal
 		}
-		if !c.entry.board.MayFree(request) {
+		if !c.entry.mayFree(request, err) {
 			giveUp = waitEnd
 		}
 	}
@@ -40,6 +40,16 @@
 	return nil, c.waitRefusal(refused, err)
 }
 
+// mayFree reports whether an endpoint may take the request once other requests end. err is why none
+// takes it now. Nothing tells how long software versions are not known.
+func (e *Entry) mayFree(request *pick.Request, err error) bool {
+	var stale *StaleViewError
+	if errors.As(err, &stale) {
+		return false
+	}
+	return errors.Is(err, errGateClosed) || e.board.MayFree(request)
+}
+
 // waitRefusal converts the end of a wait without an endpoint into the answer to the caller.
 func (c *call) waitRefusal(refused *waiting.RefusedError, err error) *Refusal {
 	c.entry.metrics.countWaitRefusal(refused.Reason)
--- a/internal/gateway/waiting/overload.go
+++ b/internal/gateway/waiting/overload.go
@@ -4,9 +4,9 @@
 
 const (
 	// delayWeight is the weight of one measured delay in the average.
-	// An entry measures 50 times a second, so that the average follows within a second: the
+	// An entry measures 20 times a second, so that the average follows within a second: the
 	// processor quota of a small VM stops it for 0.08 s at a time also under ordinary load.
-	delayWeight = 0.02
+	delayWeight = 0.05
 	// delaysPerRequest is how often a request waits for the processor of the entry, and
 	// targetsBorne the part of its target that all of these waits may take. Above it even the
 	// least urgent rank (part 0.55) misses its target for certain.
--- a/internal/gateway/waiting/rate.go
+++ b/internal/gateway/waiting/rate.go
@@ -22,8 +22,11 @@
 // advance adds the time since the last call if requests waited for all of it.
 func (r *placeRate) advance(now time.Time, waited bool) {
 	elapsed := now.Sub(r.updatedAt).Seconds()
+	if elapsed <= 0 {
+		return
+	}
 	r.updatedAt = now
-	if !waited || elapsed <= 0 {
+	if !waited {
 		return
 	}
 	decay := max(1-elapsed/rateTime.Seconds(), 0)
