--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/forward"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
+	"github.com/boragelead/boragelead/internal/gateway/waiting"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
@@ -57,6 +59,8 @@
 	charge quotaCharge
 	// tried lists the IDs of the endpoints that the request was sent to.
 	tried []string
+	// waited is how long the request has waited for endpoints in all.
+	waited time.Duration
 	// addresses lists the addresses of the endpoints that attempts of this entry were meant for.
 	addresses []string
 	// forwarded is set if another entry passed the request on to this one. This entry then
@@ -149,6 +153,12 @@
 	return max(min(wait, time.Duration(float64(remaining)*maxRetryAfterShare)), 0)
 }
 
+// spreadRetryAfter draws a Retry-After from the time in which places are expected to become free,
+// so that callers do not return together.
+func (c *call) spreadRetryAfter(drain time.Duration) time.Duration {
+	return waiting.ReturnAfter(drain, c.retryAfter(drain), rand.Float64())
+}
+
 // run sends the request to endpoints, one after the other, until one answers or
 // no further attempt is allowed.
 func (c *call) run() error {
@@ -281,5 +291,5 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonFull, RetryAfter: c.retryAfter(defaultRetryAfter), Err: err}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonFull, RetryAfter: c.spreadRetryAfter(defaultRetryAfter), Err: err}
 }
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -88,6 +88,8 @@
 	running       *runningCalls
 	origins       *streamOrigins
 	departures    *departures
+	queues        *queues
+	load          *ownLoad
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -148,6 +150,8 @@
 	e.running = newRunningCalls()
 	e.origins = newStreamOrigins(e)
 	e.departures = newDepartures(e)
+	e.queues = newQueues(e)
+	e.load = newOwnLoad(e)
 	return e
 }
 
@@ -162,6 +166,7 @@
 		e.goLoop("long prompts sent", e.longPrompts.sendLoop)
 		e.goLoop("long prompts received", e.longPrompts.receiveLoop)
 	}
+	e.goLoop("own load", e.load.loop)
 }
 
 // goLoop runs a function in the background until the entry is closed. If it panics, it
