Bound what uncontrolled clients take, with one package for all listeners

Cause: listeners bounded neither their connections nor, at the own daemon and the replicas, the memory of heads, bodies, frames and answers that are not read. 300 connections used up 256 descriptors, and the memory of the VM.

Change: internal/inlet. Each listener has a share of the connections that the descriptors and the memory allow. When it is full, the connections in the middle of a request that made no progress for the longest time are closed, then idle ones; those of an address over its share go first, and a request that was read and runs is never closed. Heads, bodies, frames and answers being written take their bytes from one budget, which replaces that for bodies of the entry. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the document are obeyed. Probes between daemons have a limit, because a peer that does not read made the replica keep a goroutine for each. The memory for answers of an entry being used up no longer counts as a failure of the endpoint, which had ended the service for all callers.

--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/entry"
 	"github.com/boragelead/boragelead/internal/gateway/state"
 	"github.com/boragelead/boragelead/internal/hangup"
+	"github.com/boragelead/boragelead/internal/inlet"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/telemetry"
 	"github.com/boragelead/boragelead/platform"
@@ -42,6 +43,14 @@
 	controlReadTimeout    = 30 * time.Second
 	maxControlHeaderBytes = 16 << 10
 	controlIdleTimeout    = 5 * time.Minute
+	// controlShare, peersShare and metricsShare are the shares of the listeners of a replica of
+	// all connections. An entry has the last one too.
+	controlShare = 0.5
+	peersShare   = 0.4375
+	metricsShare = 0.0625
+	// controlCopies is how often the body of a request is held while it is read, decoded and
+	// stored.
+	controlCopies = 3
 	// stopPause delays the exit after the replica stopped, so that a replica with a
 	// failing disk does not restart in a tight loop.
 	stopPause = 500 * time.Millisecond
@@ -72,7 +81,13 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(config.Limits.MemoryMB) * megabyte))
 	}
 	log.Info("Daemon starts.", zap.String("role", string(role)), zap.String("failure_domain", config.FailureDomain), zap.Strings("seeds", config.Seeds))
-	g := &gatewayDaemon{config: config, log: log, metrics: telemetry.NewRegistry(), rpc: peerrpc.New(peerrpc.Options{Name: config.Name, Log: log}), seeds: config.Seeds, signals: signals}
+	metrics := telemetry.NewRegistry()
+	share := inlet.ShareWithoutEndpoints
+	if role == settings.RoleEntry {
+		share = inlet.ShareWithEndpoints
+	}
+	size := inlet.SizeOf(int64(config.Limits.MemoryMB)*megabyte, config.Limits.FileDescriptors, share)
+	g := &gatewayDaemon{config: config, log: log, metrics: metrics, inlet: inlet.New(inlet.Options{Size: size, Log: log, Metrics: metrics}), rpc: peerrpc.New(peerrpc.Options{Name: config.Name, Log: log}), seeds: config.Seeds, signals: signals}
 	if err := g.serveMetrics(); err != nil {
 		log.Warn("Metrics listener not started; metrics are not served.", zap.Error(err))
 	}
@@ -95,6 +110,7 @@
 	log     *zap.Logger
 	metrics *telemetry.Registry
 	rpc     *peerrpc.Node
+	inlet   *inlet.Inlet
 	signals chan os.Signal
 	// seeds are the seeds that are in effect.
 	seeds []string
@@ -121,7 +137,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", g.metrics.TextHandler())
 	server := newControlServer(mux)
-	go func() { _ = server.Serve(listener) }()
+	bounded := g.inlet.Listen(listener, "metrics", metricsShare, true)
+	inlet.Bound(server, bounded, controlCopies)
+	go func() { _ = server.Serve(bounded) }()
 	return nil
 }
 
@@ -133,7 +151,7 @@
 	defer g.flushTraces(tracing)
 	e := entry.New(entry.Options{
 		Settings: g.config, Dialect: platform.Dialect{}, Decode: platform.DecodeDocument,
-		Caller: g.rpc, Log: g.log, Metrics: g.metrics, Tracing: tracing,
+		Caller: g.rpc, Log: g.log, Metrics: g.metrics, Tracing: tracing, Inlet: g.inlet,
 	})
 	e.Start()
 	defer e.Close()
@@ -167,15 +185,17 @@
 	if err != nil {
 		return err
 	}
-	go func() { g.rpc.Serve(peers) }()
+	go func() { g.rpc.Serve(g.inlet.Listen(peers, "peers", peersShare, false)) }()
 	s.Run()
 	control, err := net.Listen("tcp4", g.config.Listen.Control)
 	if err != nil {
 		return err
 	}
 	server := newControlServer(platform.ControlHandler(s, s))
+	bounded := g.inlet.Listen(control, "control", controlShare, true)
+	inlet.Bound(server, bounded, controlCopies)
 	go func() {
-		if err := server.Serve(control); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("Control listener failed; it accepts no more requests.", zap.String("address", g.config.Listen.Control), zap.Error(err))
 		}
 	}()
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/entry"
+	"github.com/boragelead/boragelead/internal/inlet"
 )
 
 const (
@@ -135,6 +136,10 @@
 	if errors.As(err, &tooLarge) {
 		return nil, &requestError{status: http.StatusRequestEntityTooLarge, kind: "invalid_request_error", code: "body_too_large", message: fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit)}
 	}
+	if errors.Is(err, inlet.ErrFull) {
+		w.Header().Set("Retry-After", "1")
+		return nil, &requestError{status: http.StatusServiceUnavailable, kind: "server_error", code: "overloaded", message: "too many bytes of requests are in memory; the request was not run"}
+	}
 	return nil, &requestError{status: http.StatusRequestTimeout, kind: "invalid_request_error", code: "body_timeout", message: "the body did not arrive in time"}
 }
 
--- a/internal/adapter/peerrpc/node.go
+++ b/internal/adapter/peerrpc/node.go
@@ -52,6 +52,8 @@
 	cancel   context.CancelFunc
 	// replyBytes is the size of the results that are being sent.
 	replyBytes atomic.Int64
+	// inFlight is the number of served calls that run.
+	inFlight atomic.Int64
 
 	mu          sync.Mutex
 	peers       map[string]*peer
--- a/internal/adapter/peerrpc/server.go
+++ b/internal/adapter/peerrpc/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/guard"
+	"github.com/boragelead/boragelead/internal/inlet"
 	"github.com/boragelead/boragelead/internal/wait"
 )
 
@@ -34,6 +35,14 @@
 	maxAcceptPause = time.Second
 )
 
+const (
+	// maxPings bounds the probes of one connection that are being answered.
+	maxPings = 8
+	// maxServedCalls bounds the calls of all connections that are served at once. 370 entries
+	// poll a replica with up to four calls each.
+	maxServedCalls = 4096
+)
+
 // Serve accepts connections until the listener or the node is closed. It goes on after other
 // failures to accept: a daemon that other daemons do not reach any more would be of no use.
 func (n *Node) Serve(listener net.Listener) {
@@ -94,7 +103,8 @@
 }
 
 func (n *Node) serveConn(raw net.Conn) {
-	if tcp, ok := raw.(*net.TCPConn); ok {
+	bounded, _ := raw.(*inlet.Conn)
+	if tcp, ok := socketOf(raw).(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 		if rawConn, err := tcp.SyscallConn(); err == nil {
 			_ = setUserTimeout("tcp", "", rawConn)
@@ -116,29 +126,57 @@
 		stream = tlsConn
 	}
 	handler := &connHandler{node: n}
-	conn := jsonrpc2.NewConn(n.ctx, newFrameStream(stream, nil), handler, jsonrpc2.SetLogger(discardLogger))
+	frames := newFrameStream(stream, nil)
+	frames.bounded = bounded
+	conn := jsonrpc2.NewConn(n.ctx, frames, handler, jsonrpc2.SetLogger(discardLogger))
 	<-conn.DisconnectNotify()
 }
 
+// socketOf returns the socket below a connection of an inlet.
+func socketOf(conn net.Conn) net.Conn {
+	if bounded, ok := conn.(*inlet.Conn); ok {
+		return bounded.NetConn()
+	}
+	return conn
+}
+
 // connHandler serves the calls of one connection, each in its own goroutine.
 type connHandler struct {
 	node     *Node
 	inFlight atomic.Int64
+	// pings is the number of probes whose reply is not written yet.
+	pings atomic.Int64
 }
 
 // Handle implements jsonrpc2.Handler.
 func (h *connHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if req.Method == methodPing {
-		go h.reply(ctx, conn, req, nil, nil)
+		// A peer sends its next probe after the answer to the last one. A reply that cannot be
+		// written must not hold a goroutine for each further probe.
+		if h.pings.Add(1) > maxPings {
+			h.pings.Add(-1)
+			h.node.meter.refused.Add(1)
+			return
+		}
+		go func() {
+			defer h.pings.Add(-1)
+			h.reply(ctx, conn, req, nil, nil)
+		}()
+		return
+	}
+	if h.node.inFlight.Add(1) > maxServedCalls {
+		h.node.inFlight.Add(-1)
+		h.refuseBusy(ctx, conn, req)
 		return
 	}
 	if h.inFlight.Add(1) > int64(h.node.options.MaxInFlight) {
 		h.inFlight.Add(-1)
-		h.node.meter.refused.Add(1)
-		h.reply(ctx, conn, req, nil, &jsonrpc2.Error{Code: codeBusy, Message: "too many calls in flight"})
+		h.node.inFlight.Add(-1)
+		h.refuseBusy(ctx, conn, req)
 		return
 	}
 	go func() {
+		defer h.node.inFlight.Add(-1)
 		defer h.inFlight.Add(-1)
 		result, err := h.run(ctx, req)
 		size, ok := h.node.reserveReply(len(result))
@@ -151,6 +189,11 @@
 	}()
 }
 
+func (h *connHandler) refuseBusy(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	h.node.meter.refused.Add(1)
+	h.reply(ctx, conn, req, nil, &jsonrpc2.Error{Code: codeBusy, Message: "too many calls in flight"})
+}
+
 // smallReplyBytes is the size up to which results are always sent and not counted, so
 // that large ones do not keep back heartbeats and grants.
 const smallReplyBytes = 4 << 10
--- a/internal/adapter/peerrpc/stream.go
+++ b/internal/adapter/peerrpc/stream.go
@@ -8,6 +8,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/boragelead/boragelead/internal/inlet"
 )
 
 const (
@@ -17,6 +19,11 @@
 	// keepAliveFrameInterval is the pause between the empty frames that a node sends
 	// while it encodes or decodes a message. It is a fifth of probeTimeout.
 	keepAliveFrameInterval = 100 * time.Millisecond
+	// framePartBytes is the size of the parts of a received message that are counted at once.
+	// Shorter messages are not counted, so that heartbeats and polls never wait for memory.
+	framePartBytes = 64 << 10
+	// frameCopies is how often a message is held while it is read and decoded.
+	frameCopies = 3
 )
 
 // frameStream carries messages as frames. A frame is the length (uvarint) and the
@@ -28,6 +35,8 @@
 	in   *bufio.Reader
 	// onDecoding is called at intervals while a received message is decoded. It may be nil.
 	onDecoding func()
+	// bounded is the connection of an inlet that counts received messages; nil if none does.
+	bounded *inlet.Conn
 
 	// mu guards out. It is not locked while a message is encoded.
 	mu  sync.Mutex
@@ -80,7 +89,10 @@
 
 // ReadObject implements jsonrpc2.ObjectStream.
 func (s *frameStream) ReadObject(object any) error {
-	data, err := s.readFrame()
+	data, counted, err := s.readFrame()
+	if counted > 0 {
+		defer s.bounded.EndMessage(counted)
+	}
 	if err != nil {
 		return err
 	}
@@ -94,15 +106,16 @@
 	return json.Unmarshal(data, object)
 }
 
-// readFrame returns the next message and skips keepalive frames.
-func (s *frameStream) readFrame() ([]byte, error) {
+// readFrame returns the next message and skips keepalive frames. The connection holds counted
+// bytes for the message until it was decoded.
+func (s *frameStream) readFrame() (data []byte, counted int64, err error) {
 	for {
 		size, err := binary.ReadUvarint(s.in)
 		if err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		if size > maxFrameBytes {
-			return nil, &FrameSizeError{Size: size, Limit: maxFrameBytes}
+			return nil, 0, &FrameSizeError{Size: size, Limit: maxFrameBytes}
 		}
 		if size == 0 {
 			continue
@@ -110,10 +123,20 @@
 		// The buffer grows with the bytes that arrive, so a false length does not
 		// allocate memory.
 		var frame bytes.Buffer
-		if _, err := io.CopyN(&frame, s.in, int64(size)); err != nil {
-			return nil, err
+		for left := int64(size); left > 0; {
+			part := min(left, framePartBytes)
+			if s.bounded != nil && size > framePartBytes {
+				if err := s.bounded.BeginMessage(frameCopies * part); err != nil {
+					return nil, counted, err
+				}
+				counted += frameCopies * part
+			}
+			if _, err := io.CopyN(&frame, s.in, part); err != nil {
+				return nil, counted, err
+			}
+			left -= part
 		}
-		return frame.Bytes(), nil
+		return frame.Bytes(), counted, nil
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/boragelead/boragelead/internal/core/member"
 	"github.com/boragelead/boragelead/internal/entry"
 	"github.com/boragelead/boragelead/internal/guard"
+	"github.com/boragelead/boragelead/internal/inlet"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/telemetry"
@@ -32,6 +33,14 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is the time after which a connection without requests is closed.
 	idleTimeout = 2 * time.Minute
+	// callerShare, peersShare, endpointShare and adminShare are the shares of the listeners of
+	// all connections.
+	callerShare   = 0.5
+	peersShare    = 0.25
+	endpointShare = 0.125
+	adminShare    = 0.125
+	// bodyCopies is how often the body of a request is held while it is read, decoded and run.
+	bodyCopies = 3
 	// maxExplainRecords is the number of requests whose explain records are kept, about 1 KB each.
 	maxExplainRecords = 8192
 	// closeTimeout bounds the flush of traces when the daemon stops.
@@ -58,6 +67,7 @@
 	tracing   *telemetry.Tracing
 	explainer *telemetry.Explainer
 	rpc       *peerrpc.Node
+	inlet     *inlet.Inlet
 	cluster   *cluster.Cluster
 	ledger    *ledgerAccess
 	engines   *enginehttp.Client
@@ -90,6 +100,7 @@
 		metrics:  telemetry.NewRegistry(),
 		drained:  make(chan struct{}),
 	}
+	d.inlet = inlet.New(inlet.Options{Size: inlet.SizeOfHeap(config.Limits.MaxMemoryBytes), Log: d.log, Metrics: d.metrics})
 	if err := d.listeners.open(config, options.PeerListener); err != nil {
 		return nil, err
 	}
@@ -163,7 +174,8 @@
 }
 
 func (d *Daemon) start() {
-	d.group.Go(func() { d.rpc.Serve(d.listeners.peers) })
+	peers := d.inlet.Listen(d.listeners.peers, "peers", peersShare, false)
+	d.group.Go(func() { d.rpc.Serve(peers) })
 	d.cluster.Start()
 	d.entry.Start()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -173,17 +185,20 @@
 			d.log.Error("Background task failed unexpectedly and runs again.", zap.Error(err))
 		})
 	})
-	d.serve(d.listeners.callers, d.callerHandler(), d.callerTLS)
-	d.serve(d.listeners.endpoints, d.endpointHandler(), nil)
-	d.serve(d.listeners.admin, d.adminHandler(), d.adminTLS)
+	callers := d.inlet.Listen(d.listeners.callers, "callers", callerShare, true)
+	callers.BoundBuffers()
+	d.serve(callers, d.callerHandler(), d.callerTLS)
+	d.serve(d.inlet.Listen(d.listeners.endpoints, "endpoints", endpointShare, true), d.endpointHandler(), nil)
+	d.serve(d.inlet.Listen(d.listeners.admin, "admin", adminShare, true), d.adminHandler(), d.adminTLS)
 	telemetry.Publish(d.settings.Name, d.metrics)
 	d.log.Info("Daemon started.", zap.String("callers", d.CallerAddress()), zap.String("peers", d.PeerAddress()))
 }
 
 // serve accepts HTTP connections on a listener in the background; it uses TLS
 // if a TLS configuration is given.
-func (d *Daemon) serve(listener net.Listener, handler http.Handler, config *tls.Config) {
+func (d *Daemon) serve(listener *inlet.Listener, handler http.Handler, config *tls.Config) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, TLSConfig: config}
+	inlet.Bound(server, listener, bodyCopies)
 	d.servers = append(d.servers, server)
 	d.group.Go(func() {
 		if config != nil {
--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -113,6 +114,11 @@
 	body, err := buffer.readBody(answer)
 	if err != nil {
 		answer.Discard()
+		if errors.Is(err, errBuffersFull) {
+			// The memory of this entry is used up, which is no fault of the endpoint.
+			h.choice.RecordSuccess(time.Now())
+			return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}, watch.stop())
+		}
 		h.recordFailure(time.Now(), false)
 		c.checkForCrash(ctx, h)
 		return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}, watch.stop())
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -150,7 +150,7 @@
 	c.entry.options.Dialect.Dispatch(header, dispatch)
 	address := choice.Endpoint.Address
 	request := &wire.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.data,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.Data(),
 		// On a connection that carried this request before, a late second copy of the answer
 		// to the earlier attempt has the right ID, and would be taken for the answer to this one.
 		Fresh: slices.Contains(c.addresses, address), KeptOnly: h.keptOnly, BeforeSend: func() error { return checkChoice(choice) },
--- a/internal/gateway/entry/buffers.go
+++ b/internal/gateway/entry/buffers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
 
 	wire "github.com/boragelead/boragelead/internal/adapter/exchange"
 )
@@ -23,7 +24,32 @@
 
 // bufferBudget limits the sum of the buffers of all requests. It is safe for
 // concurrent use.
-type bufferBudget struct{ used atomic.Int64 }
+type bufferBudget struct {
+	used atomic.Int64
+	// onFull closes a caller that does not read its answer, and reports whether there was one;
+	// nil means that there is none.
+	onFull func() bool
+}
+
+// Waits for the memory of a caller that was closed: its handler returns it shortly after.
+const (
+	releaseTries = 10
+	releasePause = 5 * time.Millisecond
+)
+
+// reserve takes bytes, and closes callers that do not read their answers if there are none left.
+func (b *bufferBudget) reserve(bytes int64) bool {
+	for try := 0; ; try++ {
+		if b.used.Add(bytes) <= maxBufferedBytes {
+			return true
+		}
+		b.used.Add(-bytes)
+		if try == releaseTries || b.onFull == nil || !b.onFull() {
+			return false
+		}
+		time.Sleep(releasePause)
+	}
+}
 
 // buffer is a growing buffer that takes its memory from a budget. The owner must
 // call release.
@@ -45,8 +71,7 @@
 		return false
 	}
 	if needed := int64(max(size-freeBufferBytes, 0)) - b.taken; needed > 0 {
-		if b.budget.used.Add(needed) > maxBufferedBytes {
-			b.budget.used.Add(-needed)
+		if !b.budget.reserve(needed) {
 			return false
 		}
 		b.taken += needed
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -12,6 +12,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/forward"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
+	"github.com/boragelead/boragelead/internal/inlet"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
@@ -49,7 +50,7 @@
 	// workspace is empty for requests without a known key on anonymous routes.
 	workspace  string
 	priority   int
-	body       requestBody
+	body       inlet.Body
 	receivedAt time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
@@ -118,10 +119,10 @@
 	ctx, span := e.options.Tracing.Start(telemetry.Extract(r.Context(), r.Header), telemetry.HopCaller)
 	defer span.End()
 	r = r.WithContext(ctx)
-	c := &call{entry: e, w: w, r: r, receivedAt: time.Now(), lastEventID: noID, meta: e.options.Dialect.ParseRequest(r.Header), body: requestBody{budget: e.bodies}}
+	c := &call{entry: e, w: w, r: r, receivedAt: time.Now(), lastEventID: noID, meta: e.options.Dialect.ParseRequest(r.Header), body: e.newBody(r)}
 	e.running.add(c)
 	defer e.running.remove(c)
-	defer c.body.release()
+	defer c.body.Release()
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/guard"
+	"github.com/boragelead/boragelead/internal/inlet"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/settings"
 	"github.com/boragelead/boragelead/internal/telemetry"
@@ -56,6 +57,8 @@
 	Caller   port.PeerCaller
 	Log      *zap.Logger
 	Metrics  *telemetry.Registry
+	// Inlet bounds the listeners of the process; nil means one for the limits of the settings.
+	Inlet *inlet.Inlet
 	// Tracing may be nil; no spans are recorded then.
 	Tracing *telemetry.Tracing
 }
@@ -81,12 +84,14 @@
 	probes        *endpointProbes
 	migrations    *migrations
 	buffers       bufferBudget
-	bodies        *bodyBudget
-	rateLimits    *rateLimits
-	documents     *documents
-	running       *runningCalls
-	origins       *streamOrigins
-	departures    *departures
+	inlet         *inlet.Inlet
+	// callers is the listener for callers, which obeys the limits of the document.
+	callers    atomic.Pointer[inlet.Listener]
+	rateLimits *rateLimits
+	documents  *documents
+	running    *runningCalls
+	origins    *streamOrigins
+	departures *departures
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -130,9 +135,14 @@
 		peerClient: exchange.New(exchange.Options{
 			Conn: httpconn.Options{DialTimeout: dialTimeout}, IdleTimeout: peerIdleTimeout,
 		}),
-		peers:  peers.New(options.Settings.FailureDomain, rand.Float64),
-		bodies: newBodyBudget(options.Settings.Limits.MemoryMB),
+		peers: peers.New(options.Settings.FailureDomain, rand.Float64),
+		inlet: options.Inlet,
 	}
+	if e.inlet == nil {
+		limits := options.Settings.Limits
+		e.inlet = inlet.New(inlet.Options{Size: inlet.SizeOf(int64(limits.MemoryMB)<<20, limits.FileDescriptors, inlet.ShareWithEndpoints), Log: options.Log, Metrics: options.Metrics})
+	}
+	e.buffers.onFull = e.inlet.CloseStalled
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.requests, e.cancelRequests = context.WithCancel(e.ctx)
 	e.replicaClient = newReplicaClient(e)
@@ -219,7 +229,7 @@
 		case now := <-ticker.C:
 			e.client.Sweep(now)
 			e.peerClient.Sweep(now)
-			e.metrics.bodyBytes.Set(e.bodies.used.Load())
+			e.metrics.bodyBytes.Set(e.inlet.Budget().Used())
 			e.crashes.tracker.Expire(now)
 			e.logEndedBackoffs(e.board.Expire(now))
 			e.probes.expire(now)
@@ -246,11 +256,32 @@
 	now := time.Now()
 	e.quotas.Configure(document.Workspaces, now)
 	e.active.Store(&activeRules{table: rules.NewTable(document), generation: generation, receivedAt: now})
+	e.limitCallers()
 	e.log.Info("Document in force.", zap.Uint64("generation", generation), zap.Uint64("version", document.Version),
 		zap.Int("routes", len(document.Routes)), zap.Int("bytes", len(data)), zap.Int64("decode_ms", time.Since(start).Milliseconds()),
 		zap.String("replica", arrival.replica), zap.Int("transferred", arrival.bytes), zap.Int64("transfer_ms", arrival.time.Milliseconds()))
 }
 
+// limitCallers puts the limits of the document in force for the connections of callers.
+func (e *Entry) limitCallers() {
+	listener, active := e.callers.Load(), e.active.Load()
+	if listener == nil || active == nil {
+		return
+	}
+	limits := active.table.Document.Limits
+	listener.SetLimits(inlet.Limits{
+		MaxHeaderBytes: limits.MaxHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+	})
+}
+
+// newBody returns the body of a request, which takes its memory from that of the connection.
+func (e *Entry) newBody(r *http.Request) inlet.Body {
+	if account := inlet.AccountOf(r.Context()); account != nil {
+		return inlet.NewBody(account)
+	}
+	return inlet.NewBody(e.inlet.Budget().NewAccount())
+}
+
 // setEntryCount sets the number of entries that share the retry allowance.
 func (e *Entry) setEntryCount(count int) {
 	e.retries.SetAllowance(e.options.Settings.Bounds.RetryAllowance*retryBudgetShare/float64(max(count, 1)), time.Now())
--- a/internal/gateway/entry/forward_send.go
+++ b/internal/gateway/entry/forward_send.go
@@ -69,7 +69,7 @@
 	if err := c.forwardRequest(h).Write(header); err != nil {
 		return nil, &port.TransportError{Err: err}
 	}
-	request := &wire.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.data}
+	request := &wire.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.Data()}
 	return c.entry.peerClient.Do(ctx, h.choice.Endpoint.Address, request)
 }
 
--- a/internal/gateway/entry/forward_serve.go
+++ b/internal/gateway/entry/forward_serve.go
@@ -68,11 +68,11 @@
 	defer span.End()
 	c := &call{
 		entry: e, w: w, r: r.WithContext(ctx), receivedAt: time.Now(), lastEventID: noID,
-		meta: e.options.Dialect.ParseRequest(r.Header), forwarded: request, body: requestBody{budget: e.bodies},
+		meta: e.options.Dialect.ParseRequest(r.Header), forwarded: request, body: e.newBody(r),
 	}
 	e.running.add(c)
 	defer e.running.remove(c)
-	defer c.body.release()
+	defer c.body.Release()
 	span.Text("request", c.meta.AttemptID)
 	switch {
 	case err != nil:
@@ -108,7 +108,7 @@
 	}
 	// A write to an entry that stands still would otherwise never end.
 	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(deadlineGrace))
-	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body.data)
+	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body.Data())
 	c.parts = c.suspectParts()
 	return nil
 }
--- a/internal/gateway/entry/prepare.go
+++ b/internal/gateway/entry/prepare.go
@@ -10,6 +10,7 @@
 
 	"github.com/boragelead/boragelead/internal/core/suspect"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
+	"github.com/boragelead/boragelead/internal/inlet"
 )
 
 const (
@@ -42,7 +43,7 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
-	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body.data)
+	c.fingerprint = suspect.NewFingerprint(c.workspace, []byte(c.r.Method), []byte(c.r.RequestURI), c.body.Data())
 	c.service = table.Service(c.route.Pick(rand.Float64()))
 	c.parts = c.suspectParts()
 	return c.chargeQuota(workspace)
@@ -87,12 +88,12 @@
 	_ = controller.SetReadDeadline(c.deadline)
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	reader := http.MaxBytesReader(c.w, c.r.Body, limit)
-	err := c.body.read(reader, c.r.ContentLength)
+	err := c.body.Read(reader, c.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, errBodiesFull):
+	case errors.Is(err, inlet.ErrFull):
 		// The rest is read and dropped: closing a connection with unread bytes resets it, and
 		// the caller might lose the answer.
 		_, _ = io.Copy(io.Discard, reader)
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/inlet"
 	"github.com/boragelead/boragelead/internal/settings"
 )
 
@@ -29,6 +30,11 @@
 	callerIdleTimeout = 2 * time.Minute
 	// callerKeepAlive is the TCP keep-alive period of connections of callers.
 	callerKeepAlive = 15 * time.Second
+	// callerShare, forwardedShare and readyShare are the shares of the listeners of all
+	// connections; the rest is for the listener of metrics.
+	callerShare    = 0.625
+	forwardedShare = 0.25
+	readyShare     = 0.0625
 	// drainAcceptShare is the part of the grace period in which new connections
 	// are still accepted: the load balancer needs two health checks to stop
 	// sending requests. Later requests might not end before the process is killed.
@@ -109,10 +115,18 @@
 // listen serves on an address in the background and returns the bound address.
 func (s *Server) listen(server *http.Server, address string) (string, error) {
 	listen := net.ListenConfig{KeepAlive: callerKeepAlive}
-	listener, err := listen.Listen(context.Background(), "tcp4", address)
+	inner, err := listen.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return "", err
 	}
+	name, share := s.place(server)
+	listener := s.entry.inlet.Listen(inner, name, share, true)
+	inlet.Bound(server, listener, 0)
+	if server == s.callers {
+		listener.BoundBuffers()
+		s.entry.callers.Store(listener)
+		s.entry.limitCallers()
+	}
 	if server != s.ready {
 		s.listeners = append(s.listeners, listener)
 	}
@@ -120,6 +134,17 @@
 	return listener.Addr().String(), nil
 }
 
+// place returns the name of a server's listener and its share of the connections.
+func (s *Server) place(server *http.Server) (name string, share float64) {
+	switch server {
+	case s.callers:
+		return "callers", callerShare
+	case s.forwarded:
+		return "forwarded", forwardedShare
+	}
+	return "ready", readyShare
+}
+
 func (s *Server) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !s.stopped.Load() {
 		s.entry.log.Error("Listener failed; no further connections are accepted on this address.", zap.String("address", listener.Addr().String()), zap.Error(err))
--- a/internal/gateway/rules/document.go
+++ b/internal/gateway/rules/document.go
@@ -112,4 +112,9 @@
 type Limits struct {
 	// MaxBodyBytes bounds a request body; 0 means the default.
 	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the head of a request; 0 means the fixed limit alone.
+	MaxHeaderBytes int64
+	// HeaderTimeout bounds the time in which a head arrives, and IdleTimeout that of a
+	// connection without a request; 0 means the fixed ones alone.
+	HeaderTimeout, IdleTimeout time.Duration
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -67,6 +67,9 @@
 // GatewayLimits holds the resources of the VM that the process may use.
 type GatewayLimits struct {
 	MemoryMB int `json:"memory_mb"`
+	// FileDescriptors is the number of descriptors that the process may open; 0 means the
+	// limit of the process.
+	FileDescriptors int `json:"file_descriptors"`
 }
 
 // GatewayBounds holds the limits and times that the deployment sets.
@@ -171,6 +174,8 @@
 		return &Error{Field: "seeds", Message: "must name a state replica"}
 	case g.Role == RoleEntry && (g.Listen.Callers == "" || g.Listen.Ready == ""):
 		return &Error{Field: "listen", Message: "an entry needs callers and ready"}
+	case g.Limits.FileDescriptors < 0:
+		return &Error{Field: "limits.file_descriptors", Message: "must not be negative"}
 	case g.Bounds.Losses < 0:
 		return &Error{Field: "bounds.losses", Message: "must not be negative"}
 	case g.Role == RoleState && (g.Listen.Control == "" || g.DataFolder == ""):
