--- a/internal/adapter/adminhttp/config.go
+++ b/internal/adapter/adminhttp/config.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/core/conf"
+	"github.com/boragelead/boragelead/internal/inlet"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/status"
 )
@@ -164,6 +165,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, newRequestError(http.StatusRequestEntityTooLarge, status.CodeTooLarge, "the document is larger than %d bytes", maxDocumentBytes)
 	}
+	if errors.Is(err, inlet.ErrFull) {
+		return nil, newRequestError(http.StatusServiceUnavailable, status.CodeUnavailable, "too many bytes of requests are in memory; the document was not promoted")
+	}
 	return nil, newRequestError(http.StatusBadRequest, status.CodeBadRequest, "the document did not arrive in full")
 }
 
--- a/internal/adapter/enginehttp/announce.go
+++ b/internal/adapter/enginehttp/announce.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/inlet"
 )
 
 const (
@@ -124,11 +126,13 @@
 
 func decodeBody(w http.ResponseWriter, r *http.Request, target any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(target)
-	if err != nil {
+	switch {
+	case errors.Is(err, inlet.ErrFull):
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+	case err != nil:
 		writeError(w, http.StatusBadRequest, err.Error())
-		return false
 	}
-	return true
+	return err == nil
 }
 
 func writeError(w http.ResponseWriter, status int, message string) {
--- a/internal/inlet/limits.go
+++ b/internal/inlet/limits.go
@@ -22,10 +22,12 @@
 	lineSeparators  = len("  \r\n")
 )
 
-// headBytes returns the size of the head of a request. It is at most the size that was sent.
+// headBytes returns the size of the head of a request. It is at most the size that was
+// sent in the usual form: lines end with CR and LF, and a space follows each colon.
 func headBytes(r *http.Request) int64 {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineSeparators + len("\r\n")
-	if r.Host != "" {
+	// With an absolute URI, the host is that of the URI, whether or not the field was sent.
+	if r.Host != "" && r.URL.Host == "" {
 		size += len("Host") + len(r.Host) + fieldSeparators
 	}
 	for name, values := range r.Header {
