Count single bytes within a request as no progress

Cause: a client kept its place, and the memory of a body that it declared, with a byte every few hundred milliseconds.

Change: within a request, 1 KB is the least progress.

--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -17,6 +17,8 @@
 	writeBytes = 64 << 10
 	// refusalTimeout bounds the write of a refusal to a client that is disconnected.
 	refusalTimeout = 50 * time.Millisecond
+	// progressBytes is the least number of bytes within a request that count as progress.
+	progressBytes = 1 << 10
 	// headCopies is how often a head is held while it is read and decoded.
 	headCopies = 2
 	// kernelBytes bounds each of the two kernel buffers of a connection of a caller. The kernel
@@ -51,8 +53,10 @@
 	phase    atomic.Int32
 	// requests is the number of requests that run. It exceeds 1 with HTTP/2 only.
 	requests atomic.Int32
-	// progress is when bytes were last moved, in nanoseconds since the Unix epoch.
+	// progress is when the connection last made progress, in nanoseconds since the Unix epoch.
+	// unmarked is the number of bytes of a request that arrived since then.
 	progress atomic.Int64
+	unmarked atomic.Int64
 	writing  atomic.Bool
 	// headStart is when the first byte of the head arrived, as progress; 0 before.
 	headStart atomic.Int64
@@ -106,7 +110,7 @@
 		c.applyReadDeadline()
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
+	if n > 0 && c.isProgress(phase, int64(n)) {
 		c.progress.Store(time.Now().UnixNano())
 	}
 	if !c.listener.http {
@@ -123,10 +127,23 @@
 	return n, err
 }
 
+// isProgress reports whether bytes that arrived count as progress. Within a request, single bytes
+// do not: a client could otherwise keep its place, and a declared body, with a byte now and then.
+func (c *Conn) isProgress(phase int32, bytes int64) bool {
+	if !c.listener.http || phase == phaseIdle || phase == phaseRunning {
+		return true
+	}
+	if c.unmarked.Add(bytes) < progressBytes {
+		return false
+	}
+	c.unmarked.Store(0)
+	return true
+}
+
 // readHead counts bytes of a head. The error is ErrFull.
 func (c *Conn) readHead(n int64) error {
 	c.phase.CompareAndSwap(phaseIdle, phaseHead)
-	c.headStart.CompareAndSwap(0, c.progress.Load())
+	c.headStart.CompareAndSwap(0, time.Now().UnixNano())
 	if err := c.account.Add(headCopies * n); err != nil {
 		c.refuse(ReasonMemory, refusalUnavailable)
 		// The server does not answer after a failed read of the connection.
@@ -251,6 +268,7 @@
 // startRequest is called when the head of a request was read.
 func (c *Conn) startRequest(hasBody bool) {
 	c.headStart.Store(0)
+	c.progress.Store(time.Now().UnixNano())
 	phase := int32(phaseRunning)
 	// A connection that carries several requests may be running one of them.
 	if c.requests.Add(1) == 1 && hasBody {
--- a/internal/inlet/inlet_test.go
+++ b/internal/inlet/inlet_test.go
@@ -216,3 +216,28 @@
 	g.Expect(SizeOfHeap(256 << 20).Bytes).To(BeEquivalentTo(128 << 20))
 	g.Expect(SizeOfHeap(0).Places).To(BeNumerically(">", 0))
 }
+
+// Guards against a client that keeps the memory of a declared body with single bytes, while
+// others need it.
+func TestSingleBytesAreNoProgress(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, Size{Places: 8, Bytes: 256 << 10})
+	const size = 150_000
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+	trickling := s.dial(t, head+strings.Repeat("b", size-100))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 30 {
+			if _, err := trickling.Write([]byte("b")); err != nil {
+				return
+			}
+			time.Sleep(stallTime / 10)
+		}
+	}()
+	g.Eventually(s.inlet.budget.Used).Should(BeNumerically(">", size-200))
+	time.Sleep(stallTime + stallTime/5)
+	g.Expect(status(s.dial(t, head+strings.Repeat("b", size)))).To(Equal(http.StatusOK))
+	<-done
+	g.Expect(status(trickling)).To(BeZero())
+}
