--- a/internal/inlet/events.go
+++ b/internal/inlet/events.go
@@ -61,6 +61,12 @@
 	return &events{log: log, metrics: metrics, lines: make(map[eventKey]*eventLine)}
 }
 
+// observe sets the gauges after a change of the connections of a listener.
+func (e *events) observe(l *Listener, connections int) {
+	e.metrics.Gauge("inlet_" + l.name + "_connections").Set(int64(connections))
+	e.metrics.Gauge("inlet_bytes").Set(l.inlet.budget.Used())
+}
+
 // record counts an event, and logs it unless one of its kind was logged shortly before.
 func (e *events) record(reason Reason, listener, address string) {
 	e.metrics.Counter("inlet_" + listener + "_" + string(reason)).Inc()
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -46,10 +46,6 @@
 func New(options Options) *Inlet {
 	in := &Inlet{size: options.Size, budget: NewBudget(options.Size.Bytes), events: newEvents(options.Log, options.Metrics)}
 	in.budget.onFull = in.CloseStalled
-	if options.Metrics != nil {
-		options.Metrics.Func("inlet_connections", func() any { return in.connections() })
-		options.Metrics.Func("inlet_bytes", func() any { return in.budget.Used() })
-	}
 	return in
 }
 
@@ -175,6 +171,7 @@
 		l.conns[c] = struct{}{}
 		l.addresses[address]++
 	}
+	l.inlet.events.observe(l, len(l.conns))
 	l.mu.Unlock()
 	for _, v := range evicted {
 		v.conn.evict(v.reason)
@@ -244,6 +241,7 @@
 	if l.addresses[c.address]--; l.addresses[c.address] <= 0 {
 		delete(l.addresses, c.address)
 	}
+	l.inlet.events.observe(l, len(l.conns))
 }
 
 // addressOf returns the IP address of a client.
