Keep the time for heads from ending requests that run

Cause: the server reads on while a handler runs, to notice that the client is gone. That read could begin before the handler marked the head as read; it then obeyed headerTimeoutMs and cancelled the request.

Change: the head ends with the state that the server sets before that read.

--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -265,10 +265,17 @@
 	_ = c.Conn.SetWriteDeadline(earlier(deadline, c.writeDeadline))
 }
 
-// startRequest is called when the head of a request was read.
-func (c *Conn) startRequest(hasBody bool) {
+// endHead is called when the head of a request was read, and before the server starts to watch
+// the connection for its end. Otherwise that read would obey the time for heads and, after it,
+// end a request that runs.
+func (c *Conn) endHead() {
 	c.headStart.Store(0)
 	c.progress.Store(time.Now().UnixNano())
+	c.phase.Store(phaseRunning)
+}
+
+// startRequest is called when the handler of a request begins.
+func (c *Conn) startRequest(hasBody bool) {
 	phase := int32(phaseRunning)
 	// A connection that carries several requests may be running one of them.
 	if c.requests.Add(1) == 1 && hasBody {
--- a/internal/inlet/inlet_test.go
+++ b/internal/inlet/inlet_test.go
@@ -241,3 +241,32 @@
 	<-done
 	g.Expect(status(trickling)).To(BeZero())
 }
+
+// Guards against the time for heads that ends requests which run longer: the server reads on
+// while a handler runs, to notice that the client is gone.
+func TestRunningRequestsOutliveTheTimeForHeads(t *testing.T) {
+	const headerTimeout, requests = 20 * time.Millisecond, 60
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	listener := New(Options{Size: Size{Places: requests, Bytes: 16 << 20}}).Listen(inner, "test", 1, true)
+	listener.SetLimits(Limits{HeaderTimeout: headerTimeout})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusInternalServerError)
+		case <-time.After(4 * headerTimeout):
+		}
+	})}
+	Bound(server, listener, 1)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	s := &testServer{address: inner.Addr().String()}
+	var conns []net.Conn
+	for range requests {
+		conns = append(conns, s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	}
+	for _, conn := range conns {
+		g.Expect(status(conn)).To(Equal(http.StatusOK))
+	}
+}
--- a/internal/inlet/server.go
+++ b/internal/inlet/server.go
@@ -47,7 +47,12 @@
 		if secure, ok := conn.(*tls.Conn); ok {
 			conn = secure.NetConn()
 		}
-		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c, ok := conn.(*Conn)
+		switch {
+		case !ok:
+		case state == http.StateActive:
+			c.endHead()
+		case state == http.StateIdle:
 			c.phase.Store(phaseIdle)
 		}
 	}
