Let a refused connection come back within its deadline

Cause: a connection without a place was told to come back after 1 s, more than three tenths of the shortest deadline, 2.5 s.

Change: 0.5 s.

--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -26,9 +26,10 @@
 	kernelBytes = 128 << 10
 )
 
-// Refusals that are written before a request was read to its end, so that it has not run.
+// Refusals that are written before a request was read to its end, so that it has not run. Its
+// deadline is not known yet; the time to come back is below three tenths of the shortest, 2.5 s.
 const (
-	refusalUnavailable = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	refusalUnavailable = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	refusalTimedOut    = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
