--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -116,6 +117,11 @@
 		c.releaseReplacement(next)
 	} else {
 		answer.Discard()
+		if errors.Is(err, errBuffersFull) {
+			// The memory of this entry is used up, which is no fault of the endpoint.
+			h.choice.RecordSuccess(time.Now())
+			return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}, watch.stop())
+		}
 		h.recordFailure(time.Now(), false)
 		c.checkForCrash(ctx, h)
 		return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}, next)
--- a/internal/gateway/entry/queues.go
+++ b/internal/gateway/entry/queues.go
@@ -37,7 +37,7 @@
 	defer l.mu.Unlock()
 	if q = l.list[service]; q == nil {
 		q = &serviceQueue{entry: l.entry, service: service, queue: waiting.NewQueue(waiting.Limits{
-			Requests: maxWaitingPerService, Bytes: int64(waitingBodyShare * float64(l.entry.bodies.limit)),
+			Requests: maxWaitingPerService, Bytes: int64(waitingBodyShare * float64(l.entry.inlet.Budget().Limit())),
 		})}
 		l.list[service] = q
 	}
--- a/internal/gateway/entry/wait.go
+++ b/internal/gateway/entry/wait.go
@@ -70,7 +70,7 @@
 // waitRequest describes the request for the queue.
 func (c *call) waitRequest(now, giveUp time.Time) waiting.Request {
 	return waiting.Request{
-		Workspace: c.workspace, Caller: c.meta.Key, Rank: c.priority, Bytes: int64(len(c.body.data)),
+		Workspace: c.workspace, Caller: c.meta.Key, Rank: c.priority, Bytes: int64(len(c.body.Data())),
 		Target: c.receivedAt.Add(c.route.Target), Deadline: c.deadline.Add(-minAttemptTime), MayHaveRun: c.possiblyRan, GiveUp: giveUp,
 		Selective: c.softwareVersion != nil || len(c.avoidedEndpoints()) > 0,
 	}
