Add the bounds of roll-outs to the settings of the gateway

A deployment states how many requests a version that is not trusted yet may get, and how fast a bad one must be stopped. Without the share, roll-outs are not offered. go test ./internal/settings: ok.

--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -99,8 +99,19 @@
 	GraceS float64 `json:"grace_s"`
 	// Losses is the number of state replicas that may be lost at once.
 	Losses int `json:"losses"`
+	// A version that a roll-out introduces may get a share ExposureShare of the requests
+	// of its service, and ExposureAllowance further requests, before it is trusted.
+	// Roll-outs are offered only if ExposureShare is set.
+	ExposureShare     float64 `json:"exposure_share"`
+	ExposureAllowance float64 `json:"exposure_allowance"`
+	// RollbackMS is the time within which a bad version must no longer get requests, in
+	// milliseconds.
+	RollbackMS int `json:"rollback_ms"`
 }
 
+// OffersRollouts reports whether operators may order roll-outs.
+func (b *GatewayBounds) OffersRollouts() bool { return b.ExposureShare > 0 }
+
 // GatewayCloud holds the address to which duty calls are sent.
 type GatewayCloud struct {
 	Address string `json:"address"`
@@ -141,6 +152,7 @@
 	defaultLeaseMS        = 3000
 	defaultGraceS         = 8
 	defaultLosses         = 1
+	defaultRollbackMS     = 5000
 )
 
 func (b *GatewayBounds) setDefaults() {
@@ -153,6 +165,20 @@
 	b.LeaseMS = cmp.Or(b.LeaseMS, defaultLeaseMS)
 	b.GraceS = cmp.Or(b.GraceS, defaultGraceS)
 	b.Losses = cmp.Or(b.Losses, defaultLosses)
+	b.RollbackMS = cmp.Or(b.RollbackMS, defaultRollbackMS)
+}
+
+// checkRollouts checks the bounds of roll-outs.
+func (b *GatewayBounds) checkRollouts() error {
+	switch {
+	case !(b.ExposureShare >= 0 && b.ExposureShare <= 1):
+		return &Error{Field: "bounds.exposure_share", Message: "must be between 0 and 1"}
+	case !(b.ExposureAllowance >= 0):
+		return &Error{Field: "bounds.exposure_allowance", Message: "must not be negative"}
+	case b.RollbackMS < 0:
+		return &Error{Field: "bounds.rollback_ms", Message: "must not be negative"}
+	}
+	return nil
 }
 
 func (g *Gateway) validate() error {
@@ -176,6 +202,9 @@
 	case g.Role == RoleState && (g.Listen.Control == "" || g.DataFolder == ""):
 		return &Error{Field: "listen", Message: "a state replica needs control and data_folder"}
 	}
+	if err := g.Bounds.checkRollouts(); err != nil {
+		return err
+	}
 	return g.Trace.check()
 }
 
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -52,3 +52,33 @@
 	_, err = settings.LoadGateway(path)
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// Guards against roll-outs that are offered without a bound on the exposure, and against
+// bounds that no roll-out can keep.
+func TestRolloutBounds(t *testing.T) {
+	g := NewWithT(t)
+	parse := func(bounds string) (*settings.Gateway, error) {
+		return settings.ParseGateway([]byte(strings.Replace(entrySettings, `"lease_ms":500`, bounds, 1)))
+	}
+	s, err := parse(`"lease_ms":500`)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Bounds.OffersRollouts()).To(BeFalse())
+	s, err = parse(`"exposure_share":0.1,"exposure_allowance":50,"rollback_ms":4000`)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Bounds.OffersRollouts()).To(BeTrue())
+	g.Expect(s.Bounds.ExposureShare).To(Equal(0.1))
+	g.Expect(s.Bounds.ExposureAllowance).To(Equal(50.0))
+	g.Expect(s.Bounds.RollbackMS).To(Equal(4000))
+	for field, bounds := range map[string][]string{
+		"bounds.exposure_share":     {`"exposure_share":1.1`, `"exposure_share":-0.1`},
+		"bounds.exposure_allowance": {`"exposure_allowance":-1`},
+		"bounds.rollback_ms":        {`"rollback_ms":-1`},
+	} {
+		for _, text := range bounds {
+			var settingsErr *settings.Error
+			_, err := parse(text)
+			g.Expect(errors.As(err, &settingsErr)).To(BeTrue(), text)
+			g.Expect(settingsErr.Field).To(Equal(field))
+		}
+	}
+}
