Read the newest records of a series from the replicated log

Roll-outs need a record that is replaced by compare-and-set on a revision. The records of the ledger do this already: the key is the revision, and the first value of a key stays. New are a linearizable read and a watch of the newest record of each series.

go test -race ./internal/core/ledger, -run Records ./internal/replica: ok.

--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -254,6 +254,20 @@
 	return outcome.Record.Value, nil
 }
 
+// NewestRecords returns the newest record of each series whose name begins with prefix. It
+// reads from the leader, so that it returns what was recorded before the call. The error is
+// a *port.NoQuorumError, or a *UnsupportedError if the leader is of an older build.
+func (c *Client) NewestRecords(ctx context.Context, prefix string) ([]port.RecordRequest, error) {
+	answer, err := c.do(ctx, MethodRead, &request{Read: readRecords, Prefix: prefix})
+	if err != nil {
+		return nil, clearProposed(err)
+	}
+	if !answer.ReadsRecords {
+		return nil, &UnsupportedError{Read: string(readRecords)}
+	}
+	return answer.Records, nil
+}
+
 // DeclareOwnerDead declares an incarnation of a daemon and all earlier
 // incarnations dead. Their running claims change to the state unknown.
 func (c *Client) DeclareOwnerDead(ctx context.Context, owner string, incarnation uint64) error {
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -63,6 +63,13 @@
 // Error implements error.
 func (e *InvalidError) Error() string { return "request refused: " + e.Reason }
 
+// UnsupportedError reports a kind of read that the leader does not know, because it runs an
+// older build.
+type UnsupportedError struct{ Read string }
+
+// Error implements error.
+func (e *UnsupportedError) Error() string { return "leader does not support the read " + e.Read }
+
 // certainlyNotSent reports whether a failed call cannot have reached the peer,
 // because no connection was established.
 func certainlyNotSent(err error) bool {
--- a/internal/replica/handlers.go
+++ b/internal/replica/handlers.go
@@ -180,6 +180,8 @@
 			return reply{Generations: r.ledger.History(req.Limit)}
 		case readRunning:
 			return reply{Running: r.ledger.Running()}
+		case readRecords:
+			return reply{ReadsRecords: true, Records: r.ledger.NewestRecords(req.Prefix)}
 		default:
 			return reply{Generations: []port.Generation{r.ledger.Current()}}
 		}
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -51,6 +51,7 @@
 			return eris.Wrapf(err, "install snapshot %d", rd.Snapshot.Index)
 		}
 		r.snapshot.index, r.snapshot.bytes = rd.Snapshot.Index, 0
+		r.recordsChanged = true
 		rd.Snapshot.Data = nil
 		r.log.Info("Snapshot installed.", zap.Uint64("index", rd.Snapshot.Index))
 	}
@@ -58,6 +59,7 @@
 		r.applyEntry(&rd.Committed[i])
 	}
 	r.watch.set(r.ledger.Current())
+	r.publishRecords()
 	return nil
 }
 
@@ -66,6 +68,7 @@
 	if e.Kind == raft.EntryCommand {
 		outcome := r.ledger.Apply(e.Index, e.Data)
 		answer.Outcome = &outcome
+		r.recordsChanged = r.recordsChanged || outcome.Record != nil
 	}
 	r.snapshot.bytes += len(e.Data)
 	p := r.pending[e.Index]
--- a/internal/replica/protocol.go
+++ b/internal/replica/protocol.go
@@ -48,6 +48,7 @@
 	Lease   *ledger.LeaseRequest `json:"lease,omitempty"`
 	Read    readKind             `json:"read,omitempty"`
 	Limit   int                  `json:"limit,omitempty"`
+	Prefix  string               `json:"prefix,omitempty"`
 	After   uint64               `json:"after,omitempty"`
 	WaitMS  int64                `json:"wait_ms,omitempty"`
 	Change  raft.Change          `json:"change"`
@@ -60,6 +61,8 @@
 	readCurrent readKind = "current"
 	readHistory readKind = "history"
 	readRunning readKind = "running"
+	// readRecords reads the newest record of each series with a prefix.
+	readRecords readKind = "records"
 )
 
 // reply is the result of the ledger methods.
@@ -69,6 +72,10 @@
 	Generations []port.Generation `json:"generations,omitempty"`
 	Running     map[string]int    `json:"running,omitempty"`
 	Status      *Status           `json:"status,omitempty"`
+	// Records answers readRecords. ReadsRecords tells it from the answer of an older build,
+	// which does not know this kind of read and returns the current generation.
+	Records      []port.RecordRequest `json:"records,omitempty"`
+	ReadsRecords bool                 `json:"reads_records,omitempty"`
 }
 
 // Status describes a replica.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,6 +42,10 @@
 
 	network *network
 	watch   watch
+	records recordWatch
+	// recordsChanged is set while applied records are not yet published. Only the event
+	// loop uses it.
+	recordsChanged bool
 
 	// Only the event loop uses the fields down to the mutex, except for rejoining.
 	raft            *raft.Raft
@@ -107,6 +111,7 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.clusterID.Store(r.identity.Cluster)
 	r.watch.init()
+	r.records.init()
 	r.network = newNetwork(r)
 	r.Client = newClient(opts.Group, r.knownAddresses, &localCaller{r, opts.Caller})
 	r.register()
@@ -200,6 +205,8 @@
 	if err := r.ledger.Restore(recovered.Snapshot.Data); err != nil {
 		return err
 	}
+	r.recordsChanged = true
+	r.publishRecords()
 	r.snapshot.index = recovered.Snapshot.Index
 	snapshot := recovered.Snapshot
 	snapshot.Data = nil
