Define the types of roll-outs and their fields in polls

Other parts build the replicated log and the operators' interface against these types. Build passes.

--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -16,6 +16,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
 	"github.com/boragelead/boragelead/internal/gateway/streams"
 )
 
@@ -89,6 +90,10 @@
 	Offer *Peer `msgpack:"f,omitempty"`
 	// PeersID identifies the list of peers that the entry received last from this replica.
 	PeersID uint64 `msgpack:"b,omitempty"`
+	// Rollouts holds the evidence of this entry for the roll-outs that it knows.
+	Rollouts []rollout.Report `msgpack:"v1,omitempty"`
+	// RolloutVersion is the version of the replica's roll-out records that the entry has.
+	RolloutVersion uint64 `msgpack:"v2,omitempty"`
 }
 
 // Peer is an entry that takes requests that other entries forward.
@@ -165,6 +170,14 @@
 	// PeersID, which identifies the list, is not that of the request.
 	Peers   []Peer `msgpack:"l,omitempty"`
 	PeersID uint64 `msgpack:"i,omitempty"`
+	// Rollouts holds the roll-out records of all services, if RolloutVersion is not that of
+	// the request. RolloutVersion is that of the replica's state, the largest revision.
+	Rollouts       []rollout.Record `msgpack:"v1,omitempty"`
+	RolloutVersion uint64           `msgpack:"v2,omitempty"`
+	// RolloutAgeMS is how long ago the replica last knew that its records were the newest, in
+	// milliseconds: 0 for a leader with a quorum, and the time since the last message of the
+	// leader for the others. Negative means never.
+	RolloutAgeMS int64 `msgpack:"v3,omitempty"`
 	// TimeNS is the agreed time of day when the reply was sent, in Unix nanoseconds.
 	TimeNS int64 `msgpack:"t"`
 }
