Keep roll-outs in the replicated log and step them at the leader

Orders of operators go to the leader, which commits the record before it answers; the loop of the leader commits each step by compare-and-set on the revision. Polls bring evidence and get changed records at once.

--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -51,6 +51,8 @@
 	// ticks since its last message.
 	lastLeader        ID
 	leaderSilentTicks int
+	// leaderMessages counts the messages of leaders that this node followed.
+	leaderMessages uint64
 
 	electionElapsed  int
 	heartbeatElapsed int
@@ -93,6 +95,9 @@
 	return r, nil
 }
 
+// LeaderMessages returns the number of messages of leaders that this node followed.
+func (r *Raft) LeaderMessages() uint64 { return r.leaderMessages }
+
 // Tick advances the logical clock by one tick.
 func (r *Raft) Tick() {
 	r.electionElapsed++
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -42,6 +42,7 @@
 		}
 	}
 	s.rateLimits.Merge(request.RateLimits, now)
+	s.rollouts.Observe(request.Entry, request.Incarnation, request.Rollouts, now)
 	reply := s.awaitUpdate(ctx, request)
 	reply.GrantsLeases, reply.QuotaLease = true, s.leaseQuotas(request)
 	if reply.IsLeader {
@@ -119,10 +120,13 @@
 	for {
 		crashed, crashReported := s.crashNews.since(request.CrashVersion)
 		reply, changed, documentChanged, endpointsChanged := s.update(request)
-		if changed || crashed {
+		urgent, rolloutsChanged := s.addRollouts(request, reply)
+		if changed || crashed || urgent {
 			return reply
 		}
 		select {
+		case <-rolloutsChanged:
+			continue
 		case <-documentChanged:
 			continue
 		case <-endpointsChanged:
@@ -137,6 +141,7 @@
 		}
 		// What the first reply says of the leader and of all entries is as old as the wait.
 		reply, _, _, _ = s.update(request)
+		s.addRollouts(request, reply)
 		return reply
 	}
 }
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -20,6 +20,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/quota"
 	"github.com/boragelead/boragelead/internal/gateway/ratelimit"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
 	"github.com/boragelead/boragelead/internal/gateway/streams"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/guard"
@@ -109,7 +110,12 @@
 	// rateLimits holds the request rates to which endpoints limit all entries.
 	rateLimits *ratelimit.Table
 	// origins holds the software versions at which streams began.
-	origins        *streams.Table
+	origins *streams.Table
+	// rollouts holds what entries reported of roll-outs, and judges compares the versions of
+	// those that run, by ID. Only rolloutLoop uses judges.
+	rollouts       *rollout.Ledger
+	judges         map[uint64]*rollout.Judge
+	rolloutCache   rolloutCache
 	documentCache  documentCache
 	documentSource documentSource
 	// health is what was last reported of the group. Only refreshStatus uses it.
@@ -153,7 +159,7 @@
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
-		leases: quota.NewLeases(), coverage: &coverage{}, leaderChanged: make(chan struct{}),
+		leases: quota.NewLeases(), rollouts: rollout.NewLedger(), judges: map[uint64]*rollout.Judge{}, coverage: &coverage{}, leaderChanged: make(chan struct{}),
 	}
 	st.ctx, st.cancel = context.WithCancel(context.Background())
 	seeds := entry.PeerAddresses(s.Seeds, s.PeerPort)
@@ -177,6 +183,7 @@
 	options.RPC.Handle(link.MethodSpend, st.handleSpend)
 	options.RPC.Handle(link.MethodPartProbe, st.handlePartProbe)
 	options.RPC.Handle(link.MethodCrashes, st.handleCrashes)
+	options.RPC.Handle(link.MethodRollout, st.handleRollout)
 	return st, nil
 }
 
@@ -209,6 +216,9 @@
 	s.background.Go(func() { s.runEvery(saveInterval, s.saveEndpoints) })
 	s.background.Go(s.shareLoop)
 	s.background.Go(s.dutyLoop)
+	if s.options.Settings.Bounds.OffersRollouts() {
+		s.background.Go(func() { s.runEvery(rolloutInterval, s.stepRollouts) })
+	}
 }
 
 // Close transfers the leadership to another replica and stops.
