--- a/internal/gateway/rollout/evidence.go
+++ b/internal/gateway/rollout/evidence.go
@@ -1,20 +1,57 @@
 package rollout
 
-import "time"
+import (
+	"maps"
+	"math"
+	"time"
+)
 
-// TimeBuckets is the number of ranges in which times to answer are counted.
-const TimeBuckets = 16
+// TimeBuckets is the number of ranges in which times to answer are counted. Range i ends at
+// shortestTime times bucketFactor to the power of i; the last one has no end.
+const TimeBuckets = 24
+
+const (
+	shortestTime = 4 * time.Millisecond
+	bucketFactor = math.Sqrt2
+)
 
 // Counts holds the results of the requests of one version at one route.
 type Counts struct {
-	// Answers counts all results, and Failures those of them that are failures: server
+	// Answers counts the requests that ended, and Failures those of them that failed: server
 	// errors, answers that ended early or did not arrive.
 	Answers  int64 `msgpack:"a"`
 	Failures int64 `msgpack:"f,omitempty"`
-	// Times counts the other results by their time to the answer or the first event.
+	// Times counts requests by their time to the answer or to the first event of a stream.
+	// A request whose caller or entry no longer waited counts with the time that it took
+	// until then.
 	Times [TimeBuckets]int64 `msgpack:"t"`
 }
 
+// bucketOf returns the index of the range of a time.
+func bucketOf(t time.Duration) int {
+	if t <= shortestTime {
+		return 0
+	}
+	return min(int(math.Ceil(2*math.Log2(float64(t)/float64(shortestTime)))), TimeBuckets-1)
+}
+
+// add adds other counts, multiplied by a sign.
+func (c *Counts) add(other *Counts, sign int64) {
+	c.Answers += sign * other.Answers
+	c.Failures += sign * other.Failures
+	for i := range c.Times {
+		c.Times[i] += sign * other.Times[i]
+	}
+}
+
+// clamp replaces negative counts by 0.
+func (c *Counts) clamp() {
+	c.Answers, c.Failures = max(c.Answers, 0), max(c.Failures, 0)
+	for i := range c.Times {
+		c.Times[i] = max(c.Times[i], 0)
+	}
+}
+
 // RouteCounts holds the results of both versions at a route.
 type RouteCounts struct {
 	Old Counts `msgpack:"o"`
@@ -25,49 +62,39 @@
 type Evidence map[string]RouteCounts
 
 // Merge adds the counts of another source to e, which must not be nil.
-func (e Evidence) Merge(other Evidence) {}
-
-// Since returns the counts that were added since an earlier state.
-func (e Evidence) Since(earlier Evidence) Evidence { return nil }
+func (e Evidence) Merge(other Evidence) { e.merge(other, 1) }
 
-// Total returns the sum over all routes.
-func (e Evidence) Total() RouteCounts { return RouteCounts{} }
-
-// Report is the evidence of one entry for one roll-out. An entry sends it with a poll.
-type Report struct {
-	// ID is that of the record, and Revision the one that the entry acts by.
-	ID       uint64 `msgpack:"i"`
-	Service  string `msgpack:"s"`
-	Revision uint64 `msgpack:"v"`
-	// RunningOld is the number of attempts of the entry that run at old endpoints.
-	RunningOld int `msgpack:"r,omitempty"`
-	// Exposed is the number of requests that the entry sent to the new version.
-	Exposed  int64    `msgpack:"x,omitempty"`
-	Evidence Evidence `msgpack:"e,omitempty"`
+func (e Evidence) merge(other Evidence, sign int64) {
+	for route, counts := range other {
+		sum := e[route]
+		sum.Old.add(&counts.Old, sign)
+		sum.New.add(&counts.New, sign)
+		e[route] = sum
+	}
 }
 
-// Ledger holds the newest reports of all entries at a replica. It is safe for concurrent use.
-type Ledger struct{}
-
-// NewLedger returns a ledger without reports.
-func NewLedger() *Ledger { return &Ledger{} }
-
-// Observe takes in the reports of a poll of one incarnation of an entry. Reports are
-// cumulative: an older one that arrives late changes nothing.
-func (l *Ledger) Observe(entry string, incarnation uint64, reports []Report, now time.Time) {}
-
-// Sums is what all entries reported of a roll-out.
-type Sums struct {
-	Evidence Evidence
-	// RunningOld is the number of attempts at old endpoints, and Unconfirmed the number of
-	// entries that poll but have not reported to act by the revision of the record.
-	RunningOld, Unconfirmed int
-	// Exposed is the number of requests that were sent to the new version.
-	Exposed int64
+// Since returns the counts that were added since an earlier state. Counts that became
+// smaller, because a new leader knows fewer entries, are 0.
+func (e Evidence) Since(earlier Evidence) Evidence {
+	difference := maps.Clone(e)
+	if difference == nil {
+		return Evidence{}
+	}
+	difference.merge(earlier, -1)
+	for route, counts := range difference {
+		counts.Old.clamp()
+		counts.New.clamp()
+		difference[route] = counts
+	}
+	return difference
 }
 
-// Sums returns the sums for a roll-out. now is a monotonic time.
-func (l *Ledger) Sums(r *Record, now time.Time) Sums { return Sums{} }
-
-// Retain drops the reports of all roll-outs but those of the given records.
-func (l *Ledger) Retain(records []Record) {}
+// Total returns the sum over all routes.
+func (e Evidence) Total() RouteCounts {
+	var total RouteCounts
+	for _, counts := range e {
+		total.Old.add(&counts.Old, 1)
+		total.New.add(&counts.New, 1)
+	}
+	return total
+}
--- a/internal/gateway/rollout/judge.go
+++ b/internal/gateway/rollout/judge.go
@@ -1,6 +1,35 @@
 package rollout
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// falseAlarm is the greatest probability that a version which is not worse is found bad
+	// at any look. A part of it covers the estimate of the old version, the rest the test.
+	falseAlarm    = 0.01
+	estimateShare = 0.2
+	// failureFactor and failureSlack are how much more often than the old version a version
+	// may fail without being worse. They cover that endpoints differ.
+	failureFactor = 1.5
+	failureSlack  = 0.01
+	// lateFactor and lateSlack are the same for late answers, and lateShift is the number of
+	// time ranges by which the new version may be slower: KV caches of new endpoints are
+	// empty at first, and endpoints differ in speed.
+	lateFactor = 1.5
+	lateSlack  = 0.03
+	lateShift  = 1
+	// minWindow is the least time between the starts of two windows, and windowsPerRollout
+	// their number in a roll-out.
+	minWindow         = time.Second
+	windowsPerRollout = 16
+	// expectedRoutes is the number of routes among which the probability of a false alarm is
+	// divided if there are not more.
+	expectedRoutes = 8
+)
 
 // Verdict is the result of comparing both versions.
 type Verdict struct {
@@ -11,11 +40,181 @@
 }
 
 // Judge compares both versions of one roll-out. The leader creates one for each record and
-// keeps it in memory. A new leader starts a new one: the evidence is cumulative.
-type Judge struct{}
+// keeps it in memory. A new leader starts a new one: the evidence is cumulative. It is not
+// safe for concurrent use.
+type Judge struct {
+	orderedAt time.Time
+	interval  time.Duration
+	windows   []window
+}
+
+// window is the evidence at the time at which a window starts.
+type window struct {
+	number int
+	before Evidence
+}
 
 // NewJudge returns a judge for a roll-out.
-func NewJudge(r *Record) *Judge { return &Judge{} }
+func NewJudge(r *Record) *Judge {
+	return &Judge{
+		orderedAt: r.OrderedAt(), interval: max(minWindow, r.Duration()/windowsPerRollout),
+		windows: []window{{number: 0}},
+	}
+}
+
+// Look compares the versions by the evidence so far, at an agreed time. Besides all evidence
+// it examines that since the start of each window, so that a version that turns bad late is
+// found as fast as one that is bad from the start.
+func (j *Judge) Look(e Evidence, now time.Time) Verdict {
+	for _, w := range j.windows {
+		if verdict := compare(e.Since(w.before), w.weight()); verdict.Bad {
+			return verdict
+		}
+	}
+	number := int(now.Sub(j.orderedAt) / j.interval)
+	if number > j.windows[len(j.windows)-1].number {
+		j.windows = append(j.windows, window{number, e.Since(nil)})
+		if len(j.windows) > windowsPerRollout {
+			j.windows = slices.Delete(j.windows, 1, 2)
+		}
+	}
+	return Verdict{}
+}
+
+// weight returns the window's part of the probability of a false alarm. The weights of all
+// windows add up to at most 1.
+func (w *window) weight() float64 {
+	if w.number == 0 {
+		return 0.5
+	}
+	return 0.5 / float64(w.number*(w.number+1))
+}
+
+// compare tests all routes, and the sum of them, with a part of the probability of a false
+// alarm. One half goes to the sum and one to the routes.
+func compare(e Evidence, part float64) Verdict {
+	total := e.Total()
+	if verdict := compareCounts("all routes", &total, part/2); verdict.Bad {
+		return verdict
+	}
+	part /= 2 * float64(max(len(e), expectedRoutes))
+	for route, counts := range e {
+		if verdict := compareCounts("route "+route, &counts, part); verdict.Bad {
+			return verdict
+		}
+	}
+	return Verdict{}
+}
+
+// compareCounts tests failures with one half of a part, and late answers with the other.
+func compareCounts(name string, counts *RouteCounts, part float64) Verdict {
+	failures := sample{counts.Old.Failures, counts.Old.Answers, counts.New.Failures, counts.New.Answers}
+	if failures.isWorse(failureFactor, failureSlack, part/2) {
+		return Verdict{Bad: true, Reason: failures.describe(name, "failures")}
+	}
+	part /= 2 * (TimeBuckets - lateShift - 1)
+	late := tails(&counts.Old.Times, &counts.New.Times)
+	for i := range late {
+		if late[i].isWorse(lateFactor, lateSlack, part) {
+			return Verdict{Bad: true, Reason: late[i].describe(name, fmt.Sprintf("answers later than %d ms", boundOf(i).Milliseconds()))}
+		}
+	}
+	return Verdict{}
+}
+
+// boundOf returns the end of a time range.
+func boundOf(bucket int) time.Duration {
+	return time.Duration(float64(shortestTime) * math.Pow(bucketFactor, float64(bucket)))
+}
 
-// Look compares the versions by the evidence so far, at an agreed time.
-func (j *Judge) Look(e Evidence, now time.Time) Verdict { return Verdict{} }
+// tails returns, for each time range, the answers of the old version that were later than its
+// end, and those of the new version that were later by lateShift more ranges.
+func tails(old, young *[TimeBuckets]int64) [TimeBuckets - lateShift - 1]sample {
+	var list [TimeBuckets - lateShift - 1]sample
+	var sums sample
+	for i := range TimeBuckets {
+		sums.oldAll += old[i]
+		sums.newAll += young[i]
+	}
+	oldLate, newLate := sums.oldAll, sums.newAll
+	for i := range lateShift {
+		newLate -= young[i]
+	}
+	for i := range list {
+		oldLate -= old[i]
+		newLate -= young[i+lateShift]
+		list[i] = sample{oldLate, sums.oldAll, newLate, sums.newAll}
+	}
+	return list
+}
+
+// sample counts the requests with a property, and all, of both versions.
+type sample struct{ oldWith, oldAll, newWith, newAll int64 }
+
+func (s *sample) describe(name, property string) string {
+	return fmt.Sprintf("%s: %s %d of %d at the new version, %d of %d at the old", name, property, s.newWith, s.newAll, s.oldWith, s.oldAll)
+}
+
+// isWorse reports whether the new version has the property more often than factor times the
+// rate of the old version plus slack. If it has not, the probability that any look says so is
+// at most part times falseAlarm.
+//
+// The rate of the old version is replaced by an upper bound that holds at all looks. The
+// evidence against a rate is the ratio of the likelihood of the counts, with a prior over all
+// rates, to that by the rate. While the rate is true, the ratio is a martingale, and by
+// Ville's inequality it exceeds 1/p at any time with a probability of at most p.
+func (s *sample) isWorse(factor, slack, part float64) bool {
+	if s.newAll == 0 || s.newWith == 0 {
+		return false
+	}
+	rate := float64(s.newWith) / float64(s.newAll)
+	limit := -math.Log(part * falseAlarm * (1 - estimateShare))
+	exceeds := func(oldRate float64) bool {
+		bound := min(factor*oldRate+slack, 1)
+		return rate > bound && evidenceAgainst(s.newWith, s.newAll, bound) >= limit
+	}
+	// Most looks end here: the upper bound is above the estimate.
+	if !exceeds(float64(s.oldWith) / float64(max(s.oldAll, 1))) {
+		return false
+	}
+	return exceeds(upperRate(s.oldWith, s.oldAll, -math.Log(part*falseAlarm*estimateShare)))
+}
+
+// evidenceAgainst returns the logarithm of the likelihood of the counts, with a Beta(1/2, 1/2)
+// prior over the rates, relative to that by a rate.
+func evidenceAgainst(with, all int64, rate float64) float64 {
+	x, rest := float64(with), float64(all-with)
+	return logBeta(x+0.5, rest+0.5) - logBeta(0.5, 0.5) - xLogY(x, rate) - xLogY(rest, 1-rate)
+}
+
+func logBeta(a, b float64) float64 {
+	la, _ := math.Lgamma(a)
+	lb, _ := math.Lgamma(b)
+	lab, _ := math.Lgamma(a + b)
+	return la + lb - lab
+}
+
+func xLogY(x, y float64) float64 {
+	if x == 0 {
+		return 0
+	}
+	return x * math.Log(y)
+}
+
+// upperRate returns the greatest rate against which the evidence is below a limit.
+func upperRate(with, all int64, limit float64) float64 {
+	const steps = 24
+	if all == 0 {
+		return 1
+	}
+	low, high := float64(with)/float64(all), 1.0
+	for range steps {
+		middle := (low + high) / 2
+		if evidenceAgainst(with, all, middle) < limit {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return high
+}
