--- a/cmd/boragelead/exit.go
+++ b/cmd/boragelead/exit.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 
 	"github.com/boragelead/boragelead/internal/adminclient"
 	"github.com/boragelead/boragelead/internal/core/conf"
 	"github.com/boragelead/boragelead/internal/logview"
 	"github.com/boragelead/boragelead/internal/status"
+	"github.com/boragelead/boragelead/platform"
 )
 
 // Exit codes; they are documented in docs/command-line.md. flaggy exits with code 2 on
@@ -64,6 +67,8 @@
 	var apiErr *adminclient.Error
 	var unreachable *adminclient.UnreachableError
 	var notInLogs *logview.NotFoundError
+	var refused *platform.RolloutRefusedError
+	var network *net.OpError
 	switch {
 	case err == nil:
 		return exitOK
@@ -78,7 +83,9 @@
 		return exitFailure
 	case errors.As(err, &pending), errors.Is(err, context.DeadlineExceeded):
 		return exitTimeout
-	case errors.As(err, &unreachable):
+	case errors.As(err, &refused):
+		return rolloutExitCode(refused)
+	case errors.As(err, &unreachable), errors.As(err, &network):
 		return exitUnreachable
 	case errors.As(err, &notInLogs):
 		return exitNotFound
@@ -87,6 +94,19 @@
 	}
 }
 
+// rolloutExitCode returns the exit code for a refusal by the state replicas of the gateway.
+func rolloutExitCode(err *platform.RolloutRefusedError) int {
+	switch {
+	case err.NotFound():
+		return exitNotFound
+	case err.Conflict():
+		return exitConflict
+	case err.Status >= http.StatusInternalServerError:
+		return exitNoQuorum
+	}
+	return exitInvalid
+}
+
 // explainError returns the lines that describe the error to an operator.
 func explainError(err error) []string {
 	var invalid *conf.ValidationError
--- a/cmd/boragelead/main.go
+++ b/cmd/boragelead/main.go
@@ -17,6 +17,7 @@
 	registerExplain,
 	registerQuotas,
 	registerFleet,
+	registerRollout,
 	registerState,
 	registerDev,
 	registerLoad,
--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -173,7 +173,11 @@
 	if err != nil {
 		return err
 	}
-	server := newControlServer(platform.ControlHandler(s, s))
+	var rollouts platform.Rollouts
+	if g.config.Bounds.OffersRollouts() {
+		rollouts = s
+	}
+	server := newControlServer(platform.ControlHandler(s, s, rollouts))
 	go func() {
 		if err := server.Serve(control); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("Control listener failed; it accepts no more requests.", zap.String("address", g.config.Listen.Control), zap.Error(err))
--- a/internal/gateway/state/rollout_loop.go
+++ b/internal/gateway/state/rollout_loop.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/gateway/rollout"
 )
@@ -53,7 +54,7 @@
 func (s *State) stepRollout(table *rolloutTable, r *rollout.Record, now time.Time) bool {
 	in := s.rolloutInput(r, now)
 	next, changed := rollout.Step(*r, in)
-	if !changed || !s.hearsAll() && next.Phase != rollout.Reverted {
+	if !changed {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
@@ -78,13 +79,21 @@
 	in := rollout.Input{Now: s.clock.Now(), Sums: s.rollouts.Sums(r, now), Removed: s.isServiceGone(r.Service)}
 	in.Verdict = judge.Look(in.Sums.Evidence, in.Now)
 	in.ReadyOld, in.ReadyNew = countVersions(s.registry.Live(), r.Service, r.To)
-	if !s.hearsAll() {
-		// Entries that this replica has not heard from may act by an older record.
-		in.Sums.Unconfirmed++
-	}
+	in.LeadingFor = s.leadingFor()
 	return in
 }
 
+// leadingFor returns for how long this replica has been the leader and could hear from all
+// entries; 0 if it cannot have heard from all of them.
+func (s *State) leadingFor() time.Duration {
+	if !s.hearsAll() || !s.isLeader() {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bootclock.Now().Sub(s.leaderSince)
+}
+
 // countVersions returns the number of ready endpoints of a service with another version and
 // with the given one.
 func countVersions(live []registry.Endpoint, service, version string) (others, same int) {
