Keep endpoints of both versions during a roll-out, and test orders of roll-outs

The planner counts ready endpoints whatever their version, so it orders none twice, but it took those of a second version for a surplus and ordered the half. Orders of fewer endpoints are now held back until the version that lost is gone.

--- a/internal/gateway/state/scaling.go
+++ b/internal/gateway/state/scaling.go
@@ -70,7 +70,11 @@
 	if len(in.Endpoints) == 0 {
 		return
 	}
+	keepsAll := h.state.isRollingOut(service.Name, in.Endpoints)
 	for _, order := range planner.Plan(in) {
+		if keepsAll && reducesCount(order, in.Endpoints) {
+			continue
+		}
 		if !h.mayAct() {
 			return
 		}
--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -34,6 +34,8 @@
 type wireDocument struct {
 	Version uint64
 	Text    string
+	// Services are the names of the services of the document.
+	Services []string
 }
 
 func decode(data []byte) (*rules.Document, error) {
@@ -41,11 +43,15 @@
 	if err := json.Unmarshal(data, &d); err != nil {
 		return nil, &rules.InvalidError{Path: "$", Reason: err.Error()}
 	}
-	return &rules.Document{Version: d.Version}, nil
+	document := &rules.Document{Version: d.Version}
+	for _, name := range d.Services {
+		document.Services = append(document.Services, rules.Service{Name: name})
+	}
+	return document, nil
 }
 
 func document(version uint64, text string) []byte {
-	data, _ := json.Marshal(wireDocument{version, text})
+	data, _ := json.Marshal(wireDocument{Version: version, Text: text})
 	return data
 }
 
@@ -91,8 +97,10 @@
 	bounds settings.GatewayBounds
 	port   int
 	duties *duties
-	nodes  map[string]*node
-	seeds  []string
+	// mu is held while a replica is started or stopped beside calls of other goroutines.
+	mu    sync.Mutex
+	nodes map[string]*node
+	seeds []string
 }
 
 func newGroup(t *testing.T) *group {
@@ -137,7 +145,7 @@
 	go func() { n.rpc.Serve(listener) }()
 	n.state.Run()
 	gr.nodes[ip] = n
-	gr.t.Cleanup(func() { gr.stop(ip) })
+	gr.t.Cleanup(func() { gr.stopLocked(ip) })
 	return n
 }
 
