--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -97,7 +97,7 @@
 func NewBoard(random func() float64) *Board {
 	return &Board{
 		random:    random,
-		filters:   []Filter{ReadyFilter{}, VersionFilter{}, AvoidFilter{}, PauseFilter{}, BackoffFilter{}, ConnectionFilter{}, RateFilter{}},
+		filters:   []Filter{ReadyFilter{}, VersionFilter{}, RolloutFilter{}, AvoidFilter{}, PauseFilter{}, BackoffFilter{}, ConnectionFilter{}, RateFilter{}},
 		scorers:   []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}},
 		picker:    LowestScorePicker{Random: random},
 		endpoints: make(map[string]*stats),
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -22,6 +22,8 @@
 	MaxConnections int
 	// SoftwareVersion is the version at which the endpoint must be; nil means any.
 	SoftwareVersion *string
+	// Rule restricts the request to a version of a roll-out; nil means any.
+	Rule *VersionRule
 	// IgnorePauses admits endpoints that are paused after a failure.
 	IgnorePauses bool
 	Now          time.Time
@@ -91,6 +93,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	members := b.services[r.Service]
+	r.Rule.selectFocus(members)
 	r.crowded = b.isCrowded(r.Service, r.Now)
 	views, dropped, backingOff := b.applyFilters(r, members)
 	if len(views) == 0 {
