--- a/internal/gateway/pick/version_rule_test.go
+++ b/internal/gateway/pick/version_rule_test.go
@@ -29,6 +29,7 @@
 		for range 200 {
 			choice, err := board.Choose(&Request{Service: "app", Rule: rule, Now: time.Now()})
 			g.Expect(err).NotTo(HaveOccurred())
+			defer choice.End()
 			versions[choice.Endpoint.ID] = choice.Endpoint.SoftwareVersion
 		}
 		return versions
