--- a/internal/gateway/state/leadership.go
+++ b/internal/gateway/state/leadership.go
@@ -19,6 +19,9 @@
 	return s.confirmedAt != 0 && bootclock.Now().Sub(s.confirmedAt) < confirmationTTL
 }
 
+// Leads reports whether this replica is the leader that a majority has confirmed.
+func (s *State) Leads() bool { return s.isLeader() }
+
 // leaderAddress returns the address of the leader that this replica knows, or "".
 func (s *State) leaderAddress() string {
 	s.mu.Lock()
