Split the requests of a service in a roll-out between both versions

Entries take roll-out records from polls, ask for the side of each attempt, count the results of first attempts as evidence, and check the record again just before a request is sent. Without a record nothing is locked or counted.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -10,6 +10,7 @@
 	wire "github.com/boragelead/boragelead/internal/adapter/exchange"
 	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/telemetry"
@@ -92,13 +93,17 @@
 	choice := h.choice
 	watch, err := e.crashes.beginAttempt(c.fingerprint, c.parts, choice.Endpoint.ID)
 	if err != nil {
+		c.entry.rollouts.Return(h.exposure)
 		return outcome{refusal: c.suspectRefusal(err)}
 	}
 	c.watch = watch
+	c.trial = c.beginTrial(h)
+	c.sentToNew = c.sentToNew || h.side == rollout.New
 	ctx, span := e.options.Tracing.Start(ctx, telemetry.HopAttempt)
 	defer span.End()
 	span.Text("endpoint", choice.Endpoint.ID)
 	result := c.exchange(ctx, cancel, h)
+	c.settleRollout(h, &result)
 	span.Fail(result.err)
 	watch.end(result.done && c.complete)
 	return result
@@ -153,7 +158,7 @@
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.data,
 		// On a connection that carried this request before, a late second copy of the answer
 		// to the earlier attempt has the right ID, and would be taken for the answer to this one.
-		Fresh: slices.Contains(c.addresses, address), KeptOnly: h.keptOnly, BeforeSend: func() error { return checkChoice(choice) },
+		Fresh: slices.Contains(c.addresses, address), KeptOnly: h.keptOnly, BeforeSend: func() error { return c.checkSend(choice) },
 	}
 	c.addresses = append(c.addresses, address)
 	c.entry.metrics.attempts.Inc()
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -11,6 +11,7 @@
 	"github.com/boragelead/boragelead/internal/core/suspect"
 	"github.com/boragelead/boragelead/internal/gateway/forward"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/telemetry"
@@ -85,6 +86,13 @@
 	// originUnknown is set if the stream began at an endpoint whose software version is
 	// not known.
 	originUnknown bool
+	// ticket is the turn of the request in the roll-out of its service.
+	ticket rollout.Ticket
+	// sentToNew is set once an attempt was made at the new version of a roll-out. Those that
+	// follow it are made at the old one.
+	sentToNew bool
+	// trial measures the current attempt for a roll-out; nil if it is not measured.
+	trial *trial
 	// firstCounted is set once the request is counted in the retry budget.
 	firstCounted bool
 	// usageCounted is set once the request is counted in the usage of its workspace.
@@ -158,6 +166,9 @@
 	if !c.entry.reach.monitor.CutOff(c.service.Name) {
 		c.entry.rateLimits.countDemand(c.service.Name, time.Now())
 	}
+	if c.forwarded == nil {
+		c.ticket = c.entry.rollouts.Arrive(c.service.Name, c.route.Name, c.entry.clock.Now())
+	}
 	if err := c.placeTakeUp(ctx); err != nil {
 		return err
 	}
--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -62,9 +62,9 @@
 			}
 			checked = true
 		}
-		choice, err := c.chooseOnce(request)
+		h, err := c.chooseOnce(request)
 		if err == nil {
-			return directHop(choice), nil
+			return h, nil
 		}
 		if refusal := c.noEndpoint(err, request.Now, waitEnd); refusal != nil {
 			return nil, refusal
@@ -83,9 +83,8 @@
 		// The pauses are those of refused connections.
 		kept.IgnorePauses = true
 		kept.Avoid = slices.Concat(kept.Avoid, c.withoutKept)
-		if choice, err := c.chooseOnce(&kept); err == nil {
-			c.withoutKept = append(c.withoutKept, choice.Endpoint.ID)
-			h := directHop(choice)
+		if h, err := c.chooseOnce(&kept); err == nil {
+			c.withoutKept = append(c.withoutKept, h.endpoint.ID)
 			h.keptOnly = true
 			return h, nil
 		}
@@ -118,9 +117,16 @@
 
 // chooseOnce picks an endpoint. For a stream that is bound to a software version it needs a
 // recent answer of a replica. The error is a *pick.NoEndpointError or a *StaleViewError.
-func (c *call) chooseOnce(request *pick.Request) (*pick.Choice, error) {
+func (c *call) chooseOnce(request *pick.Request) (*hop, error) {
 	if request.SoftwareVersion != nil && !c.entry.replicaClient.knowsVersions(request.Now) {
 		return nil, &StaleViewError{Service: request.Service}
 	}
-	return c.entry.board.Choose(request)
+	if !c.entry.rollouts.Empty() {
+		return c.chooseBySplit(request)
+	}
+	choice, err := c.entry.board.Choose(request)
+	if err != nil {
+		return nil, err
+	}
+	return directHop(choice), nil
 }
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/peers"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/guard"
@@ -87,6 +88,8 @@
 	running       *runningCalls
 	origins       *streamOrigins
 	departures    *departures
+	rollouts      *rollout.Table
+	startedAt     bootclock.Instant
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -146,6 +149,7 @@
 	e.running = newRunningCalls()
 	e.origins = newStreamOrigins(e)
 	e.departures = newDepartures(e)
+	e.rollouts, e.startedAt = rollout.NewTable(options.Settings.Name), bootclock.Now()
 	return e
 }
 
--- a/internal/gateway/entry/hop.go
+++ b/internal/gateway/entry/hop.go
@@ -5,6 +5,7 @@
 
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
 )
 
 // hop is what an attempt is sent to: an endpoint, or a peer entry that chooses the endpoint.
@@ -18,6 +19,9 @@
 	endpoint registry.Endpoint
 	// versionUnknown is set if the peer does not know the software version of the endpoint.
 	versionUnknown bool
+	// side is that which a roll-out selected, and exposure the charge for it.
+	side     rollout.Side
+	exposure *rollout.Exposure
 	// keptOnly is set if the request may be sent over a kept connection only, because new
 	// ones are refused.
 	keptOnly bool
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -16,6 +16,7 @@
 	firstByte, total                                    *telemetry.Latency
 	inFlight, servicesCutOff, bodyBytes                 *telemetry.Gauge
 	quotaRefunded                                       *telemetry.Counter
+	rolloutExposed, rolloutFailed                       *telemetry.Counter
 	registry                                            *telemetry.Registry
 }
 
@@ -45,6 +46,7 @@
 		forwarded: r.Counter("gateway_forwarded"), forwardedFailed: r.Counter("gateway_forwarded_failed"),
 		servicesCutOff: r.Gauge("gateway_services_cut_off"), bodyBytes: r.Gauge("gateway_body_bytes"),
 		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
+		rolloutExposed: r.Counter("gateway_rollout_exposed"), rolloutFailed: r.Counter("gateway_rollout_failed"),
 		quotaRefunded: r.Counter("gateway_quota_refunded"),
 		inFlight:      r.Gauge("gateway_in_flight"), registry: r,
 	}
--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -10,8 +10,10 @@
 	"go.uber.org/zap"
 
 	wire "github.com/boragelead/boragelead/internal/adapter/exchange"
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/registry"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
 	"github.com/boragelead/boragelead/internal/port"
 	"github.com/boragelead/boragelead/internal/wait"
 )
@@ -51,7 +53,9 @@
 type streamRun struct {
 	attemptID string
 	request   pick.Request
-	move      *move
+	// ask describes the move for the roll-out of the service.
+	ask  rollout.Ask
+	move *move
 }
 
 // move is the move of a run to another endpoint.
@@ -72,7 +76,7 @@
 // trackRun records a stream that runs at an endpoint. The caller must call
 // untrackRun when the stream ends.
 func (m *migrations) trackRun(c *call, endpoint string) *streamRun {
-	run := &streamRun{attemptID: c.meta.AttemptID, request: *c.pickRequest()}
+	run := &streamRun{attemptID: c.meta.AttemptID, request: *c.pickRequest(), ask: c.ask()}
 	run.request.Avoid = slices.Clone(c.tried)
 	// The KV cache is copied, so the new endpoint does not process the prompt again.
 	run.request.PromptTokens, run.request.Prefix = 0, nil
@@ -192,10 +196,15 @@
 	if !e.retries.AllowRepeat(run.request.Service, time.Now()) {
 		return &BudgetError{Service: run.request.Service}
 	}
+	decision := e.rollouts.Split(run.ask, e.clock.Now(), bootclock.Now())
+	if decision.Side == rollout.Old {
+		return &WithdrawnError{Endpoint: from.ID}
+	}
 	request := run.request
 	request.Now, request.TimeOfDay = time.Now(), e.clock.Now()
 	choice, err := e.board.Choose(&request)
 	if err != nil {
+		e.rollouts.Return(decision.Exposure)
 		return err
 	}
 	mv.moveRequest = port.Move{EndpointID: from.ID, AttemptID: run.attemptID, From: from.Address, To: choice.Endpoint.Address}
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -29,6 +29,8 @@
 	replicaRun, registryVersion, crashVersion, rateLimitVersion uint64
 	// peersID is that of the list of peers that the replica sent last.
 	peersID uint64
+	// rolloutVersion is that of the roll-out records that the replica sent last.
+	rolloutVersion uint64
 	// generation is that of the newest document that the replica offered.
 	generation uint64
 	// ackedCrashes and ackedRateLimits are the versions of this entry's crash records
@@ -92,6 +94,7 @@
 		Entry: e.options.Settings.Name, Incarnation: e.incarnation, ReplicaRun: state.replicaRun, RegistryVersion: state.registryVersion, CrashVersion: state.crashVersion, RateLimitVersion: state.rateLimitVersion,
 		WaitMS: state.maxWait.Milliseconds(), Demand: own.workspaces, UsesLeases: true, ServiceDemand: own.services, Load: e.board.Load(), Work: e.board.Work(time.Now()),
 		Offer: e.forwarding.offer(), PeersID: state.peersID,
+		Rollouts: e.rollouts.Reports(e.board.RunningAtOthers), RolloutVersion: state.rolloutVersion,
 	}
 	var ackedCounts map[uint64]int
 	request.LeaseID, request.LeaseEven = e.quotas.LeaseState()
@@ -126,6 +129,7 @@
 	}
 	state.generation = max(state.generation, reply.Generation)
 	state.replicaRun, state.registryVersion = reply.ReplicaRun, reply.RegistryVersion
+	state.rolloutVersion = reply.RolloutVersion
 	state.crashVersion, state.rateLimitVersion = reply.CrashVersion, reply.RateLimitVersion
 	if reply.PeersID != state.peersID {
 		state.peersID = reply.PeersID
@@ -147,6 +151,8 @@
 		e.documents.offer(address, reply.Generation)
 	}
 	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
+	c.applyRollouts(address, reply, own.polledAt)
+	defer func() { e.rollouts.SetReady(e.board.CountVersions) }()
 	c.applyLease(reply, own, now)
 	if reply.PolledByAll {
 		e.rateLimits.setTotal(demand.Total{Entries: reply.Entries, Rank: reply.Rank, PerS: reply.ServiceDemand}, own.services, now)
--- /dev/null
+++ b/internal/gateway/entry/rollouts.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/boragelead/boragelead/internal/bootclock"
+	"github.com/boragelead/boragelead/internal/gateway/link"
+	"github.com/boragelead/boragelead/internal/gateway/pick"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
+)
+
+// applyRollouts takes over the roll-out records in the answer of a replica. It must run before
+// the endpoints of the answer are used, since those of a new version are not trusted.
+func (c *replicaClient) applyRollouts(address string, reply *link.PollReply, polledAt bootclock.Instant) {
+	if reply.RolloutVersion == 0 {
+		return
+	}
+	e := c.entry
+	update := rollout.Update{
+		Records: reply.Rollouts, Entries: max(reply.Entries, c.entries()),
+		StartedAt: e.clock.Now().Add(-bootclock.Now().Sub(e.startedAt)),
+	}
+	if reply.RolloutAgeMS >= 0 {
+		update.KnownAt = polledAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond)
+	}
+	for _, r := range e.rollouts.Apply(update) {
+		e.log.Info("Roll-out changed.", zap.String("service", r.Service), zap.String("to", r.To), zap.Stringer("phase", r.Phase), zap.String("reason", r.Reason),
+			zap.Float64("share", r.Bounds.Share), zap.Uint64("id", r.ID), zap.Uint64("revision", r.Revision), zap.Time("deadline", r.Deadline()), zap.String("replica", address))
+	}
+}
+
+// chooseBySplit picks an endpoint of the version that the roll-out of the service allows. The
+// error is a *pick.NoEndpointError.
+func (c *call) chooseBySplit(request *pick.Request) (*hop, error) {
+	e := c.entry
+	decision := e.rollouts.Split(c.ask(), e.clock.Now(), bootclock.Now())
+	h, err := c.chooseAt(request, &decision, decision.Side)
+	if err == nil || decision.OrElse == rollout.Any {
+		return h, err
+	}
+	return c.chooseAt(request, &rollout.Decision{To: decision.To}, decision.OrElse)
+}
+
+// ask describes the next attempt for a roll-out.
+func (c *call) ask() rollout.Ask {
+	return rollout.Ask{
+		Service: c.service.Name, Route: c.route.Name, Ticket: c.ticket,
+		Attempts: len(c.avoidedEndpoints()), SentToNew: c.sentToNew, Bound: c.softwareVersion,
+	}
+}
+
+// chooseAt picks an endpoint at one side. If there is none, the charge is given back.
+func (c *call) chooseAt(request *pick.Request, d *rollout.Decision, side rollout.Side) (*hop, error) {
+	request.Rule = nil
+	if side != rollout.Any {
+		request.Rule = &pick.VersionRule{To: d.To, New: side == rollout.New, Focus: d.Focus, Turn: d.Turn}
+	}
+	choice, err := c.entry.board.Choose(request)
+	if err != nil {
+		c.entry.rollouts.Return(d.Exposure)
+		return nil, err
+	}
+	h := directHop(choice)
+	h.exposure, h.side = d.Exposure, side
+	return h, nil
+}
+
+// checkSend reports whether an endpoint may still get the request, just before it is sent. The
+// error is a *WithdrawnError.
+func (c *call) checkSend(choice *pick.Choice) error {
+	if !c.entry.rollouts.MayReceive(choice.Endpoint.Service, choice.Endpoint.SoftwareVersion, bootclock.Now()) {
+		return &WithdrawnError{Endpoint: choice.Endpoint.ID}
+	}
+	return checkChoice(choice)
+}
+
+// trial measures a first attempt as evidence for the roll-out of its service.
+type trial struct {
+	sample    rollout.Sample
+	startedAt time.Time
+	// timed is set once the time to the answer was counted.
+	timed bool
+}
+
+// beginTrial returns nil if there is no roll-out, or the attempt is not the first one.
+func (c *call) beginTrial(h *hop) *trial {
+	id := c.entry.rollouts.ActiveID(c.service.Name)
+	if id == 0 || c.softwareVersion != nil || len(c.avoidedEndpoints()) > 0 {
+		return nil
+	}
+	return &trial{startedAt: time.Now(), sample: rollout.Sample{
+		ID: id, Service: c.service.Name, Route: c.route.Name, Version: h.endpoint.SoftwareVersion,
+	}}
+}
+
+// noteAnswered counts the time to the answer, or to the first event of a stream.
+func (c *call) noteAnswered(now time.Time) {
+	t := c.trial
+	if t == nil || t.timed {
+		return
+	}
+	t.timed = true
+	s := t.sample
+	s.Time = max(now.Sub(t.startedAt), 1)
+	c.entry.rollouts.Record(&s)
+}
+
+// endTrial counts the result of an attempt. A request that the endpoint did not run shows
+// nothing, nor does one whose caller left, but for the time that it waited.
+func (c *call) endTrial(result *outcome) {
+	t := c.trial
+	c.trial = nil
+	if t == nil || !result.sent || result.notRun || result.refusal != nil || result.moved != nil {
+		return
+	}
+	c.trial = t
+	defer func() { c.trial = nil }()
+	now := time.Now()
+	callerGone := c.r.Context().Err() != nil || result.done && !c.complete
+	if callerGone || isTimeout(result.err) || !now.Before(c.deadline) {
+		c.noteAnswered(now)
+	}
+	if callerGone {
+		return
+	}
+	s := t.sample
+	s.Ended, s.Failed = true, !result.done || c.status >= http.StatusInternalServerError
+	c.entry.rollouts.Record(&s)
+}
+
+// settleRollout ends what an attempt at an endpoint means for the roll-out of its service: the
+// evidence, and the charge of an attempt that was not sent.
+func (c *call) settleRollout(h *hop, result *outcome) {
+	c.endTrial(result)
+	if !result.sent {
+		c.entry.rollouts.Return(h.exposure)
+		return
+	}
+	if h.exposure != nil {
+		c.entry.metrics.rolloutExposed.Inc()
+	}
+	if h.side == rollout.New && !result.done && result.moved == nil {
+		c.entry.metrics.rolloutFailed.Inc()
+		c.entry.log.Info("Attempt at the new version of a roll-out failed.", zap.String("request", c.meta.AttemptID), zap.String("service", c.service.Name),
+			zap.String("endpoint", h.endpoint.ID), zap.String("software_version", h.endpoint.SoftwareVersion), zap.Bool("exposed", h.exposure != nil), zap.Error(result.err))
+	}
+}
--- a/internal/gateway/entry/silence.go
+++ b/internal/gateway/entry/silence.go
@@ -206,11 +206,7 @@
 	request := c.pickRequest()
 	request.Now, request.TimeOfDay = now, c.entry.clock.Now()
 	request.Avoid = append(append([]string(nil), request.Avoid...), silent.endpoint.ID)
-	choice, err := c.chooseOnce(request)
-	if err != nil {
-		return nil, err
-	}
-	return directHop(choice), nil
+	return c.chooseOnce(request)
 }
 
 // releaseReplacement gives back what was reserved for an attempt that is not made, since the
@@ -220,6 +216,7 @@
 		return
 	}
 	next.choice.End()
+	c.entry.rollouts.Return(next.exposure)
 	c.entry.retries.ReturnRepeat(c.service.Name, time.Now())
 }
 
--- a/internal/gateway/rollout/split.go
+++ b/internal/gateway/rollout/split.go
@@ -95,10 +95,10 @@
 type Ask struct {
 	Service, Route string
 	Ticket         Ticket
-	// Attempts is the number of attempts before this one, and FailedAtNew is set if one of
-	// them was made at the new version.
-	Attempts    int
-	FailedAtNew bool
+	// Attempts is the number of attempts that ended before this one. SentToNew is set if
+	// one was made at the new version, also if it has not ended.
+	Attempts  int
+	SentToNew bool
 	// Bound is the version at which the stream of the request began; nil before the first
 	// event.
 	Bound *string
@@ -190,7 +190,7 @@
 // repeat would count against the new one alone.
 func (a *account) expose(ask *Ask, fresh bool, now time.Time) Decision {
 	r := &a.record
-	if !fresh || !ask.Ticket.paced || ask.Ticket.id != r.ID || ask.Attempts > 0 || a.readyNew == 0 || a.credit < 1 || !now.Before(r.Deadline()) {
+	if !fresh || !ask.Ticket.paced || ask.Ticket.id != r.ID || ask.Attempts > 0 || ask.SentToNew || a.readyNew == 0 || a.credit < 1 || !now.Before(r.Deadline()) {
 		return Decision{Side: Old}
 	}
 	focus := max(int(math.Ceil(focusFactor*r.Bounds.Share*float64(a.readyOld))), minFocus)
@@ -209,7 +209,7 @@
 		share = max(r.Bounds.Share, float64(passed)/float64(ramp))
 	}
 	switch {
-	case !fresh || ask.FailedAtNew || ask.Ticket.turn >= share:
+	case !fresh || ask.SentToNew || ask.Ticket.turn >= share:
 		return Decision{Side: Old, OrElse: New}
 	case now.Before(r.shiftPart(fallbackShare)):
 		return Decision{Side: New, OrElse: Old}
