--- a/internal/gateway/rollout/judge.go
+++ b/internal/gateway/rollout/judge.go
@@ -9,9 +9,8 @@
 
 const (
 	// falseAlarm is the greatest probability that a version which is not worse is found bad
-	// at any look. A part of it covers the estimate of the old version, the rest the test.
-	falseAlarm    = 0.01
-	estimateShare = 0.2
+	// at any look.
+	falseAlarm = 0.01
 	// failureFactor and failureSlack are how much more often than the old version a version
 	// may fail without being worse. They cover that endpoints differ.
 	failureFactor = 1.5
@@ -19,9 +18,12 @@
 	// lateFactor and lateSlack are the same for late answers, and lateShift is the number of
 	// time ranges by which the new version may be slower: KV caches of new endpoints are
 	// empty at first, and endpoints differ in speed.
-	lateFactor = 1.5
-	lateSlack  = 0.03
+	lateFactor = 1.25
+	lateSlack  = 0.02
 	lateShift  = 1
+	// lateStep is the number of time ranges from one tested bound to the next. Each bound costs
+	// a part of the probability of a false alarm.
+	lateStep = 2
 	// minWindow is the least time between the starts of two windows, and windowsPerRollout
 	// their number in a roll-out.
 	minWindow         = time.Second
@@ -112,9 +114,9 @@
 	if failures.isWorse(failureFactor, failureSlack, part/2) {
 		return Verdict{Bad: true, Reason: failures.describe(name, "failures")}
 	}
-	part /= 2 * (TimeBuckets - lateShift - 1)
 	late := tails(&counts.Old.Times, &counts.New.Times)
-	for i := range late {
+	part /= 2 * float64((len(late)+lateStep-1)/lateStep)
+	for i := 0; i < len(late); i += lateStep {
 		if late[i].isWorse(lateFactor, lateSlack, part) {
 			return Verdict{Bad: true, Reason: late[i].describe(name, fmt.Sprintf("answers later than %d ms", boundOf(i).Milliseconds()))}
 		}
@@ -159,62 +161,63 @@
 // rate of the old version plus slack. If it has not, the probability that any look says so is
 // at most part times falseAlarm.
 //
-// The rate of the old version is replaced by an upper bound that holds at all looks. The
-// evidence against a rate is the ratio of the likelihood of the counts, with a prior over all
-// rates, to that by the rate. While the rate is true, the ratio is a martingale, and by
-// Ville's inequality it exceeds 1/p at any time with a probability of at most p.
+// The evidence is the likelihood of the counts of both versions, with a Beta(1/2, 1/2) prior
+// over each rate, relative to their greatest likelihood under rates at which the new version
+// is not worse. Under the true rates, the ratio to their likelihood is a martingale. The
+// evidence is at most that, so by Ville's inequality it exceeds 1/p at any time with a
+// probability of at most p.
 func (s *sample) isWorse(factor, slack, part float64) bool {
-	if s.newAll == 0 || s.newWith == 0 {
+	if s.newWith == 0 || s.oldAll == 0 {
 		return false
 	}
-	rate := float64(s.newWith) / float64(s.newAll)
-	limit := -math.Log(part * falseAlarm * (1 - estimateShare))
-	exceeds := func(oldRate float64) bool {
-		bound := min(factor*oldRate+slack, 1)
-		return rate > bound && evidenceAgainst(s.newWith, s.newAll, bound) >= limit
-	}
-	// Most looks end here: the upper bound is above the estimate.
-	if !exceeds(float64(s.oldWith) / float64(max(s.oldAll, 1))) {
+	oldRate, newRate := float64(s.oldWith)/float64(s.oldAll), float64(s.newWith)/float64(s.newAll)
+	if newRate <= factor*oldRate+slack {
 		return false
 	}
-	return exceeds(upperRate(s.oldWith, s.oldAll, -math.Log(part*falseAlarm*estimateShare)))
+	rate := s.likeliestRate(factor, slack, oldRate, (newRate-slack)/factor)
+	evidence := logMixture(s.newWith, s.newAll) - logLikelihood(s.newWith, s.newAll, factor*rate+slack) +
+		logMixture(s.oldWith, s.oldAll) - logLikelihood(s.oldWith, s.oldAll, rate)
+	return evidence >= -math.Log(part*falseAlarm)
 }
 
-// evidenceAgainst returns the logarithm of the likelihood of the counts, with a Beta(1/2, 1/2)
-// prior over the rates, relative to that by a rate.
-func evidenceAgainst(with, all int64, rate float64) float64 {
-	x, rest := float64(with), float64(all-with)
-	return logBeta(x+0.5, rest+0.5) - logBeta(0.5, 0.5) - xLogY(x, rate) - xLogY(rest, 1-rate)
+// likeliestRate returns the rate of the old version, between two rates, at which the counts
+// are the most likely if the rate of the new one is factor times it plus slack. The logarithm
+// of the likelihood is concave, so its slope tells the direction.
+func (s *sample) likeliestRate(factor, slack, low, high float64) float64 {
+	const steps = 40
+	for range steps {
+		rate := (low + high) / 2
+		slope := factor*slopeAt(s.newWith, s.newAll, factor*rate+slack) + slopeAt(s.oldWith, s.oldAll, rate)
+		if slope > 0 {
+			low = rate
+		} else {
+			high = rate
+		}
+	}
+	return (low + high) / 2
 }
 
-func logBeta(a, b float64) float64 {
-	la, _ := math.Lgamma(a)
-	lb, _ := math.Lgamma(b)
-	lab, _ := math.Lgamma(a + b)
-	return la + lb - lab
+// slopeAt returns the derivative of logLikelihood by the rate.
+func slopeAt(with, all int64, rate float64) float64 {
+	return float64(with)/rate - float64(all-with)/(1-rate)
 }
 
-func xLogY(x, y float64) float64 {
-	if x == 0 {
-		return 0
-	}
-	return x * math.Log(y)
+// logLikelihood returns the logarithm of the likelihood of counts by a rate.
+func logLikelihood(with, all int64, rate float64) float64 {
+	return xLogY(with, rate) + xLogY(all-with, 1-rate)
 }
 
-// upperRate returns the greatest rate against which the evidence is below a limit.
-func upperRate(with, all int64, limit float64) float64 {
-	const steps = 24
-	if all == 0 {
-		return 1
-	}
-	low, high := float64(with)/float64(all), 1.0
-	for range steps {
-		middle := (low + high) / 2
-		if evidenceAgainst(with, all, middle) < limit {
-			low = middle
-		} else {
-			high = middle
-		}
+// logMixture returns the logarithm of the likelihood of counts by a Beta(1/2, 1/2) prior.
+func logMixture(with, all int64) float64 {
+	a, _ := math.Lgamma(float64(with) + 0.5)
+	b, _ := math.Lgamma(float64(all-with) + 0.5)
+	c, _ := math.Lgamma(float64(all) + 1)
+	return a + b - c - math.Log(math.Pi)
+}
+
+func xLogY(x int64, y float64) float64 {
+	if x == 0 {
+		return 0
 	}
-	return high
+	return float64(x) * math.Log(y)
 }
--- a/internal/gateway/rollout/split.go
+++ b/internal/gateway/rollout/split.go
@@ -40,7 +40,7 @@
 	reservedShare = 0.3
 	// paceFactor times the share is the most that an entry sends to the new version while it
 	// uses credit that it earned before there were endpoints.
-	paceFactor = 1.5
+	paceFactor = 2
 	// startMargin is how long before the order an entry must have started to use a part of
 	// the allowance: a restarted entry could use it twice. It covers errors of the clocks.
 	startMargin = 2 * time.Second
@@ -51,7 +51,7 @@
 	// focusFactor times the exposure share is the part of the old version's number of
 	// endpoints to which exposed requests are concentrated, so that each carries about the
 	// load of an old one. minFocus keeps one slow endpoint from standing for the version.
-	focusFactor = 1.25
+	focusFactor = 2
 	minFocus    = 2
 	// focusTime is how long the exposed requests are sent to the same endpoints. Over a
 	// roll-out several others have their turn.
--- a/internal/gateway/rollout/step.go
+++ b/internal/gateway/rollout/step.go
@@ -8,7 +8,7 @@
 const (
 	// shiftShare is the part of the duration, at its end, in which the old version runs
 	// empty. maxShift bounds it: the longest requests end within 12 s.
-	shiftShare = 0.4
+	shiftShare = 0.35
 	maxShift   = 15 * time.Second
 	// fallbackShare is the part of the shift in which old endpoints still take what finds no
 	// free place at the new version. After it they get nothing more.
