--- a/internal/gateway/rollout/step.go
+++ b/internal/gateway/rollout/step.go
@@ -8,7 +8,7 @@
 const (
 	// shiftShare is the part of the duration, at its end, in which the old version runs
 	// empty. maxShift bounds it: the longest requests end within 12 s.
-	shiftShare = 0.4
+	shiftShare = 0.35
 	maxShift   = 15 * time.Second
 	// fallbackShare is the part of the shift in which old endpoints still take what finds no
 	// free place at the new version. After it they get nothing more.
@@ -102,7 +102,8 @@
 		return ReasonNoEndpoints
 	}
 	total := in.Sums.Evidence.Total()
-	possible := r.Bounds.Share * float64(total.Old.Answers+total.New.Answers)
+	// Each entry has less than the credit for one request left.
+	possible := r.Bounds.Share*float64(total.Old.Answers+total.New.Answers) - float64(r.Entries)
 	if float64(total.New.Answers) < min(minAnswers, testedShare*possible) {
 		return ReasonUntested
 	}
