Withhold versions that may belong to a roll-out that an entry does not know

Endpoints of a roll-out start after its order is committed, so a version counts as known only once the records were the newest after it was first seen. Only a confirmed leader says that its records are the newest: a follower that hears it may still lack entries of the log.

--- a/internal/core/raft/raft.go
+++ b/internal/core/raft/raft.go
@@ -51,8 +51,6 @@
 	// ticks since its last message.
 	lastLeader        ID
 	leaderSilentTicks int
-	// leaderMessages counts the messages of leaders that this node followed.
-	leaderMessages uint64
 
 	electionElapsed  int
 	heartbeatElapsed int
@@ -95,9 +93,6 @@
 	return r, nil
 }
 
-// LeaderMessages returns the number of messages of leaders that this node followed.
-func (r *Raft) LeaderMessages() uint64 { return r.leaderMessages }
-
 // Tick advances the logical clock by one tick.
 func (r *Raft) Tick() {
 	r.electionElapsed++
--- a/internal/core/raft/step.go
+++ b/internal/core/raft/step.go
@@ -92,7 +92,6 @@
 	}
 	r.electionElapsed = 0
 	r.lastLeader, r.leaderSilentTicks = m.From, 0
-	r.leaderMessages++
 	switch m.Kind {
 	case MsgAppend:
 		r.handleAppend(m)
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -177,6 +177,7 @@
 		return
 	}
 	list := c.directory.Endpoints()
+	e.noteVersions(list)
 	unusedAddresses := e.departures.updateBoard(list, now)
 	c.mu.Unlock()
 	e.migrations.moveFromDraining(list)
--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -9,16 +9,17 @@
 	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/gateway/link"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
+	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/gateway/rollout"
 )
 
 // applyRollouts takes over the roll-out records in the answer of a replica. It must run before
 // the endpoints of the answer are used, since those of a new version are not trusted.
 func (c *replicaClient) applyRollouts(address string, reply *link.PollReply, polledAt bootclock.Instant) {
-	if reply.RolloutVersion == 0 {
+	e := c.entry
+	if !e.options.Settings.Bounds.OffersRollouts() && reply.RolloutVersion == 0 {
 		return
 	}
-	e := c.entry
 	update := rollout.Update{
 		Records: reply.Rollouts, Entries: max(reply.Entries, c.entries()),
 		StartedAt: e.clock.Now().Add(-bootclock.Now().Sub(e.startedAt)),
@@ -32,6 +33,25 @@
 	}
 }
 
+// noteVersions tells which versions the endpoints have, before requests are sent to them.
+func (e *Entry) noteVersions(list []registry.Endpoint) {
+	if !e.options.Settings.Bounds.OffersRollouts() {
+		return
+	}
+	oldest := make(map[[2]string]int64)
+	for i := range list {
+		key := [2]string{list[i].Service, list[i].SoftwareVersion}
+		if born, known := oldest[key]; list[i].State == registry.Ready && (!known || list[i].Born < born) {
+			oldest[key] = list[i].Born
+		}
+	}
+	seen := make([]rollout.Seen, 0, len(oldest))
+	for key, born := range oldest {
+		seen = append(seen, rollout.Seen{Service: key[0], Version: key[1], Born: born})
+	}
+	e.rollouts.NoteVersions(seen, bootclock.Now())
+}
+
 // chooseBySplit picks an endpoint of the version that the roll-out of the service allows. The
 // error is a *pick.NoEndpointError.
 func (c *call) chooseBySplit(request *pick.Request) (*hop, error) {
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -19,8 +19,9 @@
 
 	mu sync.Mutex
 	// knownAt is the time as of which the records were known to be the newest.
-	knownAt  bootclock.Instant
-	accounts map[string]*account
+	knownAt   bootclock.Instant
+	accounts  map[string]*account
+	sightings sightings
 }
 
 // NewTable returns a table of the named entry without records.
@@ -60,6 +61,7 @@
 		changed = append(changed, record)
 	}
 	t.size.Store(int64(len(t.accounts)))
+	t.sightings.decide(t.knownAt)
 	return changed
 }
 
@@ -123,11 +125,14 @@
 // Split decides which version may get an attempt. now is agreed time, and clock the time of
 // the clock that Update.KnownAt is measured with.
 func (t *Table) Split(ask Ask, now time.Time, clock bootclock.Instant) Decision {
-	if t.Empty() {
+	if t.idle() {
 		return Decision{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if withheld := t.sightings.withheld[ask.Service]; ask.Bound == nil && t.withholds(ask.Service, withheld) {
+		return Decision{To: withheld, Side: Old}
+	}
 	a := t.accounts[ask.Service]
 	if a == nil {
 		return Decision{}
@@ -152,14 +157,14 @@
 
 // MayReceive reports whether a request that was meant for a version may still be sent to it.
 func (t *Table) MayReceive(service, version string, clock bootclock.Instant) bool {
-	if t.Empty() {
+	if t.idle() {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.accounts[service]
 	if a == nil || a.record.To != version {
-		return true
+		return !t.withholds(service, version)
 	}
 	switch a.record.Phase {
 	case Canary:
--- a/internal/gateway/state/rollouts.go
+++ b/internal/gateway/state/rollouts.go
@@ -146,17 +146,16 @@
 }
 
 // rolloutAge returns how long ago this replica last knew that its roll-outs are the newest,
-// in milliseconds; negative means never.
+// in milliseconds; negative means that it does not know. Only a leader knows: one that a
+// majority confirms has applied all that was committed before. A follower that hears the
+// leader may still lack entries of the log.
 func (s *State) rolloutAge() int64 {
-	now := bootclock.Now()
-	s.mu.Lock()
-	at := s.confirmedAt
-	s.mu.Unlock()
-	at = max(at, s.replica.LeaderHeardAt())
-	if at == 0 {
+	if !s.isLeader() {
 		return -1
 	}
-	return now.Sub(at).Milliseconds()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bootclock.Now().Sub(s.confirmedAt).Milliseconds()
 }
 
 // addRollouts adds the roll-outs to a reply if the entry does not have them, and reports
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -11,7 +11,6 @@
 // process writes the log, sends messages and applies committed entries until raft has
 // no more work.
 func (r *Replica) process() error {
-	r.noteLeaderMessages()
 	for {
 		r.updateRole()
 		rd, hasWork := r.raft.Ready()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -43,8 +43,6 @@
 	network *network
 	watch   watch
 	records recordWatch
-	// leaderContact is the last contact with a leader.
-	leaderContact leaderContact
 	// recordsChanged is set while applied records are not yet published. Only the event
 	// loop uses it.
 	recordsChanged bool
