Avoid the newest version while a roll-out may be unknown

A replica that is behind can list endpoints of a new version before it has the record, and a restarted entry, or one whose replica is cut off, would take them for trusted. Where roll-outs are offered, such an entry sends nothing to the version whose first endpoint started last.

--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -121,7 +121,7 @@
 	if request.SoftwareVersion != nil && !c.entry.replicaClient.knowsVersions(request.Now) {
 		return nil, &StaleViewError{Service: request.Service}
 	}
-	if !c.entry.rollouts.Empty() {
+	if !c.entry.rollouts.Empty() || c.entry.mayMissRollouts() {
 		return c.chooseBySplit(request)
 	}
 	choice, err := c.entry.board.Choose(request)
--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -15,10 +15,13 @@
 // applyRollouts takes over the roll-out records in the answer of a replica. It must run before
 // the endpoints of the answer are used, since those of a new version are not trusted.
 func (c *replicaClient) applyRollouts(address string, reply *link.PollReply, polledAt bootclock.Instant) {
+	e := c.entry
+	if reply.RolloutAgeMS >= 0 {
+		e.rollouts.Confirm(polledAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond))
+	}
 	if reply.RolloutVersion == 0 {
 		return
 	}
-	e := c.entry
 	update := rollout.Update{
 		Records: reply.Rollouts, Entries: max(reply.Entries, c.entries()),
 		StartedAt: e.clock.Now().Add(-bootclock.Now().Sub(e.startedAt)),
@@ -44,6 +47,13 @@
 	return c.chooseAt(request, &rollout.Decision{To: decision.To}, decision.OrElse)
 }
 
+// mayMissRollouts reports whether a roll-out may have been ordered of which this entry does not
+// know: roll-outs are offered, and no replica with the newest records has answered lately.
+// The newest of several versions is then not trusted.
+func (e *Entry) mayMissRollouts() bool {
+	return e.options.Settings.Bounds.OffersRollouts() && !e.rollouts.Confirmed(bootclock.Now())
+}
+
 // ask describes the next attempt for a roll-out.
 func (c *call) ask() rollout.Ask {
 	return rollout.Ask{
@@ -58,6 +68,12 @@
 	if side != rollout.Any {
 		request.Rule = &pick.VersionRule{To: d.To, New: side == rollout.New, Focus: d.Focus, Turn: d.Turn}
 	}
+	if side != rollout.New && request.SoftwareVersion == nil && c.entry.mayMissRollouts() {
+		if request.Rule == nil {
+			request.Rule = &pick.VersionRule{}
+		}
+		request.Rule.Avoid = c.entry.board.NewestVersion(request.Service)
+	}
 	choice, err := c.entry.board.Choose(request)
 	if err != nil {
 		c.entry.rollouts.Return(d.Exposure)
--- a/internal/gateway/pick/version_rule.go
+++ b/internal/gateway/pick/version_rule.go
@@ -9,9 +9,11 @@
 // VersionRule restricts a request of a service in a roll-out to endpoints of the new version,
 // or to all others.
 type VersionRule struct {
-	// To is the new version, and New selects it.
+	// To is the new version, and New selects it. Without To all versions are selected.
 	To  string
 	New bool
+	// Avoid is a version that gets nothing, whatever To and New select; "" means none.
+	Avoid string
 	// Focus is the number of ready endpoints of the new version to which requests are
 	// concentrated; 0 means all. Turn selects them: all entries with the same turn and the
 	// same view of the endpoints select the same ones.
@@ -33,6 +35,12 @@
 	if rule == nil {
 		return true
 	}
+	if rule.Avoid != "" && v.endpoint.SoftwareVersion == rule.Avoid {
+		return false
+	}
+	if rule.To == "" {
+		return true
+	}
 	if (v.endpoint.SoftwareVersion == rule.To) != rule.New {
 		return false
 	}
@@ -66,6 +74,30 @@
 	}
 }
 
+// NewestVersion returns the version of the ready endpoints of a service whose first endpoint
+// started last; "" if there are not several versions.
+func (b *Board) NewestVersion(service string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	firsts := make(map[string]int64)
+	for _, s := range b.services[service] {
+		first, known := firsts[s.endpoint.SoftwareVersion]
+		if s.endpoint.State == registry.Ready && (!known || s.endpoint.Born < first) {
+			firsts[s.endpoint.SoftwareVersion] = s.endpoint.Born
+		}
+	}
+	newest, born := "", int64(0)
+	for version, first := range firsts {
+		if newest == "" || first > born || first == born && version > newest {
+			newest, born = version, first
+		}
+	}
+	if len(firsts) < 2 {
+		return ""
+	}
+	return newest
+}
+
 // CountVersions returns the numbers of ready endpoints of a service that have another version
 // and the given one.
 func (b *Board) CountVersions(service, to string) (others, same int) {
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -16,6 +16,9 @@
 	entry string
 	// size is the number of records, so that nothing is locked while there are none.
 	size atomic.Int64
+	// confirmedAt is the time as of which a replica knew that it has the newest records, also
+	// if there are none.
+	confirmedAt atomic.Int64
 
 	mu sync.Mutex
 	// knownAt is the time as of which the records were known to be the newest.
@@ -94,6 +97,22 @@
 // Empty reports whether there are no records. It costs next to nothing.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
 
+// Confirm takes over the time as of which a replica knew that it has the newest records.
+func (t *Table) Confirm(at bootclock.Instant) {
+	for {
+		last := t.confirmedAt.Load()
+		if int64(at) <= last || t.confirmedAt.CompareAndSwap(last, int64(at)) {
+			return
+		}
+	}
+}
+
+// Confirmed reports whether the entry would know if a roll-out had been ordered.
+func (t *Table) Confirmed(clock bootclock.Instant) bool {
+	at := bootclock.Instant(t.confirmedAt.Load())
+	return at > 0 && clock.Sub(at) <= maxSilence
+}
+
 // SetReady sets the numbers of ready endpoints. count returns those of the old and of the new
 // version of a service.
 func (t *Table) SetReady(count func(service, to string) (old, young int)) {
