--- a/internal/gateway/rollout/sightings.go
+++ b/internal/gateway/rollout/sightings.go
@@ -94,5 +94,5 @@
 	return found && withheld == version && (t.accounts[service] == nil || t.accounts[service].record.To != version)
 }
 
-// idle reports whether no version needs a decision. It costs next to nothing.
-func (t *Table) idle() bool { return t.Empty() && t.sightings.count.Load() == 0 }
+// Idle reports whether Split has nothing to decide. It costs next to nothing.
+func (t *Table) Idle() bool { return t.Empty() && t.sightings.count.Load() == 0 }
