--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -131,7 +131,7 @@
 		}
 	} else {
 		h.choice.RecordSuccess(now)
-		c.noteAnswered(now)
+		c.trial.noteAnswered(now)
 		c.watch.survived()
 	}
 	header := c.w.Header()
--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -93,12 +94,26 @@
 	return checkChoice(choice)
 }
 
-// trial measures a first attempt as evidence for the roll-out of its service.
+const (
+	// minTrial and maxTrial bound the time after which an attempt is counted as evidence,
+	// which is the target latency of its route.
+	minTrial = 200 * time.Millisecond
+	maxTrial = time.Second
+)
+
+// trial measures a first attempt as evidence for the roll-out of its service. Each one is
+// counted once, when a fixed time has passed since its start. If results were counted as they
+// arrive, the fast ones among those of a version whose share rises would be in the majority.
 type trial struct {
-	sample    rollout.Sample
+	table     *rollout.Table
 	startedAt time.Time
-	// timed is set once the time to the answer was counted.
-	timed bool
+	after     time.Duration
+	timer     *time.Timer
+
+	mu     sync.Mutex
+	sample rollout.Sample
+	// counted is set once the attempt was counted, and void if it must not be.
+	counted, void bool
 }
 
 // beginTrial returns nil if there is no roll-out, or the attempt is not the first one.
@@ -107,44 +122,73 @@
 	if id == 0 || c.softwareVersion != nil || len(c.avoidedEndpoints()) > 0 {
 		return nil
 	}
-	return &trial{startedAt: time.Now(), sample: rollout.Sample{
-		ID: id, Service: c.service.Name, Route: c.route.Name, Version: h.endpoint.SoftwareVersion,
-	}}
+	t := &trial{table: c.entry.rollouts, startedAt: time.Now(), after: min(max(c.route.Target, minTrial), maxTrial)}
+	t.sample = rollout.Sample{ID: id, Service: c.service.Name, Route: c.route.Name, Version: h.endpoint.SoftwareVersion, Ended: true}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(t.after, t.count)
+	return t
 }
 
-// noteAnswered counts the time to the answer, or to the first event of a stream.
-func (c *call) noteAnswered(now time.Time) {
-	t := c.trial
-	if t == nil || t.timed {
+// count counts the attempt. One that has no answer yet counts with the time that it has taken.
+func (t *trial) count() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.void {
 		return
 	}
-	t.timed = true
-	s := t.sample
-	s.Time = max(now.Sub(t.startedAt), 1)
-	c.entry.rollouts.Record(&s)
+	t.counted = true
+	if t.sample.Time == 0 && !t.sample.Failed {
+		t.sample.Time = t.after
+	}
+	t.table.Record(&t.sample)
 }
 
-// endTrial counts the result of an attempt. A request that the endpoint did not run shows
-// nothing, nor does one whose caller left, but for the time that it waited.
-func (c *call) endTrial(result *outcome) {
-	t := c.trial
-	c.trial = nil
-	if t == nil || !result.sent || result.notRun || result.refusal != nil || result.moved != nil {
+// noteAnswered records the time to the answer, or to the first event of a stream.
+func (t *trial) noteAnswered(now time.Time) {
+	if t == nil {
 		return
 	}
-	c.trial = t
-	defer func() { c.trial = nil }()
-	now := time.Now()
-	callerGone := c.r.Context().Err() != nil || result.done && !c.complete
-	if callerGone || isTimeout(result.err) || !now.Before(c.deadline) {
-		c.noteAnswered(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sample.Time == 0 {
+		t.sample.Time = max(now.Sub(t.startedAt), 1)
 	}
-	if callerGone {
+}
+
+// fail records that the attempt failed.
+func (t *trial) fail() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.counted {
+		t.sample.Failed = true
 		return
 	}
-	s := t.sample
-	s.Ended, s.Failed = true, !result.done || c.status >= http.StatusInternalServerError
-	c.entry.rollouts.Record(&s)
+	late := t.sample
+	late.Ended, late.Failed, late.Time = false, true, 0
+	t.table.Record(&late)
+}
+
+// discard ends a trial that shows nothing.
+func (t *trial) discard() {
+	t.timer.Stop()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.void = true
+}
+
+// endTrial ends the trial of an attempt. A request that the endpoint did not run shows nothing,
+// nor does one whose caller left.
+func (c *call) endTrial(result *outcome) {
+	t := c.trial
+	c.trial = nil
+	switch {
+	case t == nil:
+	case !result.sent || result.notRun || result.refusal != nil || result.moved != nil || c.r.Context().Err() != nil || result.done && !c.complete:
+		t.discard()
+	case !result.done || c.status >= http.StatusInternalServerError:
+		t.fail()
+	}
 }
 
 // settleRollout ends what an attempt at an endpoint means for the roll-out of its service: the
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -87,7 +87,7 @@
 				return c.rejectAnswer(h, answer, "software version of the endpoint is no longer known")
 			}
 			choice.RecordSuccess(firstEventAt)
-			c.noteAnswered(firstEventAt)
+			c.trial.noteAnswered(firstEventAt)
 			c.countUsage()
 		} else if time.Since(firstEventAt) >= survivalTime {
 			c.watch.survived()
--- a/internal/gateway/rollout/evidence.go
+++ b/internal/gateway/rollout/evidence.go
@@ -17,13 +17,12 @@
 
 // Counts holds the results of the requests of one version at one route.
 type Counts struct {
-	// Answers counts the requests that ended, and Failures those of them that failed: server
-	// errors, answers that ended early or did not arrive.
+	// Answers counts the first attempts of requests that began a fixed time ago, and Failures
+	// those of them that failed: server errors, answers that ended early or did not arrive.
 	Answers  int64 `msgpack:"a"`
 	Failures int64 `msgpack:"f,omitempty"`
-	// Times counts requests by their time to the answer or to the first event of a stream.
-	// A request whose caller or entry no longer waited counts with the time that it took
-	// until then.
+	// Times counts the others by their time to the answer or to the first event of a stream.
+	// One that had no answer then counts with that time.
 	Times [TimeBuckets]int64 `msgpack:"t"`
 }
 
--- a/internal/gateway/rollout/judge.go
+++ b/internal/gateway/rollout/judge.go
@@ -11,15 +11,17 @@
 	// falseAlarm is the greatest probability that a version which is not worse is found bad
 	// at any look.
 	falseAlarm = 0.01
+	// suspicion is the evidence with which a version is suspect.
+	suspicion = 3
 	// failureFactor and failureSlack are how much more often than the old version a version
 	// may fail without being worse. They cover that endpoints differ.
-	failureFactor = 1.5
+	failureFactor = 1.25
 	failureSlack  = 0.01
 	// lateFactor and lateSlack are the same for late answers, and lateShift is the number of
 	// time ranges by which the new version may be slower: KV caches of new endpoints are
 	// empty at first, and endpoints differ in speed.
-	lateFactor = 1.25
-	lateSlack  = 0.02
+	lateFactor = 1.15
+	lateSlack  = 0.01
 	lateShift  = 1
 	// lateStep is the number of time ranges from one tested bound to the next. Each bound costs
 	// a part of the probability of a false alarm.
@@ -37,10 +39,21 @@
 type Verdict struct {
 	// Bad is set if the new version is worse than the old one.
 	Bad bool
+	// Suspect is set if there is some evidence of that. A version that is not worse is suspect
+	// at any look with a probability of at most 1/suspicion.
+	Suspect bool
 	// Reason names the route, the measure and the counts that decided, for log lines.
 	Reason string
 }
 
+// or returns the verdict of two tests.
+func (v Verdict) or(other Verdict) Verdict {
+	if other.Bad || !v.Suspect {
+		return other
+	}
+	return v
+}
+
 // Judge compares both versions of one roll-out. The leader creates one for each record and
 // keeps it in memory. A new leader starts a new one: the evidence is cumulative. It is not
 // safe for concurrent use.
@@ -68,8 +81,9 @@
 // it examines that since the start of each window, so that a version that turns bad late is
 // found as fast as one that is bad from the start.
 func (j *Judge) Look(e Evidence, now time.Time) Verdict {
+	var verdict Verdict
 	for _, w := range j.windows {
-		if verdict := compare(e.Since(w.before), w.weight()); verdict.Bad {
+		if verdict = verdict.or(compare(e.Since(w.before), w.weight())); verdict.Bad {
 			return verdict
 		}
 	}
@@ -80,7 +94,7 @@
 			j.windows = slices.Delete(j.windows, 1, 2)
 		}
 	}
-	return Verdict{}
+	return verdict
 }
 
 // weight returns the window's part of the probability of a false alarm. The weights of all
@@ -96,32 +110,26 @@
 // alarm. One half goes to the sum and one to the routes.
 func compare(e Evidence, part float64) Verdict {
 	total := e.Total()
-	if verdict := compareCounts("all routes", &total, part/2); verdict.Bad {
-		return verdict
-	}
+	verdict := compareCounts("all routes", &total, part/2)
 	part /= 2 * float64(max(len(e), expectedRoutes))
 	for route, counts := range e {
-		if verdict := compareCounts("route "+route, &counts, part); verdict.Bad {
-			return verdict
-		}
+		verdict = verdict.or(compareCounts("route "+route, &counts, part))
 	}
-	return Verdict{}
+	return verdict
 }
 
 // compareCounts tests failures with one half of a part, and late answers with the other.
 func compareCounts(name string, counts *RouteCounts, part float64) Verdict {
 	failures := sample{counts.Old.Failures, counts.Old.Answers, counts.New.Failures, counts.New.Answers}
-	if failures.isWorse(failureFactor, failureSlack, part/2) {
-		return Verdict{Bad: true, Reason: failures.describe(name, "failures")}
-	}
+	verdict := failures.judge(failureFactor, failureSlack, part/2, func() string { return name + ": failures" })
 	late := tails(&counts.Old.Times, &counts.New.Times)
 	part /= 2 * float64((len(late)+lateStep-1)/lateStep)
 	for i := 0; i < len(late); i += lateStep {
-		if late[i].isWorse(lateFactor, lateSlack, part) {
-			return Verdict{Bad: true, Reason: late[i].describe(name, fmt.Sprintf("answers later than %d ms", boundOf(i).Milliseconds()))}
-		}
+		verdict = verdict.or(late[i].judge(lateFactor, lateSlack, part, func() string {
+			return fmt.Sprintf("%s: answers later than %d ms", name, boundOf(i).Milliseconds())
+		}))
 	}
-	return Verdict{}
+	return verdict
 }
 
 // boundOf returns the end of a time range.
@@ -153,31 +161,40 @@
 // sample counts the requests with a property, and all, of both versions.
 type sample struct{ oldWith, oldAll, newWith, newAll int64 }
 
-func (s *sample) describe(name, property string) string {
-	return fmt.Sprintf("%s: %s %d of %d at the new version, %d of %d at the old", name, property, s.newWith, s.newAll, s.oldWith, s.oldAll)
+// judge compares the samples. If the new version has the property at most factor times as
+// often as the old one plus slack, the probability that any look finds it bad is at most part
+// times falseAlarm.
+func (s *sample) judge(factor, slack, part float64, property func() string) Verdict {
+	against := s.evidence(factor, slack) + math.Log(part)
+	switch {
+	case against < math.Log(suspicion):
+		return Verdict{}
+	case against < -math.Log(falseAlarm):
+		return Verdict{Suspect: true}
+	}
+	return Verdict{Bad: true, Suspect: true, Reason: fmt.Sprintf("%s %d of %d at the new version, %d of %d at the old",
+		property(), s.newWith, s.newAll, s.oldWith, s.oldAll)}
 }
 
-// isWorse reports whether the new version has the property more often than factor times the
-// rate of the old version plus slack. If it has not, the probability that any look says so is
-// at most part times falseAlarm.
+// evidence returns the logarithm of the evidence that the new version has the property more
+// often than factor times the rate of the old version plus slack.
 //
-// The evidence is the likelihood of the counts of both versions, with a Beta(1/2, 1/2) prior
-// over each rate, relative to their greatest likelihood under rates at which the new version
-// is not worse. Under the true rates, the ratio to their likelihood is a martingale. The
-// evidence is at most that, so by Ville's inequality it exceeds 1/p at any time with a
-// probability of at most p.
-func (s *sample) isWorse(factor, slack, part float64) bool {
+// It is the likelihood of the counts of both versions, with a Beta(1/2, 1/2) prior over each
+// rate, relative to their greatest likelihood under rates at which the new version is not
+// worse. Under the true rates, the ratio to their likelihood is a martingale. The evidence is
+// at most that, so by Ville's inequality it exceeds 1/p at any time with a probability of at
+// most p.
+func (s *sample) evidence(factor, slack float64) float64 {
 	if s.newWith == 0 || s.oldAll == 0 {
-		return false
+		return math.Inf(-1)
 	}
 	oldRate, newRate := float64(s.oldWith)/float64(s.oldAll), float64(s.newWith)/float64(s.newAll)
 	if newRate <= factor*oldRate+slack {
-		return false
+		return math.Inf(-1)
 	}
 	rate := s.likeliestRate(factor, slack, oldRate, (newRate-slack)/factor)
-	evidence := logMixture(s.newWith, s.newAll) - logLikelihood(s.newWith, s.newAll, factor*rate+slack) +
+	return logMixture(s.newWith, s.newAll) - logLikelihood(s.newWith, s.newAll, factor*rate+slack) +
 		logMixture(s.oldWith, s.oldAll) - logLikelihood(s.oldWith, s.oldAll, rate)
-	return evidence >= -math.Log(part*falseAlarm)
 }
 
 // likeliestRate returns the rate of the old version, between two rates, at which the counts
--- a/internal/gateway/rollout/step.go
+++ b/internal/gateway/rollout/step.go
@@ -10,6 +10,9 @@
 	// empty. maxShift bounds it: the longest requests end within 12 s.
 	shiftShare = 0.35
 	maxShift   = 15 * time.Second
+	// suspectShare is the part of that time for which the shift of a suspect version waits, so
+	// that the test can decide at a small share of the requests.
+	suspectShare = 0.4
 	// fallbackShare is the part of the shift in which old endpoints still take what finds no
 	// free place at the new version. After it they get nothing more.
 	fallbackShare = 0.4
@@ -55,6 +58,12 @@
 	return r.Deadline().Add(-min(time.Duration(shiftShare*float64(r.Duration())), maxShift))
 }
 
+// latestShift returns the agreed time at which the shift of a suspect version begins.
+func (r *Record) latestShift() time.Time {
+	at := r.ShiftAt()
+	return at.Add(time.Duration(suspectShare * float64(r.Deadline().Sub(at))))
+}
+
 // shiftPart returns the agreed time at which a part of the shift has passed. The record must
 // be Shifting.
 func (r *Record) shiftPart(part float64) time.Time {
@@ -82,6 +91,9 @@
 	if in.Now.Before(r.ShiftAt()) {
 		return r, false
 	}
+	if in.Verdict.Suspect && in.Now.Before(r.latestShift()) {
+		return r, false
+	}
 	problem := r.untrusted(in)
 	if problem == "" && left < min(minShift, r.Duration()/5) {
 		problem = ReasonDeadline
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -194,7 +194,7 @@
 	Service, Route, Version string
 	// ID is that of the record at the start of the request.
 	ID uint64
-	// Ended is set when the request has ended, and Failed if it failed.
+	// Ended counts an attempt, and Failed a failure.
 	Ended, Failed bool
 	// Time is that to the answer or the first event.
 	Time time.Duration
