--- a/internal/gateway/rollout/evidence.go
+++ b/internal/gateway/rollout/evidence.go
@@ -19,11 +19,10 @@
 type Counts struct {
 	// Answers counts the first attempts of requests that began a fixed time ago, and Failures
 	// those of them that failed: server errors, answers that ended early or did not arrive.
-	Answers  int64 `msgpack:"a"`
-	Failures int64 `msgpack:"f,omitempty"`
+	Answers, Failures int64
 	// Times counts the others by their time to the answer or to the first event of a stream.
 	// One that had no answer then counts with that time.
-	Times [TimeBuckets]int64 `msgpack:"t"`
+	Times [TimeBuckets]int64
 }
 
 // bucketOf returns the index of the range of a time.
--- a/internal/gateway/rollout/split.go
+++ b/internal/gateway/rollout/split.go
@@ -209,7 +209,7 @@
 		share = max(r.Bounds.Share, float64(passed)/float64(ramp))
 	}
 	switch {
-	case !fresh || ask.SentToNew || ask.Ticket.turn >= share:
+	case !fresh || a.readyNew == 0 || ask.SentToNew || ask.Ticket.turn >= share:
 		return Decision{Side: Old, OrElse: New}
 	case now.Before(r.shiftPart(fallbackShare)):
 		return Decision{Side: New, OrElse: Old}
