--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -151,7 +151,7 @@
 		e.documents.offer(address, reply.Generation)
 	}
 	e.clock.Observe(address, time.Unix(0, reply.TimeNS), bootclock.Now())
-	c.applyRollouts(address, reply, own.polledAt)
+	c.applyRollouts(address, reply, own.polledAt.Add(time.Duration(max(reply.RolloutHeldMS, 0))*time.Millisecond))
 	defer func() { e.rollouts.SetReady(e.board.CountVersions) }()
 	c.applyLease(reply, own, now)
 	if reply.PolledByAll {
--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -15,11 +15,12 @@
 )
 
 // applyRollouts takes over the roll-out records in the answer of a replica. It must run before
-// the endpoints of the answer are used, since those of a new version are not trusted.
-func (c *replicaClient) applyRollouts(address string, reply *link.PollReply, polledAt bootclock.Instant) {
+// the endpoints of the answer are used, since those of a new version are not trusted. answeredAt
+// is a time before the replica answered.
+func (c *replicaClient) applyRollouts(address string, reply *link.PollReply, answeredAt bootclock.Instant) {
 	e := c.entry
 	if reply.RolloutAgeMS >= 0 {
-		e.rollouts.Confirm(polledAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond))
+		e.rollouts.Confirm(answeredAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond))
 	}
 	if !e.options.Settings.Bounds.OffersRollouts() && reply.RolloutVersion == 0 {
 		return
@@ -29,7 +30,7 @@
 		StartedAt: e.clock.Now().Add(-bootclock.Now().Sub(e.startedAt)),
 	}
 	if reply.RolloutAgeMS >= 0 {
-		update.KnownAt = polledAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond)
+		update.KnownAt = answeredAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond)
 	}
 	for _, r := range e.rollouts.Apply(update) {
 		e.log.Info("Roll-out changed.", zap.String("service", r.Service), zap.String("to", r.To), zap.Stringer("phase", r.Phase), zap.String("reason", r.Reason),
--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -178,6 +178,9 @@
 	// milliseconds: 0 for a leader with a quorum, and the time since the last message of the
 	// leader for the others. Negative means never.
 	RolloutAgeMS int64 `msgpack:"v3,omitempty"`
+	// RolloutHeldMS is how long the replica had held the poll when it set RolloutAgeMS, in
+	// milliseconds.
+	RolloutHeldMS int64 `msgpack:"v4,omitempty"`
 	// TimeNS is the agreed time of day when the reply was sent, in Unix nanoseconds.
 	TimeNS int64 `msgpack:"t"`
 }
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/core/suspect"
 	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/link"
@@ -116,11 +117,12 @@
 func (s *State) awaitUpdate(ctx context.Context, request *link.PollRequest) *link.PollReply {
 	timer := time.NewTimer(min(time.Duration(request.WaitMS)*time.Millisecond, maxPollWait))
 	defer timer.Stop()
+	arrivedAt := bootclock.Now()
 	leaderChanged := s.leaderChange()
 	for {
 		crashed, crashReported := s.crashNews.since(request.CrashVersion)
 		reply, changed, documentChanged, endpointsChanged := s.update(request)
-		urgent, rolloutsChanged := s.addRollouts(request, reply)
+		urgent, rolloutsChanged := s.addRollouts(request, reply, arrivedAt)
 		if changed || crashed || urgent {
 			return reply
 		}
@@ -141,7 +143,7 @@
 		}
 		// What the first reply says of the leader and of all entries is as old as the wait.
 		reply, _, _, _ = s.update(request)
-		s.addRollouts(request, reply)
+		s.addRollouts(request, reply, arrivedAt)
 		return reply
 	}
 }
--- a/internal/gateway/state/rollouts.go
+++ b/internal/gateway/state/rollouts.go
@@ -159,11 +159,17 @@
 }
 
 // addRollouts adds the roll-outs to a reply if the entry does not have them, and reports
-// whether to send the reply at once. A request without a version may be one of an entry of
+// whether to send the reply at once. The request arrived at arrivedAt. A request without a version may be one of an entry of
 // an older build, which would poll again without a pause.
-func (s *State) addRollouts(request *link.PollRequest, reply *link.PollReply) (urgent bool, changed <-chan struct{}) {
+func (s *State) addRollouts(
+	request *link.PollRequest, reply *link.PollReply, arrivedAt bootclock.Instant,
+) (urgent bool, changed <-chan struct{}) {
+	// The order matters: the table must not be older, nor the time held longer, than the age
+	// tells.
+	reply.RolloutHeldMS = bootclock.Now().Sub(arrivedAt).Milliseconds()
+	reply.RolloutAgeMS = s.rolloutAge()
 	table, changed := s.appliedRollouts()
-	reply.RolloutVersion, reply.RolloutAgeMS = table.revision, s.rolloutAge()
+	reply.RolloutVersion = table.revision
 	if table.revision == request.RolloutVersion {
 		return false, changed
 	}
