Name the entries that may use the allowance, and note steps whose write got no answer

In trials with three race runs of the package at a time, three commits of steps got no answer in time and took effect all the same, without their log line. go test -race ./internal/gateway/state: TestDepartureReachesAllEntries failed once (a replica listed the endpoint as ready after all entries knew better), the others passed.

--- a/internal/gateway/state/entries.go
+++ b/internal/gateway/state/entries.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// demandFor returns the demand for a service by active entry, in requests per second.
+func (e *entries) demandFor(service string, now time.Time) map[string]float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	perS := make(map[string]float64)
+	for name, report := range e.byEntry {
+		if now.Sub(report.polledAt) <= entryTimeout {
+			perS[name] = report.serviceDemand[service]
+		}
+	}
+	return perS
+}
+
 // rank returns the position of an entry among the active ones, sorted by name.
 func (e *entries) rank(entry string) int {
 	e.mu.Lock()
--- a/internal/gateway/state/rollout_loop.go
+++ b/internal/gateway/state/rollout_loop.go
@@ -19,6 +19,7 @@
 // compare-and-set on the revision.
 func (s *State) stepRollouts(now time.Time) {
 	table, _ := s.appliedRollouts()
+	s.noteUnclearSteps(&table)
 	s.dropEndedRollouts(&table)
 	if !s.isLeader() {
 		return
@@ -62,13 +63,39 @@
 	written := table.with(next, s.isServiceGone)
 	if err := s.writeRollouts(ctx, &written); err != nil {
 		s.options.Metrics.Counter("state_rollout_writes_failed").Inc()
-		s.log.Warn("Step of a roll-out not committed.", append(recordFields(&next), zap.Error(err))...)
+		s.log.Warn("Step of a roll-out not committed, or not known to be.", append(recordFields(&next), zap.Error(err))...)
+		s.unclearSteps[r.ID] = unclearStep{from: *r, to: *written.of(r.Service), in: in}
 		return false
 	}
 	s.noteStep(r, written.of(r.Service), &in)
 	return false
 }
 
+// unclearStep is a step whose write got no answer. It may be committed later.
+type unclearStep struct {
+	from, to rollout.Record
+	in       rollout.Input
+}
+
+// noteUnclearSteps writes the log lines and metrics of steps that were committed after all,
+// and forgets those that others have overtaken.
+func (s *State) noteUnclearSteps(table *rolloutTable) {
+	for id, step := range s.unclearSteps {
+		if table.revision < step.to.Revision {
+			continue
+		}
+		delete(s.unclearSteps, id)
+		if r := table.of(step.to.Service); r != nil && sameStep(r, &step.to) {
+			s.noteStep(&step.from, &step.to, &step.in)
+		}
+	}
+}
+
+// sameStep reports whether two records are the same step of one roll-out.
+func sameStep(a, b *rollout.Record) bool {
+	return a.ID == b.ID && a.Revision == b.Revision && a.Phase == b.Phase && a.PhaseAtNS == b.PhaseAtNS
+}
+
 // rolloutInput returns what this replica knows of a roll-out.
 func (s *State) rolloutInput(r *rollout.Record, now time.Time) rollout.Input {
 	judge := s.judges[r.ID]
--- a/internal/gateway/state/rollout_orders.go
+++ b/internal/gateway/state/rollout_orders.go
@@ -190,6 +190,9 @@
 	now := s.clock.Now()
 	bounds := rollout.Bounds{Share: s.options.Settings.Bounds.ExposureShare, Allowance: s.options.Settings.Bounds.ExposureAllowance}
 	record := rollout.NewRecord(order, newRolloutID(), bounds, s.entries.totals(time.Now()).entries, now)
+	if starters := rollout.ChooseStarters(s.entries.demandFor(order.Service, time.Now()), bounds); len(starters) > 0 {
+		record.Starters = starters
+	}
 	if servesAlone(s.registry.Live(), order.Service, order.To) {
 		record = record.End(rollout.Completed, rollout.ReasonSoleVersion, now)
 	}
--- a/internal/gateway/state/rollout_table_test.go
+++ b/internal/gateway/state/rollout_table_test.go
@@ -6,9 +6,13 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/boragelead/boragelead/internal/gateway/rollout"
 	"github.com/boragelead/boragelead/internal/port"
+	"github.com/boragelead/boragelead/internal/telemetry"
 )
 
 func tableRecord(service string, phase rollout.Phase) rollout.Record {
@@ -56,3 +60,29 @@
 	_, err = decodeRollouts([]port.RecordRequest{{Series: rolloutSeries, Key: 2, Value: []byte("odd")}})
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against a committed step without a log line and a count, because its write got no
+// answer; and against a line for a step that never took effect.
+func TestUnclearStepIsNotedOnceItIsCommitted(t *testing.T) {
+	g := NewWithT(t)
+	metrics := telemetry.NewRegistry()
+	core, logs := observer.New(zapcore.InfoLevel)
+	s := &State{log: zap.New(core), options: Options{Metrics: metrics}, unclearSteps: map[uint64]unclearStep{}}
+	keep := func(string) bool { return false }
+	before := (&rolloutTable{}).with(tableRecord("a", rollout.Canary), keep)
+	after := before.with(tableRecord("a", rollout.Shifting), keep)
+	step := unclearStep{from: *before.of("a"), to: *after.of("a")}
+	s.unclearSteps[7] = step
+	s.noteUnclearSteps(&before)
+	g.Expect(logs.Len()).To(BeZero())
+	s.noteUnclearSteps(&after)
+	s.noteUnclearSteps(&after)
+	g.Expect(logs.FilterMessage("Roll-out step.").Len()).To(Equal(1))
+	g.Expect(metrics.Counter("state_rollouts_shifted").Value()).To(BeEquivalentTo(1))
+
+	s.unclearSteps[7] = step
+	overtaken := before.with(tableRecord("a", rollout.Reverted), keep)
+	s.noteUnclearSteps(&overtaken)
+	g.Expect(logs.FilterMessage("Roll-out step.").Len()).To(Equal(1))
+	g.Expect(s.unclearSteps).To(BeEmpty())
+}
--- a/internal/gateway/state/rollouts.go
+++ b/internal/gateway/state/rollouts.go
@@ -60,6 +60,10 @@
 func (t *rolloutTable) with(r rollout.Record, isGone func(service string) bool) rolloutTable {
 	next := rolloutTable{revision: t.revision + 1}
 	r.Revision = next.revision
+	if r.Ended() {
+		// Nothing is exposed any more, and the table is kept for many revisions.
+		r.Starters = nil
+	}
 	for i := range t.records {
 		old := t.records[i]
 		if old.Service != r.Service && !(old.Ended() && isGone(old.Service)) {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -112,9 +112,10 @@
 	// origins holds the software versions at which streams began.
 	origins *streams.Table
 	// rollouts holds what entries reported of roll-outs, and judges compares the versions of
-	// those that run, by ID. Only rolloutLoop uses judges.
+	// those that run, by ID. Only stepRollouts uses judges and unclearSteps.
 	rollouts       *rollout.Ledger
 	judges         map[uint64]*rollout.Judge
+	unclearSteps   map[uint64]unclearStep
 	rolloutCache   rolloutCache
 	documentCache  documentCache
 	documentSource documentSource
@@ -159,7 +160,7 @@
 		commonQuota: quota.NewCommon(quota.Tolerance{
 			Window: settings.Seconds(s.Bounds.QuotaWindowS), Overshoot: s.Bounds.QuotaOvershoot, Tokens: s.Bounds.QuotaSlack,
 		}, time.Now()),
-		leases: quota.NewLeases(), rollouts: rollout.NewLedger(), judges: map[uint64]*rollout.Judge{}, coverage: &coverage{}, leaderChanged: make(chan struct{}),
+		leases: quota.NewLeases(), rollouts: rollout.NewLedger(), judges: map[uint64]*rollout.Judge{}, unclearSteps: map[uint64]unclearStep{}, coverage: &coverage{}, leaderChanged: make(chan struct{}),
 	}
 	st.ctx, st.cancel = context.WithCancel(context.Background())
 	seeds := entry.PeerAddresses(s.Seeds, s.PeerPort)
