--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -191,7 +191,11 @@
 	if err != nil {
 		return err
 	}
-	server := newControlServer(platform.ControlHandler(s, s))
+	var rollouts platform.Rollouts
+	if g.config.Bounds.OffersRollouts() {
+		rollouts = s
+	}
+	server := newControlServer(platform.ControlHandler(s, s, rollouts))
 	bounded := g.inlet.Listen(control, "control", controlShare, true)
 	inlet.Bound(server, bounded, controlCopies)
 	go func() {
--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -140,6 +140,7 @@
 		}
 	} else {
 		h.choice.RecordSuccess(now)
+		c.trial.noteAnswered(now)
 		c.watch.survived()
 	}
 	header := c.w.Header()
--- a/internal/gateway/entry/choose.go
+++ b/internal/gateway/entry/choose.go
@@ -60,9 +60,9 @@
 			}
 			checked = true
 		}
-		choice, err := queue.choose(c, request)
+		next, err := queue.choose(c, request)
 		if err != nil {
-			choice, err = c.waitForEndpoint(ctx, queue, request, err, waitEnd)
+			next, err = c.waitForEndpoint(ctx, queue, request, err, waitEnd)
 		}
 		if errors.Is(err, errReconsider) {
 			continue
@@ -70,7 +70,6 @@
 		if err != nil {
 			return nil, err
 		}
-		next := directHop(choice)
 		next.gated = c.service.Engine == nil
 		return next, nil
 	}
@@ -84,9 +83,8 @@
 		// The pauses are those of refused connections.
 		kept.IgnorePauses = true
 		kept.Avoid = slices.Concat(kept.Avoid, c.withoutKept)
-		if choice, err := c.chooseOnce(&kept); err == nil {
-			c.withoutKept = append(c.withoutKept, choice.Endpoint.ID)
-			h := directHop(choice)
+		if h, err := c.chooseOnce(&kept); err == nil {
+			c.withoutKept = append(c.withoutKept, h.endpoint.ID)
 			h.keptOnly = true
 			return h, nil
 		}
@@ -120,9 +118,16 @@
 
 // chooseOnce picks an endpoint. For a stream that is bound to a software version it needs a
 // recent answer of a replica. The error is a *pick.NoEndpointError or a *StaleViewError.
-func (c *call) chooseOnce(request *pick.Request) (*pick.Choice, error) {
+func (c *call) chooseOnce(request *pick.Request) (*hop, error) {
 	if request.SoftwareVersion != nil && !c.entry.replicaClient.knowsVersions(request.Now) {
 		return nil, &StaleViewError{Service: request.Service}
 	}
-	return c.entry.board.Choose(request)
+	if !c.entry.rollouts.Idle() || c.entry.mayMissRollouts() {
+		return c.chooseBySplit(request)
+	}
+	choice, err := c.entry.board.Choose(request)
+	if err != nil {
+		return nil, err
+	}
+	return directHop(choice), nil
 }
--- a/internal/gateway/entry/dispatch.go
+++ b/internal/gateway/entry/dispatch.go
@@ -36,13 +36,13 @@
 func (q *serviceQueue) take(t *waiting.Ticket, now, timeOfDay time.Time) bool {
 	w := t.Owner.(*waiter)
 	w.request.Now, w.request.TimeOfDay = now, timeOfDay
-	choice, err := q.chooseGated(w.call, w.request)
+	h, err := q.chooseGated(w.call, w.request)
 	if err != nil {
 		w.lastErr = err
 		q.limitHopeless(t, err, now)
 		return false
 	}
-	w.result <- waitResult{choice: choice}
+	w.result <- waitResult{hop: h}
 	q.entry.metrics.waited.Record(t.Waited(now))
 	return true
 }
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/boragelead/boragelead/internal/gateway/peers"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/gateway/quota"
+	"github.com/boragelead/boragelead/internal/gateway/rollout"
 	"github.com/boragelead/boragelead/internal/gateway/rules"
 	"github.com/boragelead/boragelead/internal/gateway/walltime"
 	"github.com/boragelead/boragelead/internal/guard"
@@ -95,6 +96,8 @@
 	departures  *departures
 	queues      *queues
 	load        *ownLoad
+	rollouts    *rollout.Table
+	startedAt   bootclock.Instant
 
 	active   atomic.Pointer[activeRules]
 	draining atomic.Bool
@@ -162,6 +165,7 @@
 	e.departures = newDepartures(e)
 	e.queues = newQueues(e)
 	e.load = newOwnLoad(e)
+	e.rollouts, e.startedAt = rollout.NewTable(options.Settings.Name), bootclock.Now()
 	return e
 }
 
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -21,6 +21,7 @@
 	waiting, schedulingDelay                            *telemetry.Gauge
 	inFlight, servicesCutOff, bodyBytes                 *telemetry.Gauge
 	quotaRefunded                                       *telemetry.Counter
+	rolloutExposed, rolloutFailed                       *telemetry.Counter
 	registry                                            *telemetry.Registry
 }
 
@@ -59,6 +60,7 @@
 		servicesCutOff: r.Gauge("gateway_services_cut_off"), bodyBytes: r.Gauge("gateway_body_bytes"),
 		waiting: r.Gauge("gateway_waiting"), waited: r.Latency("gateway_waited"), schedulingDelay: r.Gauge("gateway_scheduling_delay_us"),
 		firstByte: r.Latency("gateway_first_byte"), total: r.Latency("gateway_total"),
+		rolloutExposed: r.Counter("gateway_rollout_exposed"), rolloutFailed: r.Counter("gateway_rollout_failed"),
 		quotaRefunded: r.Counter("gateway_quota_refunded"),
 		inFlight:      r.Gauge("gateway_in_flight"), registry: r,
 	}
--- a/internal/gateway/entry/queues_bench_test.go
+++ b/internal/gateway/entry/queues_bench_test.go
@@ -28,14 +28,14 @@
 	request := &pick.Request{Service: "app", Now: time.Now()}
 	b.Run("board", func(b *testing.B) {
 		for b.Loop() {
-			choice, _ := c.chooseOnce(request)
-			choice.End()
+			h, _ := c.chooseOnce(request)
+			h.choice.End()
 		}
 	})
 	b.Run("queue", func(b *testing.B) {
 		for b.Loop() {
-			choice, _ := e.queues.of("app").choose(c, request)
-			choice.End()
+			h, _ := e.queues.of("app").choose(c, request)
+			h.choice.End()
 			e.queues.of("app").ended(true, time.Millisecond, false)
 		}
 	})
--- a/internal/gateway/entry/service_queue.go
+++ b/internal/gateway/entry/service_queue.go
@@ -46,13 +46,13 @@
 }
 
 type waitResult struct {
-	choice *pick.Choice
-	err    error
+	hop *hop
+	err error
 }
 
 // choose picks an endpoint at once if no other request waits; otherwise the request must wait.
 // The error is that of the board, or errGateClosed.
-func (q *serviceQueue) choose(c *call, request *pick.Request) (*pick.Choice, error) {
+func (q *serviceQueue) choose(c *call, request *pick.Request) (*hop, error) {
 	if q.waiting.Load() > 0 {
 		return nil, errGateClosed
 	}
@@ -65,24 +65,24 @@
 }
 
 // chooseGated picks an endpoint if the gate is open. The caller must hold mu.
-func (q *serviceQueue) chooseGated(c *call, request *pick.Request) (*pick.Choice, error) {
+func (q *serviceQueue) chooseGated(c *call, request *pick.Request) (*hop, error) {
 	gated := c.service.Engine == nil
 	if gated {
 		if !q.gate.Open(request.Now) {
 			return nil, errGateClosed
 		}
 	}
-	choice, err := c.chooseOnce(request)
+	h, err := c.chooseOnce(request)
 	if err == nil && gated {
 		q.gate.Start(request.Now)
 	}
-	return choice, err
+	return h, err
 }
 
 // wait lets the request wait for an endpoint until its wait ends. giveUp is when it ends if no
 // endpoint can become free, or zero. The error is a *waiting.RefusedError, errReconsider or that
 // of ctx.
-func (q *serviceQueue) wait(ctx context.Context, w *waiter, giveUp time.Time) (*pick.Choice, error) {
+func (q *serviceQueue) wait(ctx context.Context, w *waiter, giveUp time.Time) (*hop, error) {
 	request := w.call.waitRequest(w.request.Now, giveUp)
 	q.mu.Lock()
 	request.Work = q.workOf(w.call)
@@ -104,15 +104,15 @@
 }
 
 // accept hands over the result of a wait, unless the caller has left meanwhile.
-func (q *serviceQueue) accept(ctx context.Context, w *waiter, result waitResult) (*pick.Choice, error) {
-	if result.choice == nil {
+func (q *serviceQueue) accept(ctx context.Context, w *waiter, result waitResult) (*hop, error) {
+	if result.hop == nil {
 		return nil, result.err
 	}
 	if ctx.Err() != nil {
-		q.giveBack(w, result.choice)
+		q.giveBack(w, result.hop)
 		return nil, ctx.Err()
 	}
-	return result.choice, nil
+	return result.hop, nil
 }
 
 // leave ends the wait of a request whose context has ended.
@@ -122,16 +122,17 @@
 	q.noteLength()
 	q.mu.Unlock()
 	if !removed {
-		if result := <-w.result; result.choice != nil {
-			q.giveBack(w, result.choice)
+		if result := <-w.result; result.hop != nil {
+			q.giveBack(w, result.hop)
 		}
 	}
 	return ctx.Err()
 }
 
 // giveBack frees an endpoint that was chosen for a request that left.
-func (q *serviceQueue) giveBack(w *waiter, choice *pick.Choice) {
-	choice.End()
+func (q *serviceQueue) giveBack(w *waiter, h *hop) {
+	h.choice.End()
+	q.entry.rollouts.Return(h.exposure)
 	if w.call.service.Engine == nil {
 		q.mu.Lock()
 		q.gate.Cancel()
--- a/internal/gateway/entry/silence.go
+++ b/internal/gateway/entry/silence.go
@@ -227,11 +227,7 @@
 	request.Now, request.TimeOfDay = now, c.entry.clock.Now()
 	request.Avoid = append(slices.Clone(request.Avoid), silent.endpoint.ID)
 	request.WithRoom = true
-	choice, err := c.chooseOnce(request)
-	if err != nil {
-		return nil, err
-	}
-	return directHop(choice), nil
+	return c.chooseOnce(request)
 }
 
 // releaseReplacement gives back what was reserved for an attempt that is not made, since the
@@ -241,6 +237,7 @@
 		return
 	}
 	next.choice.End()
+	c.entry.rollouts.Return(next.exposure)
 	c.entry.retries.ReturnRepeat(c.service.Name, time.Now())
 }
 
--- a/internal/gateway/entry/wait.go
+++ b/internal/gateway/entry/wait.go
@@ -12,7 +12,7 @@
 // waitForEndpoint lets the request wait for an endpoint. err is why there is none now, and waitEnd
 // the end of the wait if none can become free by the end of other requests. The error is a
 // *Refusal, errReconsider or that of ctx.
-func (c *call) waitForEndpoint(ctx context.Context, queue *serviceQueue, request *pick.Request, err error, waitEnd time.Time) (*pick.Choice, error) {
+func (c *call) waitForEndpoint(ctx context.Context, queue *serviceQueue, request *pick.Request, err error, waitEnd time.Time) (*hop, error) {
 	giveUp := time.Time{}
 	if !errors.Is(err, errGateClosed) {
 		if refusal := c.noEndpoint(err, request.Now, waitEnd); refusal != nil {
@@ -27,7 +27,7 @@
 		giveUp, w.hopeless = waitEnd, false
 	}
 	began := request.Now
-	choice, err := queue.wait(ctx, w, giveUp)
+	h, err := queue.wait(ctx, w, giveUp)
 	c.waited += time.Since(began)
 	var refused *waiting.RefusedError
 	if !errors.As(err, &refused) {
@@ -35,7 +35,7 @@
 		if err != nil && c.entry.requests.Err() != nil && !c.possiblyRan {
 			return nil, c.waitRefusal(drained, errors.Join(drained, err))
 		}
-		return choice, err
+		return h, err
 	}
 	return nil, c.waitRefusal(refused, err)
 }
--- a/internal/gateway/state/poll.go
+++ b/internal/gateway/state/poll.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/boragelead/boragelead/internal/bootclock"
 	"github.com/boragelead/boragelead/internal/core/suspect"
 	"github.com/boragelead/boragelead/internal/gateway/demand"
 	"github.com/boragelead/boragelead/internal/gateway/link"
@@ -42,6 +43,7 @@
 		}
 	}
 	s.rateLimits.Merge(request.RateLimits, now)
+	s.rollouts.Observe(request.Entry, request.Incarnation, request.Rollouts, now)
 	reply := s.awaitUpdate(ctx, request)
 	reply.GrantsLeases, reply.QuotaLease = true, s.leaseQuotas(request)
 	if reply.IsLeader {
@@ -115,14 +117,18 @@
 func (s *State) awaitUpdate(ctx context.Context, request *link.PollRequest) *link.PollReply {
 	timer := time.NewTimer(min(time.Duration(request.WaitMS)*time.Millisecond, maxPollWait))
 	defer timer.Stop()
+	arrivedAt := bootclock.Now()
 	leaderChanged := s.leaderChange()
 	for {
 		crashed, crashReported := s.crashNews.since(request.CrashVersion)
 		reply, changed, documentChanged, endpointsChanged := s.update(request)
-		if changed || crashed {
+		urgent, rolloutsChanged := s.addRollouts(request, reply, arrivedAt)
+		if changed || crashed || urgent {
 			return reply
 		}
 		select {
+		case <-rolloutsChanged:
+			continue
 		case <-documentChanged:
 			continue
 		case <-endpointsChanged:
@@ -137,6 +143,7 @@
 		}
 		// What the first reply says of the leader and of all entries is as old as the wait.
 		reply, _, _, _ = s.update(request)
+		s.addRollouts(request, reply, arrivedAt)
 		return reply
 	}
 }
