--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -352,8 +352,14 @@
 		gr.g.Eventually(func() bool { return linked.knowsDraining("i") }, applyBound, "10ms").Should(BeTrue())
 	}
 	for ip := range gr.nodes {
-		views := gr.poll(ip, &link.PollRequest{Entry: "probe"}).Endpoints
-		gr.g.Expect(views).To(HaveLen(1))
+		var views []registry.View
+		// A replica that joined later learns of endpoints from announcements that they repeat.
+		gr.g.Eventually(func() []registry.View {
+			e.Seq++
+			gr.g.Expect(gr.nodes["127.0.0.3"].state.Announce(t.Context(), e)).To(Succeed())
+			views = gr.poll(ip, &link.PollRequest{Entry: "probe"}).Endpoints
+			return views
+		}, applyBound, "100ms").Should(HaveLen(1))
 		gr.g.Expect(views[0].Endpoint.State).To(Equal(registry.Draining))
 	}
 }
