Name the terms of the waiting queue plainly and select requests in one place

The queue selected the next request by the same loop in two places. Limits and rates had names that a reader had to look up: bearable, targetsBorne, placeRate. No behaviour changes.

--- a/internal/gateway/waiting/gate.go
+++ b/internal/gateway/waiting/gate.go
@@ -13,8 +13,8 @@
 	// slots, from which entries keep to their shares. Below it each sends as it wants. It
 	// exceeds 1 because the sums are up to 0.8 s old. A small share cannot be used as evenly:
 	// overcommitSmall is added for an entry with a share of one slot, at most
-	// maxOvercommitSmall. In the simulation of a burst, 86 entries before 36 slots left 20 s of
-	// slot time idle at 1.5, and 3 s at 2.5; one entry served 0.71 on time at 1.5, and 0.57 at 2.5.
+	// maxOvercommitSmall. If many entries share few slots, a lower limit leaves slots idle. If
+	// one entry has all slots, a higher limit makes more requests miss their targets.
 	overcommit         = 1.5
 	overcommitSmall    = 0.5
 	maxOvercommitSmall = 1.0
@@ -86,17 +86,18 @@
 
 // full reports whether the requests of all entries fill the endpoints, as far as is known.
 func (g *Gate) full(now time.Time) bool {
-	return g.sumsKnown(now) && float64(g.running()) >= g.bearable()
+	return g.sumsKnown(now) && float64(g.running()) >= g.requestLimit()
 }
 
-// bearable is the number of requests of all entries that the endpoints get while they are full.
-func (g *Gate) bearable() float64 {
+// requestLimit returns the number of requests of all entries at the endpoints from which the
+// endpoints count as full.
+func (g *Gate) requestLimit() float64 {
 	share := g.sums.Share * float64(g.slots)
 	return (overcommit + min(overcommitSmall/max(share, overcommitSmall), maxOvercommitSmall)) * float64(g.slots)
 }
 
-// share is the part of this entry of the bearable requests.
-func (g *Gate) share() float64 { return g.sums.Share * g.bearable() }
+// share returns the part of this entry of requestLimit.
+func (g *Gate) share() float64 { return g.sums.Share * g.requestLimit() }
 
 // sumsKnown reports whether the sums of all entries are recent enough.
 func (g *Gate) sumsKnown(now time.Time) bool {
@@ -124,6 +125,7 @@
 // minWorkSeconds limits the rate that follows from short attempts.
 const minWorkSeconds = 0.005
 
+// accrue adds the credit that the fraction of a share earned since the last call.
 func (g *Gate) accrue(share float64, now time.Time) {
 	if g.creditAt.IsZero() {
 		g.credit = 1
@@ -165,8 +167,8 @@
 	g.inFlight--
 }
 
-// reject limits the requests in flight to those that the endpoints may still hold, after a rejection
-// of another one.
+// reject records a rejection. It limits the requests in flight to those that the endpoints may
+// still hold.
 func (g *Gate) reject(random float64, now time.Time) {
 	g.inRow++
 	limit := float64(g.inFlight - 1)
--- a/internal/gateway/waiting/order.go
+++ b/internal/gateway/waiting/order.go
@@ -13,16 +13,23 @@
 		return nil
 	}
 	leastWorkspace := q.leastOffered(rank, offered, func(t *Ticket) *flow { return t.workspace })
-	var best *Ticket
+	best := q.first(rank, now, func(t *Ticket) bool { return offered(t) && t.workspace.served <= leastWorkspace+maxLead })
+	return q.leastServedCaller(best, rank, now, offered)
+}
+
+// first returns the request of a rank that goes before all others for which a function holds; nil
+// if there is none.
+func (q *Queue) first(rank int, now time.Time, eligible func(*Ticket) bool) *Ticket {
+	var first *Ticket
 	for _, t := range q.tickets {
-		if t.Request.rank() != rank || !offered(t) || t.workspace.served > leastWorkspace+maxLead {
+		if t.Request.rank() != rank || !eligible(t) {
 			continue
 		}
-		if best == nil || t.before(best, now) {
-			best = t
+		if first == nil || t.before(first, now) {
+			first = t
 		}
 	}
-	return q.leastServedCaller(best, rank, now, offered)
+	return first
 }
 
 // leastServedCaller returns a request of another caller of the same workspace, if the caller
@@ -36,16 +43,7 @@
 	if best.caller.served <= least+maxLead {
 		return best
 	}
-	var other *Ticket
-	for _, t := range q.tickets {
-		if t.Request.rank() != rank || !sameWorkspace(t) || t.caller.served > least+maxLead {
-			continue
-		}
-		if other == nil || t.before(other, now) {
-			other = t
-		}
-	}
-	return other
+	return q.first(rank, now, func(t *Ticket) bool { return sameWorkspace(t) && t.caller.served <= least+maxLead })
 }
 
 // nextRank returns the rank that gets the next place: one whose floor is due, or else the most
@@ -118,6 +116,7 @@
 	return worst
 }
 
+// yieldsBefore reports whether a request loses its place before another one does.
 func (t *Ticket) yieldsBefore(other *Ticket) bool {
 	if x, y := t.Request.rank(), other.Request.rank(); x != y {
 		return x > y
--- a/internal/gateway/waiting/overload.go
+++ b/internal/gateway/waiting/overload.go
@@ -5,16 +5,16 @@
 const (
 	// delayWeight is the weight of one measured delay in the average.
 	// An entry measures 20 times a second, so that the average follows within a second: the
-	// processor quota of a small VM stops it for 0.08 s at a time also under ordinary load.
+	// processor quota of a small VM stops it for tens of milliseconds also under ordinary load.
 	delayWeight = 0.05
 	// maxDelay limits one measured delay: a process that was stopped for seconds was not
 	// overloaded in that time.
 	maxDelay = 200 * time.Millisecond
 	// delaysPerRequest is how often a request waits for the processor of the entry, and
-	// targetsBorne the part of its target that all of these waits may take. Above it even the
-	// least urgent rank (part 0.55) misses its target for certain.
+	// maxDelayTargets the multiple of its target that all of these waits may take. Above it
+	// even the least urgent rank, with the smallest part of the limits, misses its target.
 	delaysPerRequest = 3
-	targetsBorne     = 2
+	maxDelayTargets  = 2
 	// reservedMB is the memory for everything but requests, and perMB the number of requests
 	// for each further megabyte: a stream needs up to a quarter of one.
 	reservedMB = 64
@@ -27,7 +27,7 @@
 	maxRankSteps = 3
 )
 
-// Overload tells whether an entry has more requests than its VM bears. It is not safe for
+// Overload tells whether an entry has more requests than its VM can serve. It is not safe for
 // concurrent use.
 type Overload struct {
 	limit int
@@ -58,5 +58,5 @@
 	if o.limit > 0 && float64(inFlight) >= part*float64(o.limit) {
 		return false
 	}
-	return target <= 0 || float64(delaysPerRequest*o.delay) <= part*targetsBorne*float64(target)
+	return target <= 0 || float64(delaysPerRequest*o.delay) <= part*maxDelayTargets*float64(target)
 }
--- a/internal/gateway/waiting/queue.go
+++ b/internal/gateway/waiting/queue.go
@@ -35,9 +35,9 @@
 	rankCount  [maxRank + 1]int
 	// credit is the number of places that each rank is owed of its floor.
 	credit [maxRank + 1]float64
-	rate   placeRate
-	// rankRate measures the places that went to each rank.
-	rankRate [maxRank + 1]placeRate
+	rate   startRate
+	// rankRate measures the starts of each rank.
+	rankRate [maxRank + 1]startRate
 }
 
 // NewQueue returns an empty queue.
