Use plain names in the roll-out package and split its long conditions

The versions that an entry knows were called sightings and Seen, a received report was called held, and the evidence of the sequential test was called against. expose decided by one condition of eight parts; mayExpose now states them in three. stepShifting tested the same deadline twice. No behaviour and no encoded name changes.

--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -50,11 +50,11 @@
 			oldest[key] = list[i].Born
 		}
 	}
-	seen := make([]rollout.Seen, 0, len(oldest))
+	ready := make([]rollout.ReadyVersion, 0, len(oldest))
 	for key, born := range oldest {
-		seen = append(seen, rollout.Seen{Service: key[0], Version: key[1], Born: born})
+		ready = append(ready, rollout.ReadyVersion{Service: key[0], Version: key[1], Born: born})
 	}
-	e.rollouts.NoteVersions(seen, bootclock.Now())
+	e.rollouts.NoteVersions(ready, bootclock.Now())
 }
 
 // chooseBySplit picks an endpoint of the version that the roll-out of the service allows. The
--- a/internal/gateway/rollout/judge.go
+++ b/internal/gateway/rollout/judge.go
@@ -139,20 +139,20 @@
 
 // tails returns, for each time range, the answers of the old version that were later than its
 // end, and those of the new version that were later by lateShift more ranges.
-func tails(old, young *[TimeBuckets]int64) [TimeBuckets - lateShift - 1]sample {
+func tails(oldTimes, newTimes *[TimeBuckets]int64) [TimeBuckets - lateShift - 1]sample {
 	var list [TimeBuckets - lateShift - 1]sample
 	var sums sample
 	for i := range TimeBuckets {
-		sums.oldAll += old[i]
-		sums.newAll += young[i]
+		sums.oldAll += oldTimes[i]
+		sums.newAll += newTimes[i]
 	}
 	oldLate, newLate := sums.oldAll, sums.newAll
 	for i := range lateShift {
-		newLate -= young[i]
+		newLate -= newTimes[i]
 	}
 	for i := range list {
-		oldLate -= old[i]
-		newLate -= young[i+lateShift]
+		oldLate -= oldTimes[i]
+		newLate -= newTimes[i+lateShift]
 		list[i] = sample{oldLate, sums.oldAll, newLate, sums.newAll}
 	}
 	return list
@@ -165,18 +165,18 @@
 // often as the old one plus slack, the probability that any look finds it bad is at most part
 // times falseAlarm.
 func (s *sample) judge(factor, slack, part float64, property func() string) Verdict {
-	against := s.evidence(factor, slack) + math.Log(part)
+	logEvidence := s.logEvidence(factor, slack) + math.Log(part)
 	switch {
-	case against < math.Log(suspicion):
+	case logEvidence < math.Log(suspicion):
 		return Verdict{}
-	case against < -math.Log(falseAlarm):
+	case logEvidence < -math.Log(falseAlarm):
 		return Verdict{Suspect: true}
 	}
 	return Verdict{Bad: true, Suspect: true, Reason: fmt.Sprintf("%s %d of %d at the new version, %d of %d at the old",
 		property(), s.newWith, s.newAll, s.oldWith, s.oldAll)}
 }
 
-// evidence returns the logarithm of the evidence that the new version has the property more
+// logEvidence returns the logarithm of the evidence that the new version has the property more
 // often than factor times the rate of the old version plus slack.
 //
 // It is the likelihood of the counts of both versions, with a Beta(1/2, 1/2) prior over each
@@ -184,7 +184,7 @@
 // worse. Under the true rates, the ratio to their likelihood is a martingale. The evidence is
 // at most that, so by Ville's inequality it exceeds 1/p at any time with a probability of at
 // most p.
-func (s *sample) evidence(factor, slack float64) float64 {
+func (s *sample) logEvidence(factor, slack float64) float64 {
 	if s.newWith == 0 || s.oldAll == 0 {
 		return math.Inf(-1)
 	}
@@ -232,6 +232,7 @@
 	return a + b - c - math.Log(math.Pi)
 }
 
+// xLogY returns x times the logarithm of y, which is 0 for x = 0 also if y is 0.
 func xLogY(x int64, y float64) float64 {
 	if x == 0 {
 		return 0
--- a/internal/gateway/rollout/ledger.go
+++ b/internal/gateway/rollout/ledger.go
@@ -34,8 +34,8 @@
 	incarnation uint64
 }
 
-// held is the newest report of a source for a roll-out.
-type held struct {
+// receivedReport is the newest report of a source for a roll-out, and when it arrived.
+type receivedReport struct {
 	report Report
 	at     time.Time
 }
@@ -44,7 +44,7 @@
 type Ledger struct {
 	mu sync.Mutex
 	// reports holds them by roll-out ID.
-	reports map[uint64]map[source]held
+	reports map[uint64]map[source]receivedReport
 	// polled holds the newest incarnation of each entry and when it polled.
 	polled map[string]lastPoll
 }
@@ -56,7 +56,7 @@
 
 // NewLedger returns a ledger without reports.
 func NewLedger() *Ledger {
-	return &Ledger{reports: make(map[uint64]map[source]held), polled: make(map[string]lastPoll)}
+	return &Ledger{reports: make(map[uint64]map[source]receivedReport), polled: make(map[string]lastPoll)}
 }
 
 // Observe takes in the reports of a poll of one incarnation of an entry, also if there are
@@ -70,13 +70,13 @@
 	for _, report := range reports {
 		sources := l.reports[report.ID]
 		if sources == nil {
-			sources = make(map[source]held)
+			sources = make(map[source]receivedReport)
 			l.reports[report.ID] = sources
 		}
 		if last, known := sources[from]; known && report.isOlder(&last.report) {
 			continue
 		}
-		sources[from] = held{report, now}
+		sources[from] = receivedReport{report, now}
 	}
 }
 
--- a/internal/gateway/rollout/split.go
+++ b/internal/gateway/rollout/split.go
@@ -154,7 +154,7 @@
 
 func (a *account) decide(ask *Ask, fresh bool, now time.Time) Decision {
 	if ask.Bound != nil {
-		return a.goOn(ask, fresh)
+		return a.resume(ask, fresh)
 	}
 	r := &a.record
 	switch {
@@ -172,9 +172,9 @@
 	return Decision{Side: Old, OrElse: New}
 }
 
-// goOn decides on the next attempt of a stream that goes on at its version. A stream of a
-// version that is not trusted goes on only as far as the exposure allows.
-func (a *account) goOn(ask *Ask, fresh bool) Decision {
+// resume decides on the next attempt of a stream, which can only be resumed at its version. A
+// stream of a version that is not trusted is resumed only as far as the exposure allows.
+func (a *account) resume(ask *Ask, fresh bool) Decision {
 	r := &a.record
 	if *ask.Bound != r.To || r.Phase == Completed || r.Phase == Shifting && fresh {
 		return Decision{Side: Any}
@@ -190,7 +190,7 @@
 // repeat would count against the new one alone.
 func (a *account) expose(ask *Ask, fresh bool, now time.Time) Decision {
 	r := &a.record
-	if !fresh || !ask.Ticket.paced || ask.Ticket.id != r.ID || ask.Attempts > 0 || ask.SentToNew || a.readyNew == 0 || a.credit < 1 || !now.Before(r.Deadline()) {
+	if !fresh || !a.mayExpose(ask, now) {
 		return Decision{Side: Old}
 	}
 	focus := max(int(math.Ceil(focusFactor*r.Bounds.Share*float64(a.readyOld))), minFocus)
@@ -198,6 +198,19 @@
 	return Decision{Side: New, OrElse: Old, Focus: focus, Turn: turn, Exposure: a.charge(ask.Route)}
 }
 
+// mayExpose reports whether an attempt is a first one whose turn it is, and the roll-out has
+// endpoints, credit and time for it.
+func (a *account) mayExpose(ask *Ask, now time.Time) bool {
+	r := &a.record
+	if ask.Attempts > 0 || ask.SentToNew {
+		return false
+	}
+	if !ask.Ticket.paced || ask.Ticket.id != r.ID {
+		return false
+	}
+	return a.readyNew > 0 && a.credit >= 1 && now.Before(r.Deadline())
+}
+
 // shift decides on an attempt while the load moves to the new version.
 func (a *account) shift(ask *Ask, fresh bool, now time.Time) Decision {
 	r := &a.record
@@ -217,6 +230,7 @@
 	return Decision{Side: New}
 }
 
+// charge takes the credit for one exposed request.
 func (a *account) charge(route string) *Exposure {
 	a.credit--
 	a.deficits[route]--
@@ -224,7 +238,8 @@
 	return &Exposure{account: a, route: route}
 }
 
-func (a *account) giveBack(x *Exposure) {
+// refund reverses charge.
+func (a *account) refund(x *Exposure) {
 	a.credit++
 	a.deficits[x.route]++
 	a.exposed--
--- a/internal/gateway/rollout/step.go
+++ b/internal/gateway/rollout/step.go
@@ -23,6 +23,8 @@
 	maxRamp   = time.Second
 	// minShift is the least time before the deadline with which the shift still begins.
 	minShift = time.Second
+	// minShiftDivisor limits minShift to a part of a short roll-out.
+	minShiftDivisor = 5
 	// finishMargin is how long before the deadline a roll-out ends, so that the record is
 	// committed by then.
 	finishMargin = 300 * time.Millisecond
@@ -95,7 +97,7 @@
 		return r, false
 	}
 	problem := r.untrusted(in)
-	if problem == "" && left < min(minShift, r.Duration()/5) {
+	if problem == "" && left < min(minShift, r.Duration()/minShiftDivisor) {
 		problem = ReasonDeadline
 	}
 	switch {
@@ -123,10 +125,11 @@
 }
 
 func stepShifting(r Record, in *Input) (next Record, changed bool) {
+	mustEnd := r.Deadline().Sub(in.Now) < finishMargin
 	switch {
-	case in.ReadyNew == 0 && r.Deadline().Sub(in.Now) < finishMargin:
+	case mustEnd && in.ReadyNew == 0:
 		return r.End(Reverted, ReasonNoEndpoints, in.Now), true
-	case r.Deadline().Sub(in.Now) < finishMargin:
+	case mustEnd:
 		return r.End(Completed, ReasonDeadline, in.Now), true
 	case in.ReadyNew == 0 || in.Now.Before(r.shiftPart(fallbackShare).Add(confirmTTL)):
 		return r, false
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -22,9 +22,9 @@
 
 	mu sync.Mutex
 	// knownAt is the time as of which the records were known to be the newest.
-	knownAt   bootclock.Instant
-	accounts  map[string]*account
-	sightings sightings
+	knownAt  bootclock.Instant
+	accounts map[string]*account
+	versions knownVersions
 }
 
 // NewTable returns a table of the named entry without records.
@@ -64,7 +64,7 @@
 		changed = append(changed, record)
 	}
 	t.size.Store(int64(len(t.accounts)))
-	t.sightings.decide(t.knownAt)
+	t.versions.decide(t.knownAt)
 	return changed
 }
 
@@ -117,7 +117,7 @@
 
 // SetReady sets the numbers of ready endpoints. count returns those of the old and of the new
 // version of a service.
-func (t *Table) SetReady(count func(service, to string) (old, young int)) {
+func (t *Table) SetReady(count func(service, to string) (readyOld, readyNew int)) {
 	if t.Empty() {
 		return
 	}
@@ -149,7 +149,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if withheld := t.sightings.withheld[ask.Service]; ask.Bound == nil && t.withholds(ask.Service, withheld) {
+	if withheld := t.versions.withheld[ask.Service]; ask.Bound == nil && t.withholds(ask.Service, withheld) {
 		return Decision{To: withheld, Side: Old}
 	}
 	a := t.accounts[ask.Service]
@@ -171,7 +171,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.account.giveBack(x)
+	x.account.refund(x)
 }
 
 // MayReceive reports whether a request that was meant for a version may still be sent to it.
