--- a/internal/entry/attempt_runner.go
+++ b/internal/entry/attempt_runner.go
@@ -102,7 +102,7 @@
 // complete.
 func (r *attemptRunner) run(ctx context.Context, req *endpoint.GenerateRequest) error {
 	if !r.alone {
-		r.silence = watchSilence(headerPatience, r.reportSilence)
+		r.silence = watchSilence(headerTimeout, r.reportSilence)
 		defer r.silence.stop()
 	}
 	stream, err := r.generation.service.options.Engine.Generate(ctx, r.state.baseURL, req)
--- a/internal/entry/silence.go
+++ b/internal/entry/silence.go
@@ -10,25 +10,26 @@
 )
 
 const (
-	// headerPatience is how long an endpoint may take to accept or refuse a
+	// headerTimeout is how long an endpoint may take to accept or refuse a
 	// generation before another attempt is requested. Engines answer when they
 	// queue a generation, not when they run it.
-	headerPatience = 2 * time.Second
+	headerTimeout = 2 * time.Second
 	// MaxSilence is the deadline of a silent attempt that nothing replaces. Within
 	// it the request may still get another attempt.
 	MaxSilence = minRetryWindow
 )
 
+// errSilent is the cause of the failure of a silent attempt.
 var errSilent = errors.New("no frame arrived in time")
 
-// silenceWatch calls report once when an attempt has waited for its patience
-// without a frame, and again for each later silence.
+// silenceWatch calls report once when an attempt has received no frame for its
+// time-out, and again for each later silence.
 type silenceWatch struct {
 	report func()
 	timer  *time.Timer
 
-	mu       sync.Mutex
-	patience time.Duration
+	mu      sync.Mutex
+	timeout time.Duration
 	// since is when the wait for a frame began; zero while a frame is handled, so
 	// that a slow caller does not count as a silent endpoint.
 	since    time.Time
@@ -36,34 +37,35 @@
 }
 
 // watchSilence starts to watch an attempt that waits for the head of its answer.
-func watchSilence(patience time.Duration, report func()) *silenceWatch {
-	w := &silenceWatch{report: report, patience: patience, since: time.Now()}
+func watchSilence(timeout time.Duration, report func()) *silenceWatch {
+	w := &silenceWatch{report: report, timeout: timeout, since: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(patience, w.check)
+	w.timer = time.AfterFunc(timeout, w.check)
 	return w
 }
 
+// check reports the silence once it has lasted for the time-out, and runs again later.
 func (w *silenceWatch) check() {
 	w.mu.Lock()
 	waited := time.Duration(0)
 	if !w.since.IsZero() {
 		waited = time.Since(w.since)
 	}
-	due := waited >= w.patience && !w.reported
+	due := waited >= w.timeout && !w.reported
 	w.reported = w.reported || due
-	w.timer.Reset(max(w.patience-waited, w.patience/idleChecks))
+	w.timer.Reset(max(w.timeout-waited, w.timeout/idleChecks))
 	w.mu.Unlock()
 	if due {
 		w.report()
 	}
 }
 
-// idleChecks divides the patience into the interval of checks while an attempt
+// idleChecks divides the time-out into the interval of checks while an attempt
 // stays silent.
 const idleChecks = 4
 
-// begin marks the begin of a wait for a frame.
+// begin marks the start of a wait for a frame.
 func (w *silenceWatch) begin() {
 	if w == nil {
 		return
@@ -83,17 +85,18 @@
 	w.mu.Unlock()
 }
 
-// setPatience sets how long the attempt may wait for a frame.
-func (w *silenceWatch) setPatience(d time.Duration) {
+// setTimeout sets how long the attempt may wait for a frame.
+func (w *silenceWatch) setTimeout(d time.Duration) {
 	w.mu.Lock()
-	w.patience = d
+	w.timeout = d
 	w.timer.Reset(d)
 	w.mu.Unlock()
 }
 
+// stop ends the watch.
 func (w *silenceWatch) stop() {
 	w.mu.Lock()
-	w.patience = MaxSilence
+	w.timeout = MaxSilence
 	w.since = time.Time{}
 	w.mu.Unlock()
 	w.timer.Stop()
@@ -103,21 +106,21 @@
 // alone gets no second attempt while the first one runs, so its stream ends
 // with its silence.
 func (r *attemptRunner) limitSilence(stream port.FrameStream) {
-	patience := time.Duration(r.generation.doc.Limits.SilentStreamMS) * time.Millisecond
+	timeout := time.Duration(r.generation.doc.Limits.SilentStreamMS) * time.Millisecond
 	idle, ok := stream.(port.IdleStream)
 	if r.silence == nil {
 		if ok {
-			idle.SetIdle(patience)
+			idle.SetIdle(timeout)
 		}
 		return
 	}
 	if ok {
-		idle.SetIdle(max(MaxSilence, patience))
+		idle.SetIdle(max(MaxSilence, timeout))
 	}
-	if patience <= 0 {
-		patience = MaxSilence
+	if timeout <= 0 {
+		timeout = MaxSilence
 	}
-	r.silence.setPatience(patience)
+	r.silence.setTimeout(timeout)
 }
 
 // reportSilence requests another attempt. The silent one ends only when that has
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -10,7 +10,7 @@
 )
 
 // completeSilent answers a request with at most the given number of attempts. A
-// stream with the gate goes on after several times the patience.
+// stream with the gate goes on after several times the time-out.
 func completeSilent(t *testing.T, engine *fakeEngine, gate chan int, attempts int) (string, Result, error) {
 	s := newTestService(t, engine, func(o *Options) {
 		doc := *o.Config.Current().Document
@@ -66,7 +66,7 @@
 	for name, c := range map[string]struct{ attempts, requests int }{"last allowed attempt": {1, 1}, "replaced": {2, 2}} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			engine := &fakeEngine{scripts: []script{{tokens: answerTokens, headDelay: headerPatience + 500*time.Millisecond}, {tokens: answerTokens}}}
+			engine := &fakeEngine{scripts: []script{{tokens: answerTokens, headDelay: headerTimeout + 500*time.Millisecond}, {tokens: answerTokens}}}
 			text, result, err := completeSilent(t, engine, nil, c.attempts)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(text).To(Equal("abcdef"))
--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -107,7 +107,7 @@
 	var watch *silenceWatch
 	if answer.ContentLength < 0 {
 		// Without a length, only the time tells that a body does not end.
-		watch = c.watchSilence(h, c.attemptPatience(), c.attempts(), func() { answer.SetDeadline(time.Unix(1, 0)) })
+		watch = c.watchSilence(h, c.silenceTimeout(), c.attempts(), func() { answer.SetDeadline(time.Unix(1, 0)) })
 	}
 	buffer := c.entry.buffers.newBuffer(plainBuffer)
 	defer buffer.release()
--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -117,7 +117,7 @@
 
 // exchange sends the request to an endpoint and forwards the answer.
 func (c *call) exchange(ctx context.Context, cancel context.CancelFunc, h *hop) outcome {
-	watch := c.watchSilence(h, c.attemptPatience(), c.attempts()+1, cancel)
+	watch := c.watchSilence(h, c.silenceTimeout(), c.attempts()+1, cancel)
 	answer, err := c.send(ctx, h)
 	next := watch.stop()
 	if next != nil && err == nil {
@@ -181,9 +181,9 @@
 	return c.meta.ResumeAfter
 }
 
-// attemptPatience returns how long an attempt may wait for its answer before another one may
+// silenceTimeout returns how long an attempt may wait for its answer before another one may
 // replace it.
-func (c *call) attemptPatience() time.Duration {
+func (c *call) silenceTimeout() time.Duration {
 	return max(silentTargetFactor*c.route.Target, minAttemptSilence)
 }
 
--- a/internal/gateway/entry/forward_send.go
+++ b/internal/gateway/entry/forward_send.go
@@ -15,8 +15,9 @@
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
 
-// choosePeer chooses the peer that the request is forwarded to, except those that are avoided. A request that was forwarded
-// to this entry is refused instead, so that none goes over more than one peer.
+// choosePeer chooses the peer that the request is forwarded to, except those that are avoided. A
+// request that was forwarded to this entry is refused instead, so that none goes over more than
+// one peer.
 func (c *call) choosePeer(avoided []string, now time.Time) (*hop, error) {
 	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonCutOff, RetryAfter: c.retryAfter(defaultRetryAfter)}
 	if c.forwarded != nil {
@@ -42,7 +43,7 @@
 	span.Text("peer", h.choice.Endpoint.ID)
 	c.entry.metrics.forwards.Inc()
 	var result outcome
-	watch := c.watchSilence(h, c.attemptPatience(), c.attempts()+1, cancel)
+	watch := c.watchSilence(h, c.silenceTimeout(), c.attempts()+1, cancel)
 	answer, err := c.sendToPeer(ctx, h)
 	next := watch.stop()
 	if next != nil && err == nil {
--- a/internal/gateway/entry/silence.go
+++ b/internal/gateway/entry/silence.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/gateway/failover"
-	"github.com/boragelead/boragelead/internal/gateway/registry"
 	"github.com/boragelead/boragelead/internal/guard"
 	"github.com/boragelead/boragelead/internal/port"
 )
@@ -28,9 +27,9 @@
 // budget. The endpoint may still reject it, since two runs of one request at a time are not
 // allowed.
 type silenceWatch struct {
-	call     *call
-	hop      *hop
-	patience time.Duration
+	call    *call
+	hop     *hop
+	timeout time.Duration
 	// started is the number of attempts including this one.
 	started int
 	// giveUp ends the attempt.
@@ -51,14 +50,14 @@
 
 // watchSilence starts to watch the attempt at a hop. The caller must call stop when the
 // attempt has ended. It returns nil if nothing may replace the attempt.
-func (c *call) watchSilence(h *hop, patience time.Duration, started int, giveUp func()) *silenceWatch {
+func (c *call) watchSilence(h *hop, timeout time.Duration, started int, giveUp func()) *silenceWatch {
 	if !c.route.Repeatable() || started >= c.route.MaxAttempts {
 		return nil
 	}
-	w := &silenceWatch{call: c, hop: h, patience: patience, started: started, giveUp: giveUp, silentSince: time.Now()}
+	w := &silenceWatch{call: c, hop: h, timeout: timeout, started: started, giveUp: giveUp, silentSince: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(patience, func() {
+	w.timer = time.AfterFunc(timeout, func() {
 		if err := guard.Run(w.check); err != nil {
 			c.entry.metrics.panics.Inc()
 			c.entry.log.Error("Watch of a silent attempt failed unexpectedly.", zap.String("request", c.meta.AttemptID), zap.Error(err))
@@ -82,7 +81,7 @@
 	}
 	w.call.releaseReplacement(w.replacement)
 	w.replacement = nil
-	w.timer.Reset(w.patience)
+	w.timer.Reset(w.timeout)
 	return true
 }
 
@@ -96,8 +95,8 @@
 	w.silentSince = since
 }
 
-// stop ends the watch once nothing more is received, and returns the replacement if the watch has ended the attempt. The
-// caller must use it or release it.
+// stop ends the watch once nothing more is received, and returns the replacement if the watch has
+// ended the attempt. The caller must use it or release it.
 func (w *silenceWatch) stop() *hop {
 	if w == nil {
 		return nil
@@ -119,7 +118,7 @@
 		return
 	}
 	if w.silentSince.IsZero() {
-		w.timer.Reset(w.patience)
+		w.timer.Reset(w.timeout)
 		return
 	}
 	now := time.Now()
@@ -134,13 +133,13 @@
 		w.startProbe()
 	case failover.Wait:
 	}
-	w.timer.Reset(max(w.patience-situation.Waited, silenceRecheck))
+	w.timer.Reset(max(w.timeout-situation.Waited, silenceRecheck))
 }
 
 // situation describes the silence. The caller must hold mu.
 func (w *silenceWatch) situation(now time.Time) failover.Silence {
 	e, service := w.call.entry, w.call.service.Name
-	s := failover.Silence{Waited: now.Sub(w.silentSince), Patience: w.patience, Probe: w.probe, LinksLost: e.reach.monitor.CutOff(service)}
+	s := failover.Silence{Waited: now.Sub(w.silentSince), Timeout: w.timeout, Probe: w.probe, LinksLost: e.reach.monitor.CutOff(service)}
 	if !w.hop.viaPeer() {
 		s.Silent, s.Busy = e.board.CountSilent(service, time.Duration(similarSilence*float64(s.Waited)), now)
 	}
@@ -215,6 +214,8 @@
 	return next, err
 }
 
+// chooseReplacement picks another endpoint, or a peer while this entry reaches no endpoint of the
+// service.
 func (c *call) chooseReplacement(silent *hop, now time.Time) (*hop, error) {
 	if c.entry.reach.monitor.CutOff(c.service.Name) {
 		avoided := c.avoidedPeers
@@ -240,56 +241,3 @@
 	c.entry.rollouts.Return(next.exposure)
 	c.entry.retries.ReturnRepeat(c.service.Name, time.Now())
 }
-
-// endpointProbes connects to silent endpoints, at most once in minProbeInterval to each.
-type endpointProbes struct {
-	entry *Entry
-
-	mu   sync.Mutex
-	last map[string]*silenceProbe
-}
-
-// silenceProbe is a probe of an endpoint; done is closed when it has ended.
-type silenceProbe struct {
-	at      time.Time
-	done    chan struct{}
-	outcome failover.Probe
-}
-
-func newEndpointProbes(e *Entry) *endpointProbes {
-	return &endpointProbes{entry: e, last: make(map[string]*silenceProbe)}
-}
-
-// probe returns the outcome of a connection to an endpoint, which it shares with other callers.
-func (p *endpointProbes) probe(endpoint *registry.Endpoint) failover.Probe {
-	now := time.Now()
-	p.mu.Lock()
-	probe := p.last[endpoint.Address]
-	if probe != nil && now.Sub(probe.at) < minProbeInterval {
-		p.mu.Unlock()
-		<-probe.done
-		return probe.outcome
-	}
-	probe = &silenceProbe{at: now, done: make(chan struct{})}
-	p.last[endpoint.Address] = probe
-	p.mu.Unlock()
-	defer close(probe.done)
-	ctx, cancel := context.WithTimeout(p.entry.ctx, probeTimeout)
-	defer cancel()
-	probe.outcome = failover.Accepted
-	if err := p.entry.client.Probe(ctx, endpoint.Address); err != nil {
-		probe.outcome = failover.Failed
-	}
-	return probe.outcome
-}
-
-// expire forgets probes that are no longer shared.
-func (p *endpointProbes) expire(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, probe := range p.last {
-		if now.Sub(probe.at) > minProbeInterval {
-			delete(p.last, address)
-		}
-	}
-}
--- a/internal/gateway/failover/failover.go
+++ b/internal/gateway/failover/failover.go
@@ -8,16 +8,16 @@
 	// minCommon is the number of endpoints that must be silent at once to count as a common
 	// silence.
 	minCommon = 2
-	// commonPatience times the usual patience is how long a common silence is waited for while
+	// commonTimeoutFactor times the usual time-out is how long a common silence may last while
 	// the endpoint accepts connections.
-	commonPatience = 3
+	commonTimeoutFactor = 3
 )
 
-// Silence is what an entry knows when an attempt has waited in vain for a byte.
+// Silence is what an entry knows of an attempt that has received no byte for some time.
 type Silence struct {
-	// Waited is how long the attempt has been silent, and Patience the time after which it
+	// Waited is how long the attempt has been silent, and Timeout the time after which it
 	// may be replaced.
-	Waited, Patience time.Duration
+	Waited, Timeout time.Duration
 	// Silent counts the endpoints of the service that are silent for a similar time, and
 	// Busy all of them at which attempts of the entry run.
 	Silent, Busy int
@@ -58,9 +58,9 @@
 // their work elsewhere would double it.
 func Decide(s Silence) Decision {
 	switch {
-	case s.Waited < s.Patience:
+	case s.Waited < s.Timeout:
 		return Wait
-	case s.LinksLost || s.Probe == Failed || !s.isCommon() || s.Waited >= commonPatience*s.Patience:
+	case s.LinksLost || s.Probe == Failed || !s.isCommon() || s.Waited >= commonTimeoutFactor*s.Timeout:
 		return Replace
 	case s.Probe == NotProbed:
 		return WaitAndProbe
@@ -68,4 +68,5 @@
 	return Wait
 }
 
+// isCommon reports whether most of the busy endpoints are silent.
 func (s *Silence) isCommon() bool { return s.Silent >= minCommon && 2*s.Silent > s.Busy }
