--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -65,8 +65,8 @@
 	// slowdown is the ratio of the last time between two events to the pace, at slowdownAt.
 	slowdown   float64
 	slowdownAt time.Time
-	// othersUntil is when the long prompts of other entries are estimated to be processed.
-	othersUntil time.Time
+	// remotePromptsUntil is when the long prompts of other entries are estimated to be processed.
+	remotePromptsUntil time.Time
 	// idHash is the hash of the endpoint's ID, for rendezvous hashing.
 	idHash uint64
 	// lastByteAt is when the last byte of an answer was received.
@@ -106,7 +106,7 @@
 	return &Board{
 		random:    random,
 		filters:   []Filter{ReadyFilter{}, VersionFilter{}, RolloutFilter{}, AvoidFilter{}, PauseFilter{}, BackoffFilter{}, ConnectionFilter{}, RateFilter{}, RoomFilter{}},
-		scorers:   []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}, OthersScorer{}},
+		scorers:   []Scorer{QueueScorer{}, PrefillScorer{}, DomainScorer{}, SilenceScorer{}, RemotePromptsScorer{}},
 		picker:    LowestScorePicker{Random: random},
 		endpoints: make(map[string]*stats),
 		services:  make(map[string][]*stats),
--- a/internal/gateway/pick/remote_prompts.go
+++ b/internal/gateway/pick/remote_prompts.go
@@ -1,11 +1,9 @@
 package pick
 
-import (
-	"time"
-)
+import "time"
 
-// longPromptSeconds is the estimated time to process a prompt from which other entries are told
-// of it.
+// longPromptSeconds is the estimated time to process a prompt, in seconds, from which other
+// entries are told of it.
 const longPromptSeconds = 0.05
 
 // NotePrompt records a long prompt that another entry sent to an endpoint some time ago.
@@ -18,10 +16,10 @@
 	}
 	seconds := float64(tokens) * b.model(s.endpoint.Service).secondsPerTokenOrInitial() * s.slownessAt(b.paceOf(s.endpoint.Service, now), now)
 	start := now.Add(-age)
-	if s.othersUntil.After(start) {
-		start = s.othersUntil
+	if s.remotePromptsUntil.After(start) {
+		start = s.remotePromptsUntil
 	}
-	s.othersUntil = start.Add(time.Duration(seconds * float64(time.Second)))
+	s.remotePromptsUntil = start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
 // LongPrompt returns the number of prompt tokens that the endpoint has to process, and whether
@@ -30,13 +28,13 @@
 	return c.uncachedTokens, float64(c.uncachedTokens)*c.secondsPerToken >= longPromptSeconds
 }
 
-// OthersScorer estimates the time to process the long prompts of other entries.
-type OthersScorer struct{}
+// RemotePromptsScorer estimates the time to process the long prompts of other entries.
+type RemotePromptsScorer struct{}
 
 // Name implements Scorer.
-func (OthersScorer) Name() string { return "others" }
+func (RemotePromptsScorer) Name() string { return "others" }
 
 // Seconds implements Scorer.
-func (OthersScorer) Seconds(r *Request, v *View) float64 {
-	return max(v.othersUntil.Sub(r.Now).Seconds(), 0)
+func (RemotePromptsScorer) Seconds(r *Request, v *View) float64 {
+	return max(v.remotePromptsUntil.Sub(r.Now).Seconds(), 0)
 }
