--- a/internal/inlet/body.go
+++ b/internal/inlet/body.go
@@ -28,7 +28,7 @@
 	b.taken, b.data = 0, nil
 }
 
-// take reserves memory for a body of a size in all. The error is ErrFull.
+// take reserves memory so that the body holds size bytes in all. The error is ErrFull.
 func (b *Body) take(size int64) error {
 	if err := b.account.Add(size - b.taken); err != nil {
 		return err
@@ -37,7 +37,7 @@
 	return nil
 }
 
-// Read reads a body of a length; a negative length is unknown. The error is ErrFull, or that
+// Read reads a body of the given length; a negative length means that it is not known. The error is ErrFull, or that
 // of the reader.
 func (b *Body) Read(reader io.Reader, length int64) error {
 	if length < 0 {
--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -27,7 +27,8 @@
 )
 
 // Refusals that are written before a request was read to its end, so that it has not run. Its
-// deadline is not known yet; the time to come back is below three tenths of the shortest, 2.5 s.
+// deadline is not known yet. Retry-After may be three tenths of the time left at most, and the
+// shortest deadline of ordinary requests is 2.5 s.
 const (
 	refusalUnavailable = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	refusalTimedOut    = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -86,9 +87,10 @@
 	return c
 }
 
-// NetConn returns the connection below.
+// NetConn returns the wrapped connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// progressAt returns when the connection last made progress.
 func (c *Conn) progressAt() time.Time { return time.Unix(0, c.progress.Load()) }
 
 // stuck reports whether the connection is in the middle of a request that the client has not
@@ -233,7 +235,8 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// applyReadDeadline puts the times of the document in force, unless the server's end earlier.
+// applyReadDeadline sets the earlier of the read deadline that the server set and the one that
+// follows from the time-outs of the document.
 func (c *Conn) applyReadDeadline() {
 	limits := c.listener.limits.Load()
 	start, timeout := c.headStart.Load(), limits.HeaderTimeout
@@ -260,6 +263,7 @@
 	return b
 }
 
+// applyWriteDeadline sets the earlier of a write deadline and the one that the server set.
 func (c *Conn) applyWriteDeadline(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -116,7 +116,7 @@
 // lines. Set http where connections carry HTTP.
 func (in *Inlet) Listen(inner net.Listener, name string, share float64, http bool) *Listener {
 	l := &Listener{
-		Listener: inner, inlet: in, name: name, places: max(int(share*float64(in.size.Places)), 1), http: http,
+		Listener: inner, inlet: in, name: name, places: max(int(share*float64(in.size.Connections)), 1), http: http,
 		conns: make(map[*Conn]struct{}), addresses: make(map[netip.Addr]int),
 	}
 	l.limits.Store(&Limits{})
--- a/internal/inlet/inlet_test.go
+++ b/internal/inlet/inlet_test.go
@@ -77,13 +77,13 @@
 
 const ordinary = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
 
-var roomy = Size{Places: 8, Bytes: 1 << 20}
+var roomy = Size{Connections: 8, Bytes: 1 << 20}
 
 // Guards against a connection without progress that keeps its place although another client
 // needs it, and against closing a request that runs instead.
 func TestStalledConnectionGivesItsPlace(t *testing.T) {
 	g := NewWithT(t)
-	s := newTestServer(t, Size{Places: 2, Bytes: 1 << 20})
+	s := newTestServer(t, Size{Connections: 2, Bytes: 1 << 20})
 	s.hold = make(chan struct{})
 	running := s.dial(t, ordinary)
 	<-s.started
@@ -101,7 +101,7 @@
 // are taken by requests that run.
 func TestNoPlaceIsSaid(t *testing.T) {
 	g := NewWithT(t)
-	s := newTestServer(t, Size{Places: 1, Bytes: 1 << 20})
+	s := newTestServer(t, Size{Connections: 1, Bytes: 1 << 20})
 	s.hold = make(chan struct{})
 	running := s.dial(t, ordinary)
 	<-s.started
@@ -116,7 +116,7 @@
 // Guards against a head or a body that is not counted, or not returned to the budget.
 func TestBytesAreCountedAndReturned(t *testing.T) {
 	g := NewWithT(t)
-	s := newTestServer(t, Size{Places: 8, Bytes: 128 << 10})
+	s := newTestServer(t, Size{Connections: 8, Bytes: 128 << 10})
 	large := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("b", 200_000)
 	g.Expect(status(s.dial(t, large))).To(Equal(http.StatusServiceUnavailable))
 	head := s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("h", 60<<10))
@@ -180,7 +180,7 @@
 // Guards against one address that takes the places of others while places are scarce.
 func TestAddressOverItsShareGivesUpFirst(t *testing.T) {
 	g := NewWithT(t)
-	s := newTestServer(t, Size{Places: 4, Bytes: 1 << 20})
+	s := newTestServer(t, Size{Connections: 4, Bytes: 1 << 20})
 	dialFrom := func(ip string) net.Conn {
 		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
 		conn, err := dialer.Dial("tcp4", s.address)
@@ -210,18 +210,18 @@
 func TestSizes(t *testing.T) {
 	g := NewWithT(t)
 	entry := SizeOf(144<<20, 3075, ShareWithEndpoints)
-	g.Expect(entry.Places).To(Equal(1383))
+	g.Expect(entry.Connections).To(Equal(1383))
 	g.Expect(entry.Bytes).To(BeNumerically("~", 56<<20, 1<<20))
 	g.Expect(SizeOf(0, 0, ShareWithEndpoints).Bytes).To(BeEquivalentTo(defaultBudgetBytes))
 	g.Expect(SizeOfHeap(256 << 20).Bytes).To(BeEquivalentTo(128 << 20))
-	g.Expect(SizeOfHeap(0).Places).To(BeNumerically(">", 0))
+	g.Expect(SizeOfHeap(0).Connections).To(BeNumerically(">", 0))
 }
 
 // Guards against a client that keeps the memory of a declared body with single bytes, while
 // others need it.
 func TestSingleBytesAreNoProgress(t *testing.T) {
 	g := NewWithT(t)
-	s := newTestServer(t, Size{Places: 8, Bytes: 256 << 10})
+	s := newTestServer(t, Size{Connections: 8, Bytes: 256 << 10})
 	const size = 150_000
 	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
 	trickling := s.dial(t, head+strings.Repeat("b", size-100))
@@ -249,7 +249,7 @@
 	g := NewWithT(t)
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	listener := New(Options{Size: Size{Places: requests, Bytes: 16 << 20}}).Listen(inner, "test", 1, true)
+	listener := New(Options{Size: Size{Connections: requests, Bytes: 16 << 20}}).Listen(inner, "test", 1, true)
 	listener.SetLimits(Limits{HeaderTimeout: headerTimeout})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
--- a/internal/inlet/server.go
+++ b/internal/inlet/server.go
@@ -13,6 +13,7 @@
 // maxHeaderBytes bounds the heads of servers that set no bound. Clients stay far below it.
 const maxHeaderBytes = 64 << 10
 
+// connKey is the context key of the connection of a request.
 type connKey struct{}
 
 // connOf returns the connection of a request, or nil if it came through no inlet.
@@ -63,6 +64,7 @@
 	}
 }
 
+// serve handles a request within the limits of the listener.
 func (l *Listener) serve(next http.Handler, copies int64, w http.ResponseWriter, r *http.Request) {
 	c := connOf(r.Context())
 	if c == nil {
@@ -108,4 +110,5 @@
 	return n, err
 }
 
+// release returns the memory of the body to the budget.
 func (b *countedBody) release() { b.conn.account.Release(b.taken) }
--- a/internal/inlet/size.go
+++ b/internal/inlet/size.go
@@ -16,8 +16,8 @@
 	// connBytes is what a connection holds without a request: the stack of its goroutine, and
 	// its read and write buffers of 4 KB each.
 	connBytes = 16 << 10
-	// placeMemoryShare is the share of the memory that connections without a request may hold.
-	placeMemoryShare = 0.25
+	// idleMemoryShare is the share of the memory that connections without a request may hold.
+	idleMemoryShare = 0.25
 	// defaultMemoryBytes is the assumed memory if none is known: that for which the default
 	// budget is sized.
 	defaultMemoryBytes = 448 << 20
@@ -37,8 +37,8 @@
 
 // Size is what the listeners of a process may use together.
 type Size struct {
-	// Places is the number of connections.
-	Places int
+	// Connections is the number of accepted connections, which are divided among the listeners.
+	Connections int
 	// Bytes is the memory for what connections hold.
 	Bytes int64
 }
@@ -56,7 +56,7 @@
 	} else {
 		memory = defaultMemoryBytes
 	}
-	size.Places = min(int(share*float64(descriptors)), int(placeMemoryShare*float64(memory))/connBytes)
+	size.Connections = min(int(share*float64(descriptors)), int(idleMemoryShare*float64(memory))/connBytes)
 	return size
 }
 
