--- a/internal/gateway/link/link.go
+++ b/internal/gateway/link/link.go
@@ -180,8 +180,8 @@
 	Rollouts       []rollout.Record `msgpack:"v1,omitempty"`
 	RolloutVersion uint64           `msgpack:"v2,omitempty"`
 	// RolloutAgeMS is how long ago the replica last knew that its records were the newest, in
-	// milliseconds: 0 for a leader with a quorum, and the time since the last message of the
-	// leader for the others. Negative means never.
+	// milliseconds. Only a leader that a majority confirms knows; negative means that the
+	// replica does not know.
 	RolloutAgeMS int64 `msgpack:"v3,omitempty"`
 	// RolloutHeldMS is how long the replica had held the poll when it set RolloutAgeMS, in
 	// milliseconds.
