--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,19 +17,18 @@
 // is a time before the replica answered.
 func (c *replicaClient) applyRollouts(address string, reply *link.PollReply, answeredAt bootclock.Instant) {
 	e := c.entry
+	var knownAt bootclock.Instant
 	if reply.RolloutAgeMS >= 0 {
-		e.rollouts.Confirm(answeredAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond))
+		knownAt = answeredAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond)
+		e.rollouts.Confirm(knownAt)
 	}
 	if !e.options.Settings.Bounds.OffersRollouts() && reply.RolloutVersion == 0 {
 		return
 	}
 	update := rollout.Update{
-		Records: reply.Rollouts, Entries: max(reply.Entries, c.entries()),
+		Records: reply.Rollouts, KnownAt: knownAt, Entries: max(reply.Entries, c.entries()),
 		StartedAt: e.clock.Now().Add(-bootclock.Now().Sub(e.startedAt)),
 	}
-	if reply.RolloutAgeMS >= 0 {
-		update.KnownAt = answeredAt.Add(-time.Duration(reply.RolloutAgeMS) * time.Millisecond)
-	}
 	for _, r := range e.rollouts.Apply(update) {
 		e.log.Info("Roll-out changed.", zap.String("service", r.Service), zap.String("to", r.To), zap.Stringer("phase", r.Phase), zap.String("reason", r.Reason),
 			zap.Float64("share", r.Bounds.Share), zap.Uint64("id", r.ID), zap.Uint64("revision", r.Revision), zap.Time("deadline", r.Deadline()), zap.String("replica", address))
@@ -115,103 +112,6 @@
 	return checkChoice(choice)
 }
 
-const (
-	// minTrial and maxTrial bound the time after which an attempt is counted as evidence,
-	// which is the target latency of its route.
-	minTrial = 200 * time.Millisecond
-	maxTrial = time.Second
-)
-
-// trial measures a first attempt as evidence for the roll-out of its service. Each one is
-// counted once, when a fixed time has passed since its start. If results were counted as they
-// arrive, the fast ones among those of a version whose share rises would be in the majority.
-type trial struct {
-	table     *rollout.Table
-	startedAt time.Time
-	after     time.Duration
-	timer     *time.Timer
-
-	mu     sync.Mutex
-	sample rollout.Sample
-	// counted is set once the attempt was counted, and void if it must not be.
-	counted, void bool
-}
-
-// beginTrial returns nil if there is no roll-out, or the attempt is not the first one.
-func (c *call) beginTrial(h *hop) *trial {
-	id := c.entry.rollouts.ActiveID(c.service.Name)
-	if id == 0 || c.softwareVersion != nil || len(c.avoidedEndpoints()) > 0 {
-		return nil
-	}
-	t := &trial{table: c.entry.rollouts, startedAt: time.Now(), after: min(max(c.route.Target, minTrial), maxTrial)}
-	t.sample = rollout.Sample{ID: id, Service: c.service.Name, Route: c.route.Name, Version: h.endpoint.SoftwareVersion, Ended: true}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(t.after, t.count)
-	return t
-}
-
-// count counts the attempt. One that has no answer yet counts with the time that it has taken.
-func (t *trial) count() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.void {
-		return
-	}
-	t.counted = true
-	if t.sample.Time == 0 && !t.sample.Failed {
-		t.sample.Time = t.after
-	}
-	t.table.Record(&t.sample)
-}
-
-// noteAnswered records the time to the answer, or to the first event of a stream.
-func (t *trial) noteAnswered(now time.Time) {
-	if t == nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.sample.Time == 0 {
-		t.sample.Time = max(now.Sub(t.startedAt), 1)
-	}
-}
-
-// fail records that the attempt failed.
-func (t *trial) fail() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.counted {
-		t.sample.Failed = true
-		return
-	}
-	late := t.sample
-	late.Ended, late.Failed, late.Time = false, true, 0
-	t.table.Record(&late)
-}
-
-// discard ends a trial that shows nothing.
-func (t *trial) discard() {
-	t.timer.Stop()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.void = true
-}
-
-// endTrial ends the trial of an attempt. A request that the endpoint did not run shows nothing,
-// nor does one whose caller left.
-func (c *call) endTrial(result *outcome) {
-	t := c.trial
-	c.trial = nil
-	switch {
-	case t == nil:
-	case !result.sent || result.notRun || result.refusal != nil || result.moved != nil || c.r.Context().Err() != nil || result.done && !c.complete:
-		t.discard()
-	case !result.done || c.status >= http.StatusInternalServerError:
-		t.fail()
-	}
-}
-
 // settleRollout ends what an attempt at an endpoint means for the roll-out of its service: the
 // evidence, and the charge of an attempt that was not sent.
 func (c *call) settleRollout(h *hop, result *outcome) {
--- a/internal/gateway/state/rollout_orders.go
+++ b/internal/gateway/state/rollout_orders.go
@@ -214,14 +214,14 @@
 	return &link.RolloutReply{Record: record}
 }
 
-// restoredBeats is the number of heartbeat intervals after its start in which a replica
-// hears from the endpoints that live.
-const restoredBeats = 2
+// registryHeartbeats is the number of heartbeat intervals after its start in which a replica
+// hears from all live endpoints.
+const registryHeartbeats = 2
 
 // knowsFleet reports whether this replica has had the time to hear from all entries and
 // endpoints.
 func (s *State) knowsFleet() bool {
-	return s.hearsAll() && time.Since(s.started) > restoredBeats*settings.Millis(s.options.Settings.Bounds.HeartbeatMS)
+	return s.hearsAll() && time.Since(s.started) > registryHeartbeats*settings.Millis(s.options.Settings.Bounds.HeartbeatMS)
 }
 
 // isServiceGone reports whether the rules in force do not have a service. Without rules it
--- a/internal/gateway/state/rollout_scaling.go
+++ b/internal/gateway/state/rollout_scaling.go
@@ -7,9 +7,9 @@
 	"github.com/boragelead/boragelead/internal/port"
 )
 
-// rolloutRemains is how long after the end of a roll-out endpoints of the version that lost
-// may still be stopping.
-const rolloutRemains = 30 * time.Second
+// versionStopTime is how long after the end of a roll-out endpoints of the version that is not
+// kept may still be stopping.
+const versionStopTime = 30 * time.Second
 
 // isRollingOut reports whether a service has endpoints of two versions because of a roll-out.
 // The planner counts both, so that it sees a surplus. An order of fewer endpoints could then
@@ -24,7 +24,7 @@
 		return true
 	}
 	others, same := countVersions(endpoints, service, r.To)
-	return others > 0 && same > 0 && s.clock.Now().Sub(r.PhaseAt()) < rolloutRemains
+	return others > 0 && same > 0 && s.clock.Now().Sub(r.PhaseAt()) < versionStopTime
 }
 
 // reducesCount reports whether an order asks for fewer endpoints than its domain has ready.
--- a/internal/gateway/state/rollouts.go
+++ b/internal/gateway/state/rollouts.go
@@ -31,18 +31,27 @@
 	records  []rollout.Record
 }
 
+// newestRollouts returns the record of the newest table among the newest records of the ledger,
+// or nil if there is none.
+func newestRollouts(newest []port.RecordRequest) *port.RecordRequest {
+	for i := range newest {
+		if newest[i].Series == rolloutSeries {
+			return &newest[i]
+		}
+	}
+	return nil
+}
+
 // decodeRollouts returns the table that the newest records of the ledger hold, or an empty
 // one.
 func decodeRollouts(newest []port.RecordRequest) (rolloutTable, error) {
-	for i := range newest {
-		if newest[i].Series != rolloutSeries {
-			continue
-		}
-		table := rolloutTable{revision: newest[i].Key}
-		err := msgpack.Unmarshal(newest[i].Value, &table.records)
-		return table, eris.Wrap(err, "decode roll-outs")
+	record := newestRollouts(newest)
+	if record == nil {
+		return rolloutTable{}, nil
 	}
-	return rolloutTable{}, nil
+	table := rolloutTable{revision: record.Key}
+	err := msgpack.Unmarshal(record.Value, &table.records)
+	return table, eris.Wrap(err, "decode roll-outs")
 }
 
 // of returns the newest roll-out of a service, or nil.
@@ -134,15 +143,15 @@
 func (c *rolloutCache) table(newest []port.RecordRequest, report func(error)) rolloutTable {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at := slices.IndexFunc(newest, func(r port.RecordRequest) bool { return r.Series == rolloutSeries })
-	if at < 0 {
+	record := newestRollouts(newest)
+	if record == nil {
 		return rolloutTable{}
 	}
-	if c.last.revision != newest[at].Key {
+	if c.last.revision != record.Key {
 		table, err := decodeRollouts(newest)
 		if err != nil {
 			report(err)
-			table = rolloutTable{revision: newest[at].Key}
+			table = rolloutTable{revision: record.Key}
 		}
 		c.last = table
 	}
@@ -163,8 +172,8 @@
 }
 
 // addRollouts adds the roll-outs to a reply if the entry does not have them, and reports
-// whether to send the reply at once. The request arrived at arrivedAt. A request without a version may be one of an entry of
-// an older build, which would poll again without a pause.
+// whether to send the reply at once. The request arrived at arrivedAt. A request without a version
+// may be one of an entry of an older build, which would poll again without a pause.
 func (s *State) addRollouts(
 	request *link.PollRequest, reply *link.PollReply, arrivedAt bootclock.Instant,
 ) (urgent bool, changed <-chan struct{}) {
