--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -117,13 +117,7 @@
 
 // exchange sends the request to an endpoint and forwards the answer.
 func (c *call) exchange(ctx context.Context, cancel context.CancelFunc, h *hop) outcome {
-	watch := c.watchSilence(h, c.silenceTimeout(), c.attempts()+1, cancel)
-	answer, err := c.send(ctx, h)
-	next := watch.stop()
-	if next != nil && err == nil {
-		answer.Discard()
-		err = errReplaced
-	}
+	answer, next, err := c.sendWatched(h, cancel, func() (*wire.Answer, error) { return c.send(ctx, h) })
 	if err != nil {
 		return c.replaced(c.classifyFailure(ctx, h.choice, err), next)
 	}
@@ -132,6 +126,20 @@
 	return c.handleAnswer(ctx, h, answer)
 }
 
+// sendWatched calls send, which sends the request to a hop and waits for the header of the answer,
+// unless a silenceWatch ends the attempt by cancel. It then returns the reserved next attempt and
+// an error.
+func (c *call) sendWatched(h *hop, cancel context.CancelFunc, send func() (*wire.Answer, error)) (answer *wire.Answer, next *hop, err error) {
+	watch := c.watchSilence(h, c.silenceTimeout(), c.attempts()+1, cancel)
+	answer, err = send()
+	next = watch.stop()
+	if next != nil && err == nil {
+		answer.Discard()
+		err = errReplaced
+	}
+	return answer, next, err
+}
+
 // replaced adds the reserved next attempt to the outcome of one that a silenceWatch has ended.
 // If the attempt did not reach its endpoint, the reservation is of no use: it counts as none.
 func (c *call) replaced(result outcome, next *hop) outcome {
--- a/internal/gateway/entry/forward_send.go
+++ b/internal/gateway/entry/forward_send.go
@@ -43,13 +43,7 @@
 	span.Text("peer", h.choice.Endpoint.ID)
 	c.entry.metrics.forwards.Inc()
 	var result outcome
-	watch := c.watchSilence(h, c.silenceTimeout(), c.attempts()+1, cancel)
-	answer, err := c.sendToPeer(ctx, h)
-	next := watch.stop()
-	if next != nil && err == nil {
-		answer.Discard()
-		err = errReplaced
-	}
+	answer, next, err := c.sendWatched(h, cancel, func() (*wire.Answer, error) { return c.sendToPeer(ctx, h) })
 	if err != nil {
 		result = c.replaced(c.classifyPeerFailure(h, err), next)
 	} else {
