--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -33,8 +33,8 @@
 	machine *attempt.Machine
 	sink    Sink
 	// runCtx ends when the caller is gone, a peer has taken the request over,
-	// the daemon stops or the service closes; its cause says why. ctx is the context of the attempts:
-	// it also ends when the answer is complete.
+	// the daemon stops or the service closes; its cause says why. ctx is the
+	// context of the attempts: it also ends when the answer is complete.
 	runCtx, ctx  context.Context
 	stopAttempts context.CancelFunc
 	// cancels holds the cancel functions of the attempts by attempt ID.
@@ -217,6 +217,7 @@
 	g.deliverNow(a)
 }
 
+// deliverNow delivers tokens regardless of a pending hand-over.
 func (g *generation) deliverNow(a *attempt.Action) {
 	g.journal.Append(a.Count, a.Text)
 	g.service.metrics.tokens.Add(int64(a.Count))
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -142,6 +142,7 @@
 	return g.offer, &takeOverMessage{Request: *g.req, Text: chunk.Text, Tokens: chunk.Count, Offer: g.offer.id}
 }
 
+// sendOffer asks a peer to take the request over. A nil error means that it accepted.
 func (g *generation) sendOffer(ctx context.Context, peer member.Peer, message *takeOverMessage) error {
 	params, err := json.Marshal(message)
 	if err != nil {
--- a/internal/gateway/entry/dispatch.go
+++ b/internal/gateway/entry/dispatch.go
@@ -47,8 +47,8 @@
 	return true
 }
 
-// limitHopeless bounds the wait of a request for which none was found, and of all others that the
-// same endpoints can take, while no endpoint can become free. The caller must hold mu.
+// limitHopeless bounds the wait of a request for which no endpoint was found, and of all others
+// that the same endpoints can take, while no endpoint can become free. The caller must hold mu.
 func (q *serviceQueue) limitHopeless(t *waiting.Ticket, err error, now time.Time) {
 	hopeless := !q.entry.mayFree(t.Owner.(*waiter).request, err)
 	if t.Request.Selective {
@@ -74,7 +74,7 @@
 	}
 }
 
-// end tells requests that left the queue why. The caller must hold mu.
+// end reports to requests that left the queue why they were refused. The caller must hold mu.
 func (q *serviceQueue) end(tickets []*waiting.Ticket, reason waiting.Reason, now time.Time) {
 	for _, t := range tickets {
 		w := t.Owner.(*waiter)
--- a/internal/gateway/entry/wait.go
+++ b/internal/gateway/entry/wait.go
@@ -41,7 +41,7 @@
 }
 
 // mayFree reports whether an endpoint may take the request once other requests end. err is why none
-// takes it now. Nothing tells how long software versions are not known.
+// takes it now. While software versions are not known, the end of other requests changes nothing.
 func (e *Entry) mayFree(request *pick.Request, err error) bool {
 	var stale *StaleViewError
 	if errors.As(err, &stale) {
--- a/internal/replica/watch_records.go
+++ b/internal/replica/watch_records.go
@@ -16,6 +16,7 @@
 
 func (w *recordWatch) init() { w.changed = make(chan struct{}) }
 
+// set replaces the records and wakes all watchers.
 func (w *recordWatch) set(newest []port.RecordRequest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -24,6 +25,7 @@
 	w.changed = make(chan struct{})
 }
 
+// get returns the records, and a channel that is closed at their next change.
 func (w *recordWatch) get() ([]port.RecordRequest, <-chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -110,9 +110,9 @@
 }
 
 // NewBoundedLogger returns a logger of JSON lines that never blocks and whose
-// volume is bounded. Warnings are sampled later than other lines, and those of level error
-// never. The returned
-// function logs how many lines were dropped, if any, and writes the queued lines.
+// volume is bounded. Warnings are sampled from a higher number than other lines, and
+// errors are not sampled. The returned function logs how many lines were dropped, if
+// any, and writes the queued lines.
 func NewBoundedLogger(config settings.Log, out io.Writer) (log *zap.Logger, flush func()) {
 	w := &boundedWriter{out: out, lines: make(chan []byte, queueCapacity), flush: make(chan chan struct{})}
 	go w.run()
