--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -53,9 +53,9 @@
 type streamRun struct {
 	attemptID string
 	request   pick.Request
-	// ask describes the move for the roll-out of the service.
-	ask  rollout.Ask
-	move *move
+	// attempt describes the move for the roll-out of the service.
+	attempt rollout.Attempt
+	move    *move
 }
 
 // move is the move of a run to another endpoint.
@@ -76,7 +76,7 @@
 // trackRun records a stream that runs at an endpoint. The caller must call
 // untrackRun when the stream ends.
 func (m *migrations) trackRun(c *call, endpoint string) *streamRun {
-	run := &streamRun{attemptID: c.meta.AttemptID, request: *c.pickRequest(), ask: c.ask()}
+	run := &streamRun{attemptID: c.meta.AttemptID, request: *c.pickRequest(), attempt: c.rolloutAttempt()}
 	run.request.Avoid = slices.Clone(c.tried)
 	// The KV cache is copied, so the new endpoint does not process the prompt again.
 	run.request.PromptTokens, run.request.Prefix = 0, nil
@@ -206,7 +206,7 @@
 // callMove chooses the other endpoint and calls the current one.
 func (m *migrations) callMove(mv *move, run *streamRun, from *registry.Endpoint) error {
 	e := m.entry
-	decision := e.rollouts.Split(run.ask, e.clock.Now(), bootclock.Now())
+	decision := e.rollouts.Split(run.attempt, e.clock.Now(), bootclock.Now())
 	if decision.Side == rollout.Old {
 		return &WithdrawnError{Endpoint: from.ID}
 	}
--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -58,7 +58,7 @@
 // error is a *pick.NoEndpointError.
 func (c *call) chooseBySplit(request *pick.Request) (*hop, error) {
 	e := c.entry
-	decision := e.rollouts.Split(c.ask(), e.clock.Now(), bootclock.Now())
+	decision := e.rollouts.Split(c.rolloutAttempt(), e.clock.Now(), bootclock.Now())
 	h, err := c.chooseAt(request, &decision, decision.Side)
 	if err == nil || decision.OrElse == rollout.Any {
 		return h, err
@@ -73,9 +73,9 @@
 	return e.options.Settings.Bounds.OffersRollouts() && !e.rollouts.Confirmed(bootclock.Now())
 }
 
-// ask describes the next attempt for a roll-out.
-func (c *call) ask() rollout.Ask {
-	return rollout.Ask{
+// rolloutAttempt describes the next attempt for a roll-out.
+func (c *call) rolloutAttempt() rollout.Attempt {
+	return rollout.Attempt{
 		Service: c.service.Name, Route: c.route.Name, Ticket: c.ticket,
 		Attempts: len(c.avoidedEndpoints()), SentToNew: c.sentToNew, Bound: c.softwareVersion,
 	}
--- a/internal/gateway/rollout/bench_test.go
+++ b/internal/gateway/rollout/bench_test.go
@@ -12,7 +12,7 @@
 // BenchmarkWithoutRecords measures what a request costs while there is no roll-out.
 func BenchmarkWithoutRecords(b *testing.B) {
 	table := NewTable("e1")
-	ask := Ask{Service: "app", Route: "r"}
+	ask := Attempt{Service: "app", Route: "r"}
 	for b.Loop() {
 		ask.Ticket = table.Arrive(ask.Service, ask.Route, time.Time{})
 		table.Split(ask, time.Time{}, bootclock.Instant(1))
--- a/internal/gateway/rollout/exposure_test.go
+++ b/internal/gateway/rollout/exposure_test.go
@@ -111,7 +111,7 @@
 				arrived++
 			}
 			ticket := e.table.Arrive("app", simRoute, now)
-			ask := Ask{Service: "app", Route: simRoute, Ticket: ticket}
+			ask := Attempt{Service: "app", Route: simRoute, Ticket: ticket}
 			for range 2 {
 				d := e.table.Split(ask, now, bootclock.Instant(at))
 				if d.Side == Any && at >= simOrder+2*time.Second && at-e.heardAt < time.Second && e.heardAt > 0 {
@@ -176,7 +176,7 @@
 		f.poll(e, simOrder+simReady+time.Second)
 		for range 5 {
 			ticket := e.table.Arrive("app", simRoute, f.record.OrderedAt())
-			d := e.table.Split(Ask{Service: "app", Route: simRoute, Ticket: ticket}, f.record.OrderedAt(), bootclock.Instant(simOrder+simReady+time.Second))
+			d := e.table.Split(Attempt{Service: "app", Route: simRoute, Ticket: ticket}, f.record.OrderedAt(), bootclock.Instant(simOrder+simReady+time.Second))
 			g.Expect(d.Side).To(Equal(Old))
 		}
 	}
@@ -195,7 +195,7 @@
 		if i%10 == 3 {
 			route = "seldom"
 		}
-		d := e.table.Split(Ask{Service: "app", Route: route, Ticket: e.table.Arrive("app", route, at)}, at, bootclock.Instant(at.UnixNano()))
+		d := e.table.Split(Attempt{Service: "app", Route: route, Ticket: e.table.Arrive("app", route, at)}, at, bootclock.Instant(at.UnixNano()))
 		if d.Side == New {
 			exposed[route]++
 		}
--- a/internal/gateway/rollout/known_versions_test.go
+++ b/internal/gateway/rollout/known_versions_test.go
@@ -16,7 +16,7 @@
 	g := NewWithT(t)
 	table := NewTable("e")
 	at := func(seconds int) bootclock.Instant { return bootclock.Instant(time.Duration(seconds) * time.Second) }
-	side := func() Side { return table.Split(Ask{Service: "s"}, time.Unix(100, 0), at(20)).Side }
+	side := func() Side { return table.Split(Attempt{Service: "s"}, time.Unix(100, 0), at(20)).Side }
 	v1, v2 := ReadyVersion{Service: "s", Version: "v1", Born: 1}, ReadyVersion{Service: "s", Version: "v2", Born: 2}
 	table.NoteVersions([]ReadyVersion{v1}, at(10))
 	g.Expect(side()).To(Equal(Any))
--- a/internal/gateway/rollout/split.go
+++ b/internal/gateway/rollout/split.go
@@ -91,8 +91,8 @@
 	paced bool
 }
 
-// Ask describes an attempt.
-type Ask struct {
+// Attempt is what Split decides on: the next attempt of a request.
+type Attempt struct {
 	Service, Route string
 	Ticket         Ticket
 	// Attempts is the number of attempts that ended before this one. SentToNew is set if
@@ -146,22 +146,23 @@
 }
 
 // split decides on an attempt. fresh is set if the record is known to be the newest.
-func (a *account) split(ask *Ask, fresh bool, now time.Time) Decision {
-	d := a.decide(ask, fresh, now)
+func (a *account) split(attempt *Attempt, fresh bool, now time.Time) Decision {
+	d := a.decide(attempt, fresh, now)
 	d.To = a.record.To
 	return d
 }
 
-func (a *account) decide(ask *Ask, fresh bool, now time.Time) Decision {
-	if ask.Bound != nil {
-		return a.resume(ask, fresh)
+// decide returns the decision on an attempt without the name of the new version.
+func (a *account) decide(attempt *Attempt, fresh bool, now time.Time) Decision {
+	if attempt.Bound != nil {
+		return a.resume(attempt, fresh)
 	}
 	r := &a.record
 	switch {
 	case r.Phase == Canary:
-		return a.expose(ask, fresh, now)
+		return a.expose(attempt, fresh, now)
 	case r.Phase == Shifting:
-		return a.shift(ask, fresh, now)
+		return a.shift(attempt, fresh, now)
 	case r.Phase == Completed && a.readyNew > 0 && now.Sub(r.PhaseAt()) < completedTTL:
 		return Decision{Side: New}
 	case r.Phase == Completed:
@@ -174,13 +175,13 @@
 
 // resume decides on the next attempt of a stream, which can only be resumed at its version. A
 // stream of a version that is not trusted is resumed only as far as the exposure allows.
-func (a *account) resume(ask *Ask, fresh bool) Decision {
+func (a *account) resume(attempt *Attempt, fresh bool) Decision {
 	r := &a.record
-	if *ask.Bound != r.To || r.Phase == Completed || r.Phase == Shifting && fresh {
+	if *attempt.Bound != r.To || r.Phase == Completed || r.Phase == Shifting && fresh {
 		return Decision{Side: Any}
 	}
-	if r.Phase == Canary && fresh && ask.Ticket.id == r.ID && a.credit+a.reserve >= 1 {
-		return Decision{Side: New, Exposure: a.charge(ask.Route)}
+	if r.Phase == Canary && fresh && attempt.Ticket.id == r.ID && a.credit+a.reserve >= 1 {
+		return Decision{Side: New, Exposure: a.charge(attempt.Route)}
 	}
 	return Decision{Side: Old}
 }
@@ -188,31 +189,31 @@
 // expose decides on an attempt while the version is not trusted. Only first attempts are
 // exposed: a request that fails at every endpoint would count against both versions, but a
 // repeat would count against the new one alone.
-func (a *account) expose(ask *Ask, fresh bool, now time.Time) Decision {
+func (a *account) expose(attempt *Attempt, fresh bool, now time.Time) Decision {
 	r := &a.record
-	if !fresh || !a.mayExpose(ask, now) {
+	if !fresh || !a.mayExpose(attempt, now) {
 		return Decision{Side: Old}
 	}
 	focus := max(int(math.Ceil(focusFactor*r.Bounds.Share*float64(a.readyOld))), minFocus)
 	turn := r.ID + uint64(now.UnixNano()/int64(focusTime))
-	return Decision{Side: New, OrElse: Old, Focus: focus, Turn: turn, Exposure: a.charge(ask.Route)}
+	return Decision{Side: New, OrElse: Old, Focus: focus, Turn: turn, Exposure: a.charge(attempt.Route)}
 }
 
 // mayExpose reports whether an attempt is a first one whose turn it is, and the roll-out has
 // endpoints, credit and time for it.
-func (a *account) mayExpose(ask *Ask, now time.Time) bool {
+func (a *account) mayExpose(attempt *Attempt, now time.Time) bool {
 	r := &a.record
-	if ask.Attempts > 0 || ask.SentToNew {
+	if attempt.Attempts > 0 || attempt.SentToNew {
 		return false
 	}
-	if !ask.Ticket.paced || ask.Ticket.id != r.ID {
+	if !attempt.Ticket.paced || attempt.Ticket.id != r.ID {
 		return false
 	}
 	return a.readyNew > 0 && a.credit >= 1 && now.Before(r.Deadline())
 }
 
 // shift decides on an attempt while the load moves to the new version.
-func (a *account) shift(ask *Ask, fresh bool, now time.Time) Decision {
+func (a *account) shift(attempt *Attempt, fresh bool, now time.Time) Decision {
 	r := &a.record
 	length := r.Deadline().Sub(r.PhaseAt())
 	ramp := min(time.Duration(rampShare*float64(length)), maxRamp)
@@ -222,7 +223,7 @@
 		share = max(r.Bounds.Share, float64(passed)/float64(ramp))
 	}
 	switch {
-	case !fresh || a.readyNew == 0 || ask.SentToNew || ask.Ticket.turn >= share:
+	case !fresh || a.readyNew == 0 || attempt.SentToNew || attempt.Ticket.turn >= share:
 		return Decision{Side: Old, OrElse: New}
 	case now.Before(r.shiftPart(fallbackShare)):
 		return Decision{Side: New, OrElse: Old}
--- a/internal/gateway/rollout/system_test.go
+++ b/internal/gateway/rollout/system_test.go
@@ -89,7 +89,7 @@
 		s.arrived++
 	}
 	id := e.table.ActiveID("app")
-	d := e.table.Split(Ask{Service: "app", Route: "r", Ticket: e.table.Arrive("app", "r", now)}, now, bootclock.Instant(at))
+	d := e.table.Split(Attempt{Service: "app", Route: "r", Ticket: e.table.Arrive("app", "r", now)}, now, bootclock.Instant(at))
 	took := time.Duration(0.2 * math.Exp(0.7*s.random.NormFloat64()) * float64(time.Second))
 	sample := Sample{Service: "app", Route: "r", ID: id, Version: "v1", Ended: true, Time: min(took, playTrial)}
 	if d.Side == New {
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -143,20 +143,20 @@
 
 // Split decides which version may get an attempt. now is agreed time, and clock the time of
 // the clock that Update.KnownAt is measured with.
-func (t *Table) Split(ask Ask, now time.Time, clock bootclock.Instant) Decision {
+func (t *Table) Split(attempt Attempt, now time.Time, clock bootclock.Instant) Decision {
 	if t.Idle() {
 		return Decision{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if withheld := t.versions.withheld[ask.Service]; ask.Bound == nil && t.withholds(ask.Service, withheld) {
+	if withheld := t.versions.withheld[attempt.Service]; attempt.Bound == nil && t.withholds(attempt.Service, withheld) {
 		return Decision{To: withheld, Side: Old}
 	}
-	a := t.accounts[ask.Service]
+	a := t.accounts[attempt.Service]
 	if a == nil {
 		return Decision{}
 	}
-	return a.split(&ask, t.fresh(clock), now)
+	return a.split(&attempt, t.fresh(clock), now)
 }
 
 // fresh reports whether the records are known to be the newest. The caller must hold mu.
