Explain the ranks of evicted connections and the estimate of a wait

The decrement of a rank relied on the order of the constants without saying so, and the comment on waitBehind named only one of its two results.

--- a/internal/gateway/entry/service_queue.go
+++ b/internal/gateway/entry/service_queue.go
@@ -23,7 +23,7 @@
 type serviceQueue struct {
 	entry   *Entry
 	service string
-	// waiting is the number of waiting requests, for requests that find none.
+	// waiting is the number of waiting requests, which can be read without the lock.
 	waiting atomic.Int64
 
 	mu    sync.Mutex
@@ -67,10 +67,8 @@
 // chooseGated picks an endpoint if the gate is open. The caller must hold mu.
 func (q *serviceQueue) chooseGated(c *call, request *pick.Request) (*hop, error) {
 	gated := c.service.Engine == nil
-	if gated {
-		if !q.gate.Open(request.Now) {
-			return nil, errGateClosed
-		}
+	if gated && !q.gate.Open(request.Now) {
+		return nil, errGateClosed
 	}
 	h, err := c.chooseOnce(request)
 	if err == nil && gated {
--- a/internal/gateway/waiting/estimate.go
+++ b/internal/gateway/waiting/estimate.go
@@ -21,6 +21,7 @@
 	return q.refusal(reason, &t.Request, t.Waited(now), now)
 }
 
+// refusal describes the refusal of a request with the state of the queue.
 func (q *Queue) refusal(reason Reason, r *Request, waited time.Duration, now time.Time) *RefusedError {
 	wait, ahead := q.estimate(r, now)
 	return &RefusedError{Reason: reason, Ahead: ahead, Wait: wait, Drain: q.drain(), Waited: waited}
@@ -36,9 +37,9 @@
 	return wait, ahead
 }
 
-// waitBehind returns the expected wait of a request, if those of its rank for which a function
-// holds are served before it as far as its workspace has no turn earlier, and all of more urgent
-// ranks.
+// waitBehind returns the expected wait of a request and the number of requests ahead of it. Ahead
+// are all of more urgent ranks, and those of its own rank for which a function holds, unless its
+// workspace has its turn before theirs.
 func (q *Queue) waitBehind(r *Request, before func(*Ticket) bool) (wait time.Duration, ahead int) {
 	rank := r.rank()
 	own := q.aheadInRank(r, before)
--- a/internal/gateway/waiting/flow.go
+++ b/internal/gateway/waiting/flow.go
@@ -9,9 +9,10 @@
 	waiting int
 	// served is the number of requests that left the queue for an endpoint, counted from that
 	// of the flow that was served least when this one joined.
-	served  int
+	served int
+	// callers holds the flows of the callers of a workspace.
 	callers map[string]*flow
-	// ahead is a counter of aheadInRank.
+	// ahead is a counter that aheadInRank uses.
 	ahead int
 }
 
--- a/internal/gateway/waiting/gate.go
+++ b/internal/gateway/waiting/gate.go
@@ -71,7 +71,7 @@
 func (g *Gate) Open(now time.Time) bool {
 	known := g.sumsKnown(now)
 	if known && g.running() < g.slots && g.inRow < fullInRow {
-		// A rejection by a single endpoint does not show that the others are full.
+		// Rejections by a single endpoint do not show that the others are full.
 		return true
 	}
 	if now.Before(g.windowUntil) && float64(g.inFlight) >= max(g.window, 1) || now.Before(g.heldUntil) {
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -215,6 +215,7 @@
 			continue
 		}
 		if over {
+			// Each rank of addresses over their share precedes that of the others.
 			v.rank--
 		}
 		list = append(list, v)
