--- a/cmd/borageleadd/gateway.go
+++ b/cmd/borageleadd/gateway.go
@@ -43,8 +43,8 @@
 	controlReadTimeout    = 30 * time.Second
 	maxControlHeaderBytes = 16 << 10
 	controlIdleTimeout    = 5 * time.Minute
-	// controlShare, peersShare and metricsShare are the shares of the listeners of a replica of
-	// all connections. An entry has the last one too.
+	// controlShare, peersShare and metricsShare divide the accepted connections of a replica
+	// among its listeners. The listener for metrics of an entry has metricsShare too.
 	controlShare = 0.5
 	peersShare   = 0.4375
 	metricsShare = 0.0625
@@ -87,7 +87,11 @@
 		share = inlet.ShareWithEndpoints
 	}
 	size := inlet.SizeOf(int64(config.Limits.MemoryMB)*megabyte, config.Limits.FileDescriptors, share)
-	g := &gatewayDaemon{config: config, log: log, metrics: metrics, inlet: inlet.New(inlet.Options{Size: size, Log: log, Metrics: metrics}), rpc: peerrpc.New(peerrpc.Options{Name: config.Name, Log: log}), seeds: config.Seeds, signals: signals}
+	g := &gatewayDaemon{
+		config: config, log: log, metrics: metrics, seeds: config.Seeds, signals: signals,
+		inlet: inlet.New(inlet.Options{Size: size, Log: log, Metrics: metrics}),
+		rpc:   peerrpc.New(peerrpc.Options{Name: config.Name, Log: log}),
+	}
 	if err := g.serveMetrics(); err != nil {
 		log.Warn("Metrics listener not started; metrics are not served.", zap.Error(err))
 	}
--- a/internal/gateway/entry/entry.go
+++ b/internal/gateway/entry/entry.go
@@ -146,7 +146,8 @@
 	}
 	if e.inlet == nil {
 		limits := options.Settings.Limits
-		e.inlet = inlet.New(inlet.Options{Size: inlet.SizeOf(int64(limits.MemoryMB)<<20, limits.FileDescriptors, inlet.ShareWithEndpoints), Log: options.Log, Metrics: options.Metrics})
+		size := inlet.SizeOf(int64(limits.MemoryMB)<<20, limits.FileDescriptors, inlet.ShareWithEndpoints)
+		e.inlet = inlet.New(inlet.Options{Size: size, Log: options.Log, Metrics: options.Metrics})
 	}
 	e.buffers.onFull = e.inlet.CloseStalled
 	e.ctx, e.cancel = context.WithCancel(context.Background())
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -30,8 +30,8 @@
 	callerIdleTimeout = 2 * time.Minute
 	// callerKeepAlive is the TCP keep-alive period of connections of callers.
 	callerKeepAlive = 15 * time.Second
-	// callerShare, forwardedShare and readyShare are the shares of the listeners of all
-	// connections; the rest is for the listener of metrics.
+	// callerShare, forwardedShare and readyShare divide the accepted connections of an entry
+	// among its listeners; the rest is for the listener of metrics.
 	callerShare    = 0.625
 	forwardedShare = 0.25
 	readyShare     = 0.0625
