--- a/internal/gateway/entry/long_prompts.go
+++ b/internal/gateway/entry/long_prompts.go
@@ -19,7 +19,7 @@
 	// promptsRetryPause is the pause after a failed call.
 	promptsRetryPause = 200 * time.Millisecond
 	// promptsQueue is the number of long prompts that wait to be sent. Further ones are not
-	// told to others.
+	// sent to others.
 	promptsQueue = 64
 )
 
--- a/internal/gateway/pick/remote_prompts.go
+++ b/internal/gateway/pick/remote_prompts.go
@@ -3,7 +3,7 @@
 import "time"
 
 // longPromptSeconds is the estimated time to process a prompt, in seconds, from which other
-// entries are told of it.
+// entries are notified of it.
 const longPromptSeconds = 0.05
 
 // NotePrompt records a long prompt that another entry sent to an endpoint some time ago.
--- a/internal/gateway/prompts/feed.go
+++ b/internal/gateway/prompts/feed.go
@@ -11,7 +11,7 @@
 	// feedCapacity is the number of prompts that a feed keeps. A reader that is further behind
 	// misses the older ones.
 	feedCapacity = 1024
-	// MaxAge is the age from which a prompt is not told to readers: it is likely processed.
+	// MaxAge is the age from which a prompt is not returned to readers: it is likely processed.
 	MaxAge = 2 * time.Second
 	// MaxItems limits the prompts of one message.
 	MaxItems = 128
--- a/internal/gateway/rollout/known_versions.go
+++ b/internal/gateway/rollout/known_versions.go
@@ -95,5 +95,5 @@
 	return found && withheld == version && (t.accounts[service] == nil || t.accounts[service].record.To != version)
 }
 
-// Idle reports whether Split has nothing to decide. It costs next to nothing.
+// Idle reports whether Split has nothing to decide. It takes no lock.
 func (t *Table) Idle() bool { return t.Empty() && t.versions.count.Load() == 0 }
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -96,7 +96,7 @@
 	return float64(h.Sum32()) / (1 << 32)
 }
 
-// Empty reports whether there are no records. It costs next to nothing.
+// Empty reports whether there are no records. It takes no lock.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
 
 // Confirm takes over the time as of which a replica knew that it has the newest records.
