--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -22,9 +22,9 @@
 
 	mu sync.Mutex
 	// knownAt is the time as of which the records were known to be the newest.
-	knownAt   bootclock.Instant
-	accounts  map[string]*account
-	sightings sightings
+	knownAt  bootclock.Instant
+	accounts map[string]*account
+	versions knownVersions
 }
 
 // NewTable returns a table of the named entry without records.
@@ -64,7 +64,7 @@
 		changed = append(changed, record)
 	}
 	t.size.Store(int64(len(t.accounts)))
-	t.sightings.decide(t.knownAt)
+	t.versions.decide(t.knownAt)
 	return changed
 }
 
@@ -96,7 +96,7 @@
 	return float64(h.Sum32()) / (1 << 32)
 }
 
-// Empty reports whether there are no records. It costs next to nothing.
+// Empty reports whether there are no records. It takes no lock.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
 
 // Confirm takes over the time as of which a replica knew that it has the newest records.
@@ -117,7 +117,7 @@
 
 // SetReady sets the numbers of ready endpoints. count returns those of the old and of the new
 // version of a service.
-func (t *Table) SetReady(count func(service, to string) (old, young int)) {
+func (t *Table) SetReady(count func(service, to string) (readyOld, readyNew int)) {
 	if t.Empty() {
 		return
 	}
@@ -143,20 +143,20 @@
 
 // Split decides which version may get an attempt. now is agreed time, and clock the time of
 // the clock that Update.KnownAt is measured with.
-func (t *Table) Split(ask Ask, now time.Time, clock bootclock.Instant) Decision {
+func (t *Table) Split(attempt Attempt, now time.Time, clock bootclock.Instant) Decision {
 	if t.Idle() {
 		return Decision{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if withheld := t.sightings.withheld[ask.Service]; ask.Bound == nil && t.withholds(ask.Service, withheld) {
+	if withheld := t.versions.withheld[attempt.Service]; attempt.Bound == nil && t.withholds(attempt.Service, withheld) {
 		return Decision{To: withheld, Side: Old}
 	}
-	a := t.accounts[ask.Service]
+	a := t.accounts[attempt.Service]
 	if a == nil {
 		return Decision{}
 	}
-	return a.split(&ask, t.fresh(clock), now)
+	return a.split(&attempt, t.fresh(clock), now)
 }
 
 // fresh reports whether the records are known to be the newest. The caller must hold mu.
@@ -171,7 +171,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.account.giveBack(x)
+	x.account.refund(x)
 }
 
 // MayReceive reports whether a request that was meant for a version may still be sent to it.
