Give back a reserved attempt when the memory for answers is full

deliverPlain asked the watch of a silent attempt a second time, so that an attempt that was reserved at that moment kept its place at the endpoint and its retry. Found by reading; no test shows it.

--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -120,7 +120,7 @@
 		if errors.Is(err, errBuffersFull) {
 			// The memory of this entry is used up, which is no fault of the endpoint.
 			h.choice.RecordSuccess(time.Now())
-			return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}, watch.stop())
+			return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}, next)
 		}
 		h.recordFailure(time.Now(), false)
 		c.checkForCrash(ctx, h)
