Log how an answer was framed, its last event and the moves of its run

"Request answered." did not tell a stream that ended with its connection from one that ended by its last chunk, so that the hypotheses of the incident could only be told apart by the order of two lines.

--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -66,7 +66,7 @@
 
 // deliver forwards the answer of an endpoint that began to run the request.
 func (c *call) deliver(ctx context.Context, h *hop, answer *wire.Answer) outcome {
-	c.endpoint = h.endpoint.ID
+	c.endpoint, c.framing = h.endpoint.ID, answer.Framing()
 	if c.responseStarted && answer.StatusCode != http.StatusOK {
 		// The caller already received a part of the stream, and an answer with this
 		// status does not continue it.
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	wire "github.com/boragelead/boragelead/internal/adapter/exchange"
 	"github.com/boragelead/boragelead/internal/core/suspect"
 	"github.com/boragelead/boragelead/internal/gateway/forward"
 	"github.com/boragelead/boragelead/internal/gateway/pick"
@@ -104,6 +105,8 @@
 	usageCounted bool
 	// complete is set once the answer was read to its end.
 	complete bool
+	// framing is how the end of the last answer is marked, for the log.
+	framing wire.Framing
 	// fingerprint identifies the content of the request in crash records, and parts
 	// the parts of its prompt that requests share.
 	fingerprint suspect.Fingerprint
--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -80,6 +80,9 @@
 			zap.Int64("left_ms", time.Until(c.deadline).Milliseconds()))
 	}
 	fields = append(fields, c.quotaFields()...)
+	if c.framing != "" {
+		fields = append(fields, zap.String("framing", string(c.framing)), zap.Int64("last_event", c.lastEventID), zap.Int("moves", c.moves))
+	}
 	if c.peer != "" {
 		fields = append(fields, zap.String("peer", c.peer))
 	}
