Do not take the close of a stopped stream for its end

Callers got the first part of a stream as a complete answer. The entry had ordered the endpoint to move the run; the endpoint stopped it and closed the stream, which had neither a length nor chunks, and the entry took the close for the end before it asked whether it had ordered one itself.

The close of a connection ends a stream only if this entry has not ordered the run to stop. A run whose cache is kept goes on at its endpoint, within bounds.drain_ms. After an order without an answer a resumable stream goes on after its last event, and any other breaks off. A handle that is not used is released, and the retry and the exposure of a move that is not made are given back.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -172,7 +172,7 @@
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.Data(),
 		// On a connection that carried this request before, a late second copy of the answer
 		// to the earlier attempt has the right ID, and would be taken for the answer to this one.
-		Fresh: slices.Contains(c.addresses, address), KeptOnly: h.keptOnly, BeforeSend: func() error { return c.checkSend(choice) },
+		Fresh: slices.Contains(c.addresses, address), KeptOnly: h.keptOnly, BeforeSend: func() error { return c.checkSend(h) },
 	}
 	c.addresses = append(c.addresses, address)
 	c.entry.metrics.attempts.Inc()
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -219,7 +219,7 @@
 		case result.moved != nil:
 			c.moves++
 			c.possiblyRan = true
-			next, c.kvHandle = directHop(result.moved.choice), result.moved.kvHandle
+			next, c.kvHandle = result.moved.hop(), result.moved.kvHandle
 			continue
 		case c.r.Context().Err() != nil:
 			return &Refusal{Reason: ReasonCallerGone, Err: context.Cause(c.r.Context())}
--- a/internal/gateway/entry/metrics.go
+++ b/internal/gateway/entry/metrics.go
@@ -9,7 +9,7 @@
 type metrics struct {
 	requests, answered, refused, failed, callersGone    *telemetry.Counter
 	attempts, retries, resumed, answerLost              *telemetry.Counter
-	moves, movesFailed                                  *telemetry.Counter
+	moves, movesFailed, endsUnproven                    *telemetry.Counter
 	pollBytes, pollsFailed, documentBytes               *telemetry.Counter
 	takeUpsUnknown, departures, backoffs, backoffsEnded *telemetry.Counter
 	panics, reachChecks, repeatsDenied                  *telemetry.Counter
@@ -46,7 +46,7 @@
 		refused: r.Counter("gateway_refused"), failed: r.Counter("gateway_failed"), callersGone: r.Counter("gateway_callers_gone"),
 		attempts: r.Counter("gateway_attempts"), retries: r.Counter("gateway_repeats"),
 		resumed: r.Counter("gateway_resumed"), answerLost: r.Counter("gateway_answers_lost"),
-		moves: r.Counter("gateway_moves"), movesFailed: r.Counter("gateway_moves_failed"),
+		moves: r.Counter("gateway_moves"), movesFailed: r.Counter("gateway_moves_failed"), endsUnproven: r.Counter("gateway_ends_unproven"),
 		pollBytes: r.Counter("gateway_poll_bytes"), pollsFailed: r.Counter("gateway_polls_failed"), documentBytes: r.Counter("gateway_document_bytes"),
 		takeUpsUnknown: r.Counter("gateway_take_ups_unknown"), departures: r.Counter("gateway_departures"),
 		backoffs: r.Counter("gateway_backoffs"), backoffsEnded: r.Counter("gateway_backoffs_ended"),
--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"slices"
 	"sync"
@@ -32,6 +33,9 @@
 	maxConcurrentMoves = 2
 	// moveTimeout limits a move; after that time the endpoint no longer exists.
 	moveTimeout = 1500 * time.Millisecond
+	// returnMargin is how long before the end of its drain a draining endpoint gets the last
+	// requests: it began to drain before this entry learned of it.
+	returnMargin = 250 * time.Millisecond
 	// maxMoveReplyBytes limits the body of an endpoint's answer to a move.
 	maxMoveReplyBytes = 4 << 10
 )
@@ -61,14 +65,42 @@
 // move is the move of a run to another endpoint.
 type move struct {
 	moveRequest port.Move
-	// done is closed when the move has ended; choice and kvHandle are set if err is
-	// nil.
-	done     chan struct{}
+	service     string
+	// returnBy is when the current endpoint may last receive the request again.
+	returnBy time.Time
+	// done is closed when the move has ended. The fields below are set before.
+	done chan struct{}
+	// effect is what the order did to the run. choice is set for port.MoveDone, and kvHandle
+	// also for port.MoveKept.
+	effect   port.MoveEffect
 	choice   *pick.Choice
 	kvHandle string
 	err      error
 }
 
+// goesOn reports whether the run can go on from its KV cache, after an order with the given
+// effect. If the cache is kept at the current endpoint of the run, it chooses that one again.
+func (mv *move) goesOn(effect port.MoveEffect, current *hop) bool {
+	switch effect {
+	case port.MoveDone:
+		return true
+	case port.MoveKept:
+		now := time.Now()
+		if now.Before(mv.returnBy) {
+			mv.choice = current.choice.Again(now)
+			return true
+		}
+	}
+	return false
+}
+
+// hop returns the hop of the attempt that continues the run.
+func (mv *move) hop() *hop {
+	h := directHop(mv.choice)
+	h.returns = mv.effect == port.MoveKept
+	return h
+}
+
 func newMigrations(e *Entry) *migrations {
 	return &migrations{entry: e, running: make(map[string]map[*streamRun]struct{}), handled: make(map[string]int64)}
 }
@@ -145,6 +177,7 @@
 // evacuate moves the streams that still run at an endpoint shortly before it shuts
 // down.
 func (m *migrations) evacuate(from *registry.Endpoint, notice time.Duration) {
+	returnBy := time.Now().Add(m.entry.options.Settings.Bounds.Drain() - returnMargin)
 	if !wait.For(m.entry.ctx, notice-moveLeadTime) {
 		return
 	}
@@ -160,7 +193,7 @@
 	for _, run := range running {
 		slots <- struct{}{}
 		group.Go(func() {
-			m.moveRun(run, from)
+			m.moveRun(run, from, returnBy)
 			<-slots
 		})
 	}
@@ -168,9 +201,9 @@
 }
 
 // moveRun moves one run, unless the run has already ended.
-func (m *migrations) moveRun(run *streamRun, from *registry.Endpoint) {
+func (m *migrations) moveRun(run *streamRun, from *registry.Endpoint, returnBy time.Time) {
 	e := m.entry
-	mv := &move{done: make(chan struct{})}
+	mv := &move{service: run.request.Service, done: make(chan struct{}), returnBy: returnBy}
 	defer close(mv.done)
 	m.mu.Lock()
 	_, running := m.running[from.ID][run]
@@ -183,7 +216,7 @@
 	}
 	if mv.err = m.requestMove(mv, run, from); mv.err != nil {
 		e.metrics.movesFailed.Inc()
-		e.log.Warn("Stream not moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.Error(mv.err))
+		e.log.Warn("Stream not moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.Stringer("effect", mv.effect), zap.Error(mv.err))
 		return
 	}
 	e.metrics.moves.Inc()
@@ -197,7 +230,7 @@
 		return &BudgetError{Service: run.request.Service}
 	}
 	err := m.callMove(mv, run, from)
-	if err != nil {
+	if err != nil && mv.effect != port.MoveKept {
 		e.retries.ReturnRepeat(run.request.Service, time.Now())
 	}
 	return err
@@ -218,29 +251,50 @@
 		return err
 	}
 	mv.moveRequest = port.Move{EndpointID: from.ID, AttemptID: run.attemptID, From: from.Address, To: choice.Endpoint.Address}
-	moveCall, err := e.options.Dialect.MoveCall(mv.moveRequest)
-	if err == nil {
-		var status int
-		var body []byte
-		if status, body, err = e.callEndpoint(from.Address, &moveCall); err == nil {
-			mv.kvHandle, err = e.options.Dialect.ParseMoveAnswer(mv.moveRequest, status, body)
-		}
-	}
+	answer, err := m.sendOrder(mv.moveRequest)
+	mv.effect, mv.kvHandle = answer.Effect, answer.KVHandle
 	if err != nil {
 		choice.End()
+		e.rollouts.Return(decision.Exposure)
 		return err
 	}
 	mv.choice = choice
 	return nil
 }
 
-// releaseUnused waits for a move and frees the copy of a run that is not continued.
+// sendOrder orders an endpoint to move a run. The answer is valid also with an error.
+func (m *migrations) sendOrder(request port.Move) (port.MoveAnswer, error) {
+	dialect := m.entry.options.Dialect
+	order, err := dialect.MoveCall(request)
+	if err != nil {
+		return port.MoveAnswer{Effect: port.MoveNone}, err
+	}
+	status, body, err := m.entry.callEndpoint(request.From, &order)
+	if err != nil {
+		return port.MoveAnswer{Effect: effectOfFailure(err)}, err
+	}
+	return dialect.ParseMoveAnswer(request, status, body)
+}
+
+// effectOfFailure returns what an order to move a run did whose answer did not arrive.
+func effectOfFailure(err error) port.MoveEffect {
+	var transport *port.TransportError
+	if errors.As(err, &transport) && !transport.Sent {
+		return port.MoveNone
+	}
+	return port.MoveUncertain
+}
+
+// releaseUnused waits for a move and frees the KV cache of a run that is not continued.
 func (m *migrations) releaseUnused(mv *move) {
 	<-mv.done
-	if mv.choice == nil {
+	if mv.choice != nil {
+		mv.choice.End()
+	}
+	if mv.kvHandle == "" {
 		return
 	}
-	mv.choice.End()
+	m.entry.retries.ReturnRepeat(mv.service, time.Now())
 	releaseCall := m.entry.options.Dialect.ReleaseCall(mv.moveRequest, mv.kvHandle)
 	if _, _, err := m.entry.callEndpoint(mv.moveRequest.From, &releaseCall); err != nil {
 		m.entry.log.Warn("Copied KV cache of an unused move was not freed.", zap.String("request", mv.moveRequest.AttemptID), zap.String("at", mv.moveRequest.To), zap.Error(err))
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -24,101 +23,119 @@
 	maxCommentBytes = 16 << 10
 )
 
+// streamRelay forwards the events of one attempt to the caller.
+type streamRelay struct {
+	call   *call
+	hop    *hop
+	answer *wire.Answer
+	events *eventReader
+	watch  *silenceWatch
+	// resuming is set if the caller has events of an earlier attempt.
+	resuming bool
+	// run is the run at the endpoint; nil while it cannot be moved.
+	run *streamRun
+	// firstEventAt is when the first event of this attempt arrived; zero until then.
+	firstEventAt time.Time
+	// comments are held back until the next event.
+	comments []byte
+}
+
+func (c *call) newStreamRelay(h *hop, answer *wire.Answer) *streamRelay {
+	r := &streamRelay{call: c, hop: h, answer: answer, events: newEventReader(streamBody(h, answer), &c.entry.buffers), resuming: c.responseStarted}
+	if c.route.Resumable {
+		r.watch = c.watchSilence(h, max(silentGapFactor*c.route.MaxGap, minStreamSilence), c.attempts(), func() { answer.SetDeadline(time.Unix(1, 0)) })
+	}
+	return r
+}
+
+func (r *streamRelay) close() {
+	r.call.releaseRun(r.run, r.hop.choice)
+	r.call.releaseReplacement(r.watch.stop())
+	r.events.close()
+}
+
 // deliverStream forwards events to the caller as they arrive. If the stream breaks
 // off, another endpoint can continue it after the last event that was forwarded.
 func (c *call) deliverStream(ctx context.Context, h *hop, answer *wire.Answer) outcome {
-	choice := h.choice
-	events := newEventReader(streamBody(h, answer), &c.entry.buffers)
-	defer events.close()
-	resuming := c.responseStarted
-	if resuming {
+	r := c.newStreamRelay(h, answer)
+	defer r.close()
+	if r.resuming {
 		c.entry.metrics.resumed.Inc()
 	}
-	var watch *silenceWatch
-	if c.route.Resumable {
-		watch = c.watchSilence(h, max(silentGapFactor*c.route.MaxGap, minStreamSilence), c.attempts(), func() { answer.SetDeadline(time.Unix(1, 0)) })
-	}
-	defer func() { c.releaseReplacement(watch.stop()) }()
 	// silentSince is when the last event was passed on: the time that the caller took for it
 	// does not count.
 	silentSince := time.Now()
-	var firstEventAt time.Time
-	var comments []byte
-	var run *streamRun
-	defer func() { c.releaseRun(run, choice) }()
 	for {
-		watch.resume(silentSince)
-		block, err := events.next()
-		if err == nil && watch.pause() {
-			answer.SetDeadline(time.Time{})
-		}
-		if errors.Is(err, io.EOF) {
-			if !c.responseStarted {
-				c.startStream(h, answer)
-			}
-			if !resuming {
-				_, _ = c.w.Write(comments)
-			}
-			c.complete = true
-			c.watch.survived()
-			return outcome{done: true, sent: true}
-		}
+		r.watch.resume(silentSince)
+		block, err := r.events.next()
 		if err != nil {
-			answer.Discard()
-			if moved := c.awaitMove(ctx, run, choice); moved != nil {
-				run = nil
-				return outcome{sent: true, moved: moved}
-			}
-			if c.r.Context().Err() == nil {
-				c.recordBrokenStream(ctx, h, err)
-			}
-			return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "stream ended early: " + err.Error()}}, watch.stop())
+			return r.end(ctx, err)
+		}
+		if r.watch.pause() {
+			answer.SetDeadline(time.Time{})
 		}
-		choice.RecordProgress(time.Now())
-		if !hasEvent(block) && len(comments)+len(block) <= maxCommentBytes {
+		h.choice.RecordProgress(time.Now())
+		if !hasEvent(block) && len(r.comments)+len(block) <= maxCommentBytes {
 			// A stream that only sends comments makes no progress. They are forwarded with
 			// the next event: until then another endpoint may answer instead.
-			comments = append(comments, block...)
+			r.comments = append(r.comments, block...)
 			continue
 		}
-		choice.RecordEvents(bytes.Count(block, eventEnd), time.Now())
-		if len(comments) > 0 {
-			block, comments = append(comments, block...), nil
-		}
-		if firstEventAt.IsZero() {
-			firstEventAt = time.Now()
-			if c.softwareVersion != nil && h.versionIsDoubtful(firstEventAt) {
-				return c.rejectAnswer(h, answer, "software version of the endpoint is no longer known")
-			}
-			choice.RecordSuccess(firstEventAt)
-			c.trial.noteAnswered(firstEventAt)
-			c.countUsage()
-		} else if time.Since(firstEventAt) >= survivalTime {
-			c.watch.survived()
-		}
-		if resuming {
-			if block, err = c.dropSeenEvents(block); err != nil {
-				answer.Discard()
-				h.recordFailure(time.Now(), true)
-				return outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}
-			}
-		}
-		if err := c.writeEvents(h, answer, block); err != nil {
-			answer.Discard()
-			return outcome{done: true, sent: true, err: &CallerError{Err: err}}
-		}
-		if run == nil && c.isMovable(h) {
-			run = c.entry.migrations.trackRun(c, h.endpoint.ID)
+		if failed := r.forward(block); failed != nil {
+			return *failed
 		}
 		silentSince = time.Now()
 	}
 }
 
-// recordBrokenStream records that a stream broke off: at the endpoint, or at the peer that
-// passes it on.
-func (c *call) recordBrokenStream(ctx context.Context, h *hop, err error) {
-	h.recordFailure(time.Now(), errors.Is(err, errBrokenBehindPeer))
-	c.checkForCrash(ctx, h)
+// forward writes a block of complete events to the caller. It returns the outcome of the attempt
+// if the attempt cannot go on, and nil otherwise.
+func (r *streamRelay) forward(block []byte) *outcome {
+	c, h := r.call, r.hop
+	h.choice.RecordEvents(bytes.Count(block, eventEnd), time.Now())
+	if len(r.comments) > 0 {
+		block, r.comments = append(r.comments, block...), nil
+	}
+	if rejected := r.noteEvent(); rejected != nil {
+		return rejected
+	}
+	if r.resuming {
+		var err error
+		if block, err = c.dropSeenEvents(block); err != nil {
+			r.answer.Discard()
+			h.recordFailure(time.Now(), true)
+			return &outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}
+		}
+	}
+	if err := c.writeEvents(h, r.answer, block); err != nil {
+		r.answer.Discard()
+		return &outcome{done: true, sent: true, err: &CallerError{Err: err}}
+	}
+	if r.run == nil && c.isMovable(h) {
+		r.run = c.entry.migrations.trackRun(c, h.endpoint.ID)
+	}
+	return nil
+}
+
+// noteEvent records the arrival of an event. It returns an outcome if the first one shows that
+// the answer cannot be used.
+func (r *streamRelay) noteEvent() *outcome {
+	c, now := r.call, time.Now()
+	if !r.firstEventAt.IsZero() {
+		if now.Sub(r.firstEventAt) >= survivalTime {
+			c.watch.survived()
+		}
+		return nil
+	}
+	r.firstEventAt = now
+	if c.softwareVersion != nil && r.hop.versionIsDoubtful(now) {
+		rejected := c.rejectAnswer(r.hop, r.answer, "software version of the endpoint is no longer known")
+		return &rejected
+	}
+	r.hop.choice.RecordSuccess(now)
+	c.trial.noteAnswered(now)
+	c.countUsage()
+	return nil
 }
 
 // isMovable reports whether the run of a stream can be moved from its endpoint. That of a
@@ -127,27 +144,6 @@
 	return c.lastEventID != noID && !c.originUnknown && !h.viaPeer() && c.service.Engine != nil && c.service.Engine.Migrates
 }
 
-// awaitMove waits for the move of a run whose stream ended. It returns nil if there
-// is no move or if it failed. It also removes the run from the tracked ones.
-func (c *call) awaitMove(ctx context.Context, run *streamRun, choice *pick.Choice) *move {
-	if run == nil {
-		return nil
-	}
-	mv := c.entry.migrations.untrackRun(run, choice.Endpoint.ID)
-	if mv == nil {
-		return nil
-	}
-	select {
-	case <-mv.done:
-	case <-ctx.Done():
-		return nil
-	}
-	if mv.err != nil || mv.choice == nil {
-		return nil
-	}
-	return mv
-}
-
 // releaseRun stops tracking a run. If the run was moved but is not continued, it
 // frees the copy in the background.
 func (c *call) releaseRun(run *streamRun, choice *pick.Choice) {
--- /dev/null
+++ b/internal/gateway/entry/stream_end.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	wire "github.com/boragelead/boragelead/internal/adapter/exchange"
+	"github.com/boragelead/boragelead/internal/port"
+)
+
+// streamEnd is what the end of the stream of an endpoint shows.
+type streamEnd int
+
+const (
+	// streamComplete states that the caller has all events.
+	streamComplete streamEnd = iota
+	// streamGoesOn states that this entry has stopped the run, which goes on from its KV cache.
+	streamGoesOn
+	// streamStopped states that this entry has stopped the run, or may have, and that the run
+	// does not go on from its KV cache.
+	streamStopped
+	// streamBroken states that the stream broke off.
+	streamBroken
+)
+
+// end returns the outcome of an attempt whose stream ended with an error, or with io.EOF.
+func (r *streamRelay) end(ctx context.Context, err error) outcome {
+	c := r.call
+	end, mv := r.classifyEnd(ctx, err)
+	switch end {
+	case streamComplete:
+		return r.complete()
+	case streamGoesOn:
+		r.run = nil
+		return outcome{sent: true, moved: mv}
+	case streamStopped:
+		c.entry.metrics.endsUnproven.Inc()
+		c.entry.log.Info("Stream ended after the order to stop its run.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", r.hop.endpoint.ID),
+			zap.String("framing", string(r.answer.Framing())), zap.Int64("last_event", c.lastEventID), zap.Error(err))
+		return c.replaced(outcome{sent: true, err: &AnswerError{r.hop.endpoint.ID, "stream ended after the order to stop its run"}}, r.watch.stop())
+	}
+	if c.r.Context().Err() == nil {
+		c.recordBrokenStream(ctx, r.hop, err)
+	}
+	return c.replaced(outcome{sent: true, err: &AnswerError{r.hop.endpoint.ID, "stream ended early: " + err.Error()}}, r.watch.stop())
+}
+
+// classifyEnd decides what the end of the stream shows. The close of a connection is the end of
+// the events only if this entry has not ordered the endpoint to stop the run. The move is set if
+// the run goes on from its KV cache.
+func (r *streamRelay) classifyEnd(ctx context.Context, err error) (streamEnd, *move) {
+	ended := errors.Is(err, io.EOF)
+	if ended && r.endIsProven() {
+		return streamComplete, nil
+	}
+	r.answer.Discard()
+	mv, effect := r.awaitMove(ctx)
+	switch {
+	case mv != nil && mv.goesOn(effect, r.hop):
+		return streamGoesOn, mv
+	case effect != port.MoveNone:
+		return streamStopped, nil
+	case ended:
+		return streamComplete, nil
+	}
+	return streamBroken, nil
+}
+
+// endIsProven reports whether the end of the body proves that it is complete. A peer proves it by
+// a trailer.
+func (r *streamRelay) endIsProven() bool {
+	return r.hop.viaPeer() || r.answer.Framing() != wire.FramingClose
+}
+
+// complete ends the answer to the caller.
+func (r *streamRelay) complete() outcome {
+	c := r.call
+	if !c.responseStarted {
+		c.startStream(r.hop, r.answer)
+	}
+	if !r.resuming {
+		_, _ = c.w.Write(r.comments)
+	}
+	c.complete = true
+	c.watch.survived()
+	return outcome{done: true, sent: true}
+}
+
+// awaitMove waits for the answer to the order to move the run, and returns what the order did.
+// The move is nil if there was no order. The run is no longer tracked.
+func (r *streamRelay) awaitMove(ctx context.Context) (*move, port.MoveEffect) {
+	if r.run == nil {
+		return nil, port.MoveNone
+	}
+	mv := r.call.entry.migrations.untrackRun(r.run, r.hop.choice.Endpoint.ID)
+	if mv == nil {
+		return nil, port.MoveNone
+	}
+	select {
+	case <-mv.done:
+		return mv, mv.effect
+	case <-ctx.Done():
+		return mv, port.MoveUncertain
+	}
+}
+
+// recordBrokenStream records that a stream broke off: at the endpoint, or at the peer that
+// passes it on.
+func (c *call) recordBrokenStream(ctx context.Context, h *hop, err error) {
+	h.recordFailure(time.Now(), errors.Is(err, errBrokenBehindPeer))
+	c.checkForCrash(ctx, h)
+}
--- a/internal/gateway/pick/choice.go
+++ b/internal/gateway/pick/choice.go
@@ -174,6 +174,16 @@
 	c.stats.prefillTokens -= c.uncachedTokens
 }
 
+// Again starts another attempt at the endpoint of the choice, also if it takes no new requests,
+// for a run that goes on from the KV cache which the endpoint keeps.
+func (c *Choice) Again(now time.Time) *Choice {
+	b := c.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	request := &Request{Service: c.Endpoint.Service, Now: now}
+	return b.startAttempt(request, &View{stats: c.stats, secondsPerToken: c.secondsPerToken}, c.Score, 1)
+}
+
 // Withdrawn reports whether the endpoint must not get the request any more, because it
 // drains or wants no requests since it was chosen.
 func (c *Choice) Withdrawn(now time.Time) bool {
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -70,6 +70,35 @@
 	Body           []byte
 }
 
+// MoveEffect is what the order to move a run did to the run.
+type MoveEffect int
+
+// Effects of the order to move a run.
+const (
+	// MoveNone states that the order did not stop the run: it was not sent, or the run had
+	// ended by itself.
+	MoveNone MoveEffect = iota
+	// MoveDone states that the run was stopped and its KV cache copied to the other endpoint.
+	MoveDone
+	// MoveKept states that the run was stopped and its KV cache is kept at its endpoint.
+	MoveKept
+	// MoveUncertain states that the run may have been stopped, now or later.
+	MoveUncertain
+)
+
+// String returns the name of the effect, for logs.
+func (e MoveEffect) String() string {
+	return [...]string{"none", "done", "kept", "uncertain"}[e]
+}
+
+// MoveAnswer is the answer of an endpoint to the order to move a run.
+type MoveAnswer struct {
+	Effect MoveEffect
+	// KVHandle names the KV cache from which the run can go on, for Dispatch. It is set for
+	// MoveDone and MoveKept.
+	KVHandle string
+}
+
 // MoveError reports that an endpoint did not move a run.
 type MoveError struct {
 	EndpointID string
@@ -146,9 +175,9 @@
 	ParseAnswer(status int, header http.Header) AnswerMeta
 	// MoveCall returns the call that moves a run. The error is a *MoveError.
 	MoveCall(m Move) (EndpointCall, error)
-	// ParseMoveAnswer reads the answer of that call and returns the handle of
-	// the copied KV cache for Dispatch. The error is a *MoveError.
-	ParseMoveAnswer(m Move, status int, body []byte) (kvHandle string, err error)
+	// ParseMoveAnswer reads the answer of that call. The error is a *MoveError unless the
+	// effect is MoveDone.
+	ParseMoveAnswer(m Move, status int, body []byte) (MoveAnswer, error)
 	// ReleaseCall returns the call that frees a copied KV cache that is no longer
 	// needed. The call goes to the endpoint that ran the request.
 	ReleaseCall(m Move, kvHandle string) EndpointCall
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -101,6 +101,9 @@
 	FencingEnforced bool `json:"fencing_enforced"`
 	// GraceS is the time from the stop signal until the process is killed, in seconds.
 	GraceS float64 `json:"grace_s"`
+	// DrainMS is how long a draining endpoint takes requests after its announcement, in
+	// milliseconds.
+	DrainMS float64 `json:"drain_ms"`
 	// Losses is the number of state replicas that may be lost at once.
 	Losses int `json:"losses"`
 	// A version that a roll-out introduces may get a share ExposureShare of the requests
@@ -113,6 +116,11 @@
 	RollbackMS int `json:"rollback_ms"`
 }
 
+// Drain returns how long a draining endpoint takes requests after its announcement.
+func (b *GatewayBounds) Drain() time.Duration {
+	return time.Duration(b.DrainMS * float64(time.Millisecond))
+}
+
 // OffersRollouts reports whether operators may order roll-outs.
 func (b *GatewayBounds) OffersRollouts() bool { return b.ExposureShare > 0 }
 
@@ -162,6 +170,7 @@
 	defaultUsageDelayS    = 10
 	defaultLeaseMS        = 3000
 	defaultGraceS         = 8
+	defaultDrainMS        = 2000
 	defaultLosses         = 1
 	defaultRollbackMS     = 5000
 )
@@ -175,6 +184,7 @@
 	b.UsageDelayS = cmp.Or(b.UsageDelayS, defaultUsageDelayS)
 	b.LeaseMS = cmp.Or(b.LeaseMS, defaultLeaseMS)
 	b.GraceS = cmp.Or(b.GraceS, defaultGraceS)
+	b.DrainMS = cmp.Or(b.DrainMS, defaultDrainMS)
 	b.Losses = cmp.Or(b.Losses, defaultLosses)
 	b.RollbackMS = cmp.Or(b.RollbackMS, defaultRollbackMS)
 }
@@ -210,6 +220,8 @@
 		return &Error{Field: "listen", Message: "an entry needs callers and ready"}
 	case g.Limits.FileDescriptors < 0:
 		return &Error{Field: "limits.file_descriptors", Message: "must not be negative"}
+	case g.Bounds.DrainMS < 0:
+		return &Error{Field: "bounds.drain_ms", Message: "must not be negative"}
 	case g.Bounds.Losses < 0:
 		return &Error{Field: "bounds.losses", Message: "must not be negative"}
 	case g.Role == RoleState && (g.Listen.Control == "" || g.DataFolder == ""):
