Repeat the order to move a run whose connection broke off

A stream without framing that is not resumable broke off where the order to move its run was lost on the way: the entry could not tell whether the run was stopped. The order is now sent once more within the same time-out. The endpoint copies only what is new; an answer that it has no such run proves nothing then.

--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -31,7 +31,7 @@
 	// from one endpoint: a run stops when its move is requested, and then waits
 	// for the network link.
 	maxConcurrentMoves = 2
-	// moveTimeout limits a move; after that time the endpoint no longer exists.
+	// moveTimeout limits a move with its repeated order; after that time the endpoint no longer exists.
 	moveTimeout = 1500 * time.Millisecond
 	// returnMargin is how long before the end of its drain a draining endpoint gets the last
 	// requests: it began to drain before this entry learned of it.
@@ -262,14 +262,31 @@
 	return nil
 }
 
-// sendOrder orders an endpoint to move a run. The answer is valid also with an error.
+// sendOrder orders an endpoint to move a run, and once more if the connection breaks off without
+// an answer. The answer is valid also with an error.
 func (m *migrations) sendOrder(request port.Move) (port.MoveAnswer, error) {
+	ctx, cancel := context.WithTimeout(m.entry.ctx, moveTimeout)
+	defer cancel()
+	answer, err := m.sendOrderOnce(ctx, request)
+	var refused *port.MoveError
+	if answer.Effect != port.MoveUncertain || errors.As(err, &refused) || ctx.Err() != nil {
+		return answer, err
+	}
+	again, errAgain := m.sendOrderOnce(ctx, request)
+	if again.Effect == port.MoveNone {
+		// The run may be gone because the first order stopped it.
+		again.Effect = port.MoveUncertain
+	}
+	return again, errAgain
+}
+
+func (m *migrations) sendOrderOnce(ctx context.Context, request port.Move) (port.MoveAnswer, error) {
 	dialect := m.entry.options.Dialect
 	order, err := dialect.MoveCall(request)
 	if err != nil {
 		return port.MoveAnswer{Effect: port.MoveNone}, err
 	}
-	status, body, err := m.entry.callEndpoint(request.From, &order)
+	status, body, err := m.entry.callEndpoint(ctx, request.From, &order)
 	if err != nil {
 		return port.MoveAnswer{Effect: effectOfFailure(err)}, err
 	}
@@ -296,15 +313,15 @@
 	}
 	m.entry.retries.ReturnRepeat(mv.service, time.Now())
 	releaseCall := m.entry.options.Dialect.ReleaseCall(mv.moveRequest, mv.kvHandle)
-	if _, _, err := m.entry.callEndpoint(mv.moveRequest.From, &releaseCall); err != nil {
+	ctx, cancel := context.WithTimeout(m.entry.ctx, moveTimeout)
+	defer cancel()
+	if _, _, err := m.entry.callEndpoint(ctx, mv.moveRequest.From, &releaseCall); err != nil {
 		m.entry.log.Warn("Copied KV cache of an unused move was not freed.", zap.String("request", mv.moveRequest.AttemptID), zap.String("at", mv.moveRequest.To), zap.Error(err))
 	}
 }
 
 // callEndpoint sends a request of the gateway itself to an endpoint.
-func (e *Entry) callEndpoint(address string, c *port.EndpointCall) (status int, body []byte, err error) {
-	ctx, cancel := context.WithTimeout(e.ctx, moveTimeout)
-	defer cancel()
+func (e *Entry) callEndpoint(ctx context.Context, address string, c *port.EndpointCall) (status int, body []byte, err error) {
 	// The answer carries no ID, so that a late second copy of an earlier one could not be told
 	// apart on a kept connection. For the same reason the connection is not kept.
 	answer, err := e.client.Do(ctx, address, &wire.Request{Method: c.Method, Target: c.Target, Host: address, Header: c.Header, Body: c.Body, Fresh: true})
