Share a departure again with replicas that missed it

A replica that missed the departure of an endpoint used it as ready until its lease ended. The replica that receives the endpoint's announcements, which still say ready, kept its own record as draining but shared it only if the departure had arrived at itself. It now shares the record with every announcement. TestReplicaThatMissedADepartureLearnsOfIt failed before (ready, not draining).

Its last check demanded the departure at the moment at which a replica knows the endpoint at all, although a replica that joins late learns of it with the next share.

--- a/internal/gateway/registry/departures_test.go
+++ b/internal/gateway/registry/departures_test.go
@@ -70,3 +70,21 @@
 		g.Expect(r.Live()[0].State).To(Equal(Draining))
 	}
 }
+
+// Guards against a replica that missed the departure of an endpoint and never learns of it, because the replica that receives the endpoint's announcements does not share what it knows.
+func TestReplicaThatMissedADepartureLearnsOfIt(t *testing.T) {
+	g := NewWithT(t)
+	receiver, late := New(5*time.Second), New(5*time.Second)
+	e := Endpoint{ID: "i", Service: "s", Address: "10.0.0.1:1", State: Ready, Born: 100, Seq: 1}
+	departed := e
+	departed.State = Draining
+	receiver.Merge(departed, at(0))
+	late.Announce(e, at(0))
+	e.Seq = 2
+	receiver.Announce(e, at(10))
+	for _, shared := range receiver.RecentLocal(at(10.1), time.Second) {
+		late.Merge(shared.Endpoint, at(10.1))
+	}
+	g.Expect(late.Live()).To(HaveLen(1))
+	g.Expect(late.Live()[0].State).To(Equal(Draining))
+}
--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -126,7 +126,7 @@
 		return true
 	}
 	if !e.supersedes(&old.endpoint) {
-		old.refresh(&e, arrivedAt)
+		old.refresh(&e, arrivedAt, local)
 		return false
 	}
 	if e.SoftwareVersion != old.endpoint.SoftwareVersion || e.State == Gone {
@@ -144,10 +144,12 @@
 }
 
 // refresh notes that a draining endpoint is alive, although its announcements still say
-// that it is ready: it may have said that it leaves in an answer only.
-func (rec *record) refresh(e *Endpoint, arrivedAt time.Time) {
+// that it is ready: it may have said that it leaves in an answer only. The replica at which they
+// arrive shares the record, since another one may have missed that the endpoint drains.
+func (rec *record) refresh(e *Endpoint, arrivedAt time.Time, local bool) {
 	if e.Born == rec.endpoint.Born && rec.endpoint.State == Draining && !rec.expired && arrivedAt.After(rec.seenAt) {
 		rec.seenAt = arrivedAt
+		rec.local = rec.local || local
 	}
 }
 
--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -352,15 +352,13 @@
 		gr.g.Eventually(func() bool { return linked.knowsDraining("i") }, applyBound, "10ms").Should(BeTrue())
 	}
 	for ip := range gr.nodes {
-		var views []registry.View
-		// A replica that joined later learns of endpoints from announcements that they repeat.
+		// A replica that joined later learns of endpoints from announcements that they repeat, and
+		// of departures from the replicas that receive these.
 		gr.g.Eventually(func() []registry.View {
 			e.Seq++
 			gr.g.Expect(gr.nodes["127.0.0.3"].state.Announce(t.Context(), e)).To(Succeed())
-			views = gr.poll(ip, &link.PollRequest{Entry: "probe"}).Endpoints
-			return views
-		}, applyBound, "100ms").Should(HaveLen(1))
-		gr.g.Expect(views[0].Endpoint.State).To(Equal(registry.Draining))
+			return gr.poll(ip, &link.PollRequest{Entry: "probe"}).Endpoints
+		}, applyBound, "100ms").Should(ConsistOf(HaveField("Endpoint.State", registry.Draining)))
 	}
 }
 
