Count the drain of an endpoint from its first announcement

A run whose KV cache is kept returned to its draining endpoint later than bounds.drain_ms if the endpoint announced its remaining time later than its drain: the bound began with the moves. What is known of a drain now has a record of its own, which begins with the first announcement and outlives a short absence of the endpoint from the list. The bound is checked once more when the connection is established.

--- a/internal/gateway/entry/hop.go
+++ b/internal/gateway/entry/hop.go
@@ -25,9 +25,9 @@
 	// keptOnly is set if the request may be sent over a kept connection only, because new
 	// ones are refused.
 	keptOnly bool
-	// returns is set if a run goes on at the endpoint that has stopped it, although that one
-	// drains.
-	returns bool
+	// returnBy is set if a run goes on at the endpoint that has stopped it, although that one
+	// drains. The request must be sent before.
+	returnBy time.Time
 	// gated is set if the attempt counts at the gate of its service, and full if the endpoint
 	// rejected it because it was full.
 	gated, full bool
--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -24,9 +24,6 @@
 	// moved. A shorter time spares the moves of streams that end before; a longer
 	// one is needed because all copies share the network link of the endpoint.
 	moveLeadTime = 800 * time.Millisecond
-	// minNotice is how long a draining endpoint on a reclaimable VM is assumed to
-	// stay if it does not announce a time.
-	minNotice = 1500 * time.Millisecond
 	// maxConcurrentMoves limits the concurrent moves that this entry requests
 	// from one endpoint: a run stops when its move is requested, and then waits
 	// for the network link.
@@ -43,14 +40,12 @@
 // migrations moves the running streams of this entry, with their KV caches, away
 // from endpoints that are about to shut down.
 type migrations struct {
-	entry *Entry
+	entry  *Entry
+	drains *drains
 
 	mu sync.Mutex
 	// running holds the running streams by endpoint ID.
 	running map[string]map[*streamRun]struct{}
-	// handled holds, by endpoint ID, the incarnation of each endpoint that shuts
-	// down and whose moves are scheduled.
-	handled map[string]int64
 }
 
 // streamRun is a stream that runs at an endpoint.
@@ -97,12 +92,14 @@
 // hop returns the hop of the attempt that continues the run.
 func (mv *move) hop() *hop {
 	h := directHop(mv.choice)
-	h.returns = mv.effect == port.MoveKept
+	if mv.effect == port.MoveKept {
+		h.returnBy = mv.returnBy
+	}
 	return h
 }
 
 func newMigrations(e *Entry) *migrations {
-	return &migrations{entry: e, running: make(map[string]map[*streamRun]struct{}), handled: make(map[string]int64)}
+	return &migrations{entry: e, drains: newDrains(), running: make(map[string]map[*streamRun]struct{})}
 }
 
 // trackRun records a stream that runs at an endpoint. The caller must call
@@ -136,48 +133,22 @@
 // moveFromDraining schedules the moves of streams from endpoints that drain
 // and shut down before their work has ended.
 func (m *migrations) moveFromDraining(list []registry.Endpoint) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	now := time.Now()
 	for i := range list {
 		e := &list[i]
-		notice := noticeOf(e)
-		if notice <= 0 || m.handled[e.ID] == e.Born {
+		if e.State != registry.Draining {
 			continue
 		}
-		m.handled[e.ID] = e.Born
-		m.entry.goTask(func() { m.evacuate(e, notice) })
-	}
-}
-
-// noticeOf returns the remaining time of an endpoint that shuts down before its
-// work has ended, or 0 for other endpoints.
-func noticeOf(e *registry.Endpoint) time.Duration {
-	switch {
-	case e.State != registry.Draining:
-		return 0
-	case e.TimeLeftMS > 0:
-		return time.Duration(e.TimeLeftMS) * time.Millisecond
-	case e.Reclaimable:
-		return minNotice
-	}
-	return 0
-}
-
-// forgetUnknown drops the state of endpoints that are not in the list.
-func (m *migrations) forgetUnknown(list []registry.Endpoint) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for id := range m.handled {
-		if !slices.ContainsFunc(list, func(e registry.Endpoint) bool { return e.ID == id }) {
-			delete(m.handled, id)
+		if d, unhandled := m.drains.takeUnhandled(e, now); unhandled {
+			m.entry.goTask(func() { m.evacuate(e, noticeOf(e), d.since) })
 		}
 	}
 }
 
 // evacuate moves the streams that still run at an endpoint shortly before it shuts
-// down.
-func (m *migrations) evacuate(from *registry.Endpoint, notice time.Duration) {
-	returnBy := time.Now().Add(m.entry.options.Settings.Bounds.Drain() - returnMargin)
+// down. It has drained since the given time.
+func (m *migrations) evacuate(from *registry.Endpoint, notice time.Duration, since time.Time) {
+	returnBy := since.Add(m.entry.options.Settings.Bounds.Drain() - returnMargin)
 	if !wait.For(m.entry.ctx, notice-moveLeadTime) {
 		return
 	}
--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -185,7 +185,7 @@
 	c.mu.Unlock()
 	e.queues.wakeAll()
 	e.migrations.moveFromDraining(list)
-	e.migrations.forgetUnknown(list)
+	e.migrations.drains.forgetUnknown(list, time.Now())
 	for _, unused := range unusedAddresses {
 		e.client.Forget(unused)
 	}
--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -106,10 +106,13 @@
 // checkSend reports whether an endpoint may still get the request, just before it is sent. The
 // error is a *WithdrawnError.
 func (c *call) checkSend(h *hop) error {
-	if h.returns {
-		return nil
-	}
 	choice := h.choice
+	if !h.returnBy.IsZero() {
+		if time.Now().Before(h.returnBy) {
+			return nil
+		}
+		return &WithdrawnError{Endpoint: choice.Endpoint.ID}
+	}
 	if !c.entry.rollouts.MayReceive(choice.Endpoint.Service, choice.Endpoint.SoftwareVersion, bootclock.Now()) {
 		return &WithdrawnError{Endpoint: choice.Endpoint.ID}
 	}
