Repeat the order to move a run while the first one is carried out

An order whose answer was lost was repeated once. The endpoint was still copying for the first one and answered 409, and the move was given up although its time-out had not passed: streams that are not resumable broke off. The order is now repeated every 50 ms until the move's time-out.

--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -33,6 +33,9 @@
 	// returnMargin is how long before the end of its drain a draining endpoint gets the last
 	// requests: it began to drain before this entry learned of it.
 	returnMargin = 250 * time.Millisecond
+	// busyOrderPause is the pause before an order is repeated while an earlier one is carried
+	// out.
+	busyOrderPause = 50 * time.Millisecond
 	// maxMoveReplyBytes limits the body of an endpoint's answer to a move.
 	maxMoveReplyBytes = 4 << 10
 )
@@ -222,7 +225,7 @@
 		return err
 	}
 	mv.moveRequest = port.Move{EndpointID: from.ID, AttemptID: run.attemptID, From: from.Address, To: choice.Endpoint.Address}
-	answer, err := m.sendOrder(mv.moveRequest)
+	answer, _, err := m.sendOrder(mv.moveRequest)
 	mv.effect, mv.kvHandle = answer.Effect, answer.KVHandle
 	if err != nil {
 		choice.End()
@@ -233,22 +236,30 @@
 	return nil
 }
 
-// sendOrder orders an endpoint to move a run, and once more if the connection breaks off without
-// an answer. The answer is valid also with an error.
-func (m *migrations) sendOrder(request port.Move) (port.MoveAnswer, error) {
+// sendOrder orders an endpoint to move a run, and again while an earlier order is carried out, or
+// once if the connection breaks off without an answer. The answer is valid also with an error.
+// pending is set if the first order may still be carried out.
+func (m *migrations) sendOrder(request port.Move) (answer port.MoveAnswer, pending bool, err error) {
 	ctx, cancel := context.WithTimeout(m.entry.ctx, moveTimeout)
 	defer cancel()
-	answer, err := m.sendOrderOnce(ctx, request)
-	var refused *port.MoveError
-	if answer.Effect != port.MoveUncertain || errors.As(err, &refused) || ctx.Err() != nil {
-		return answer, err
-	}
-	again, errAgain := m.sendOrderOnce(ctx, request)
-	if again.Effect == port.MoveNone {
-		// The run may be gone because the first order stopped it.
-		again.Effect = port.MoveUncertain
+	for repeated := false; ; repeated = true {
+		answer, err = m.sendOrderOnce(ctx, request)
+		var refused *port.MoveError
+		switch {
+		case answer.Effect == port.MoveBusy:
+			if wait.For(ctx, busyOrderPause) {
+				continue
+			}
+			answer.Effect = port.MoveUncertain
+		case answer.Effect == port.MoveUncertain && !errors.As(err, &refused) && !pending && ctx.Err() == nil:
+			pending = true
+			continue
+		case answer.Effect == port.MoveNone && repeated:
+			// The run may be gone because an earlier order stopped it.
+			answer.Effect = port.MoveUncertain
+		}
+		return answer, pending, err
 	}
-	return again, errAgain
 }
 
 func (m *migrations) sendOrderOnce(ctx context.Context, request port.Move) (port.MoveAnswer, error) {
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -82,13 +82,15 @@
 	MoveDone
 	// MoveKept states that the run was stopped and its KV cache is kept at its endpoint.
 	MoveKept
+	// MoveBusy states that an earlier order for the run is still being carried out.
+	MoveBusy
 	// MoveUncertain states that the run may have been stopped, now or later.
 	MoveUncertain
 )
 
 // String returns the name of the effect, for logs.
 func (e MoveEffect) String() string {
-	return [...]string{"none", "done", "kept", "uncertain"}[e]
+	return [...]string{"none", "done", "kept", "busy", "uncertain"}[e]
 }
 
 // MoveAnswer is the answer of an endpoint to the order to move a run.
