Do not take the close of a returned run for its end while an order is open

A run that went on at its endpoint, because that one kept the KV cache, was stopped there by a first order that was carried out late, and a stream without framing was complete for the caller after 304 of 902 bytes. The hop of a returned run now knows whether an order without an answer may still stop it; the end of its connection then proves nothing.

--- a/internal/gateway/entry/hop.go
+++ b/internal/gateway/entry/hop.go
@@ -28,6 +28,8 @@
 	// returnBy is set if a run goes on at the endpoint that has stopped it, although that one
 	// drains. The request must be sent before.
 	returnBy time.Time
+	// mayBeStopped is set if an earlier order may still stop the run at the endpoint.
+	mayBeStopped bool
 	// gated is set if the attempt counts at the gate of its service, and full if the endpoint
 	// rejected it because it was full.
 	gated, full bool
--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -73,7 +73,9 @@
 	effect   port.MoveEffect
 	choice   *pick.Choice
 	kvHandle string
-	err      error
+	// pending is set if an order without an answer may still be carried out.
+	pending bool
+	err     error
 }
 
 // goesOn reports whether the run can go on from its KV cache, after an order with the given
@@ -96,7 +98,7 @@
 func (mv *move) hop() *hop {
 	h := directHop(mv.choice)
 	if mv.effect == port.MoveKept {
-		h.returnBy = mv.returnBy
+		h.returnBy, h.mayBeStopped = mv.returnBy, mv.pending
 	}
 	return h
 }
@@ -225,8 +227,8 @@
 		return err
 	}
 	mv.moveRequest = port.Move{EndpointID: from.ID, AttemptID: run.attemptID, From: from.Address, To: choice.Endpoint.Address}
-	answer, _, err := m.sendOrder(mv.moveRequest)
-	mv.effect, mv.kvHandle = answer.Effect, answer.KVHandle
+	answer, pending, err := m.sendOrder(mv.moveRequest)
+	mv.effect, mv.kvHandle, mv.pending = answer.Effect, answer.KVHandle, pending
 	if err != nil {
 		choice.End()
 		e.rollouts.Return(decision.Exposure)
--- a/internal/gateway/entry/stream_end.go
+++ b/internal/gateway/entry/stream_end.go
@@ -59,6 +59,9 @@
 	}
 	r.answer.Discard()
 	mv, effect := r.awaitMove(ctx)
+	if effect == port.MoveNone && r.hop.mayBeStopped {
+		effect = port.MoveUncertain
+	}
 	switch {
 	case mv != nil && mv.goesOn(effect, r.hop):
 		return streamGoesOn, mv
