Do not take a close at the deadline for the end of an answer

Endpoints stop work at the deadline that the entry sends. A stream or a body without framing that ends within 10 ms before the deadline or after it was complete for the caller (304 of 902 bytes of a stream, 10 bytes of a plain answer, status 200). The end of the connection now proves nothing then: a stream breaks off, and a plain request gets 504.

--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -112,6 +112,9 @@
 	buffer := c.entry.buffers.newBuffer(plainBuffer)
 	defer buffer.release()
 	body, err := buffer.readBody(answer)
+	if err == nil {
+		err = c.checkEnd(answer, time.Now())
+	}
 	next := watch.stop()
 	if err == nil {
 		c.releaseReplacement(next)
@@ -122,8 +125,10 @@
 			h.choice.RecordSuccess(time.Now())
 			return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}, next)
 		}
-		h.recordFailure(time.Now(), false)
-		c.checkForCrash(ctx, h)
+		if !errors.Is(err, errEndNotProven) {
+			h.recordFailure(time.Now(), false)
+			c.checkForCrash(ctx, h)
+		}
 		return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}, next)
 	}
 	c.countUsage()
--- a/internal/gateway/entry/stream_end.go
+++ b/internal/gateway/entry/stream_end.go
@@ -20,8 +20,8 @@
 	streamComplete streamEnd = iota
 	// streamGoesOn states that this entry has stopped the run, which goes on from its KV cache.
 	streamGoesOn
-	// streamStopped states that this entry has stopped the run, or may have, and that the run
-	// does not go on from its KV cache.
+	// streamStopped states that the endpoint had a reason to end the stream early, for example
+	// an order of this entry, and that the run does not go on from its KV cache.
 	streamStopped
 	// streamBroken states that the stream broke off.
 	streamBroken
@@ -30,7 +30,7 @@
 // end returns the outcome of an attempt whose stream ended with an error, or with io.EOF.
 func (r *streamRelay) end(ctx context.Context, err error) outcome {
 	c := r.call
-	end, mv := r.classifyEnd(ctx, err)
+	end, mv, reason := r.classifyEnd(ctx, err)
 	switch end {
 	case streamComplete:
 		return r.complete()
@@ -38,10 +38,8 @@
 		r.run = nil
 		return outcome{sent: true, moved: mv}
 	case streamStopped:
-		c.entry.metrics.endsUnproven.Inc()
-		c.entry.log.Info("Stream ended after the order to stop its run.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", r.hop.endpoint.ID),
-			zap.String("framing", string(r.answer.Framing())), zap.Int64("last_event", c.lastEventID), zap.Error(err))
-		return c.replaced(outcome{sent: true, err: &AnswerError{r.hop.endpoint.ID, "stream ended after the order to stop its run"}}, r.watch.stop())
+		r.noteStopped(reason, err)
+		return c.replaced(outcome{sent: true, err: &AnswerError{r.hop.endpoint.ID, "stream not proven complete, possible reason of its end: " + string(reason)}}, r.watch.stop())
 	}
 	if c.r.Context().Err() == nil {
 		c.recordBrokenStream(ctx, r.hop, err)
@@ -49,14 +47,26 @@
 	return c.replaced(outcome{sent: true, err: &AnswerError{r.hop.endpoint.ID, "stream ended early: " + err.Error()}}, r.watch.stop())
 }
 
+// noteStopped records a stream that ended while its endpoint had another reason to close it.
+func (r *streamRelay) noteStopped(reason closeReason, err error) {
+	c := r.call
+	if c.r.Context().Err() != nil {
+		return
+	}
+	c.entry.metrics.endsUnproven.Inc()
+	c.entry.log.Info("Stream ended, which does not prove that it is complete.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", r.hop.endpoint.ID),
+		zap.String("reason", string(reason)), zap.String("framing", string(r.answer.Framing())), zap.Int64("last_event", c.lastEventID), zap.Error(err))
+}
+
 // classifyEnd decides what the end of the stream shows. The close of a connection is the end of
-// the events only if this entry has not ordered the endpoint to stop the run. The move is set if
-// the run goes on from its KV cache.
-func (r *streamRelay) classifyEnd(ctx context.Context, err error) (streamEnd, *move) {
+// the events only if this entry knows no other reason to close it. The move is set if the run
+// goes on from its KV cache, and the reason if the stream may have been stopped.
+func (r *streamRelay) classifyEnd(ctx context.Context, err error) (streamEnd, *move, closeReason) {
 	ended := errors.Is(err, io.EOF)
 	if ended && r.endIsProven() {
-		return streamComplete, nil
+		return streamComplete, nil, closeUnexplained
 	}
+	reason := r.call.reasonToClose(time.Now())
 	r.answer.Discard()
 	mv, effect := r.awaitMove(ctx)
 	if effect == port.MoveNone && r.hop.mayBeStopped {
@@ -64,13 +74,15 @@
 	}
 	switch {
 	case mv != nil && mv.goesOn(effect, r.hop):
-		return streamGoesOn, mv
+		return streamGoesOn, mv, closeByOrder
 	case effect != port.MoveNone:
-		return streamStopped, nil
+		return streamStopped, nil, closeByOrder
+	case ended && reason != closeUnexplained:
+		return streamStopped, nil, reason
 	case ended:
-		return streamComplete, nil
+		return streamComplete, nil, closeUnexplained
 	}
-	return streamBroken, nil
+	return streamBroken, nil, closeUnexplained
 }
 
 // endIsProven reports whether the end of the body proves that it is complete. A peer proves it by
