Do not take a close at the announced shutdown of an endpoint for the end of an answer

A stream without framing at an endpoint that left when it had announced was complete for the caller (672 of 1362 bytes), where no order to move its run could be given, or the run had returned there. From 250 ms before the announced time the end of the connection proves nothing, unless the endpoint has answered that it has no such run. That answer now has an effect of its own; the table of answers expects it for 404.

--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -113,7 +113,7 @@
 	defer buffer.release()
 	body, err := buffer.readBody(answer)
 	if err == nil {
-		err = c.checkEnd(answer, time.Now())
+		err = c.checkEnd(h, answer, time.Now())
 	}
 	next := watch.stop()
 	if err == nil {
--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -256,7 +256,7 @@
 		case answer.Effect == port.MoveUncertain && !errors.As(err, &refused) && !pending && ctx.Err() == nil:
 			pending = true
 			continue
-		case answer.Effect == port.MoveNone && repeated:
+		case answer.Effect == port.MoveNoRun && repeated:
 			// The run may be gone because an earlier order stopped it.
 			answer.Effect = port.MoveUncertain
 		}
--- a/internal/gateway/entry/stream_end.go
+++ b/internal/gateway/entry/stream_end.go
@@ -66,7 +66,7 @@
 	if ended && r.endIsProven() {
 		return streamComplete, nil, closeUnexplained
 	}
-	reason := r.call.reasonToClose(time.Now())
+	reason := r.call.reasonToClose(r.hop, time.Now())
 	r.answer.Discard()
 	mv, effect := r.awaitMove(ctx)
 	if effect == port.MoveNone && r.hop.mayBeStopped {
@@ -75,7 +75,9 @@
 	switch {
 	case mv != nil && mv.goesOn(effect, r.hop):
 		return streamGoesOn, mv, closeByOrder
-	case effect != port.MoveNone:
+	case ended && effect == port.MoveNoRun:
+		return streamComplete, nil, closeUnexplained
+	case effect == port.MoveUncertain || effect == port.MoveKept:
 		return streamStopped, nil, closeByOrder
 	case ended && reason != closeUnexplained:
 		return streamStopped, nil, reason
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -75,9 +75,10 @@
 
 // Effects of the order to move a run.
 const (
-	// MoveNone states that the order did not stop the run: it was not sent, or the run had
-	// ended by itself.
+	// MoveNone states that the order did not stop the run: it was not sent.
 	MoveNone MoveEffect = iota
+	// MoveNoRun states that the order did not stop the run, because it had ended by itself.
+	MoveNoRun
 	// MoveDone states that the run was stopped and its KV cache copied to the other endpoint.
 	MoveDone
 	// MoveKept states that the run was stopped and its KV cache is kept at its endpoint.
@@ -90,7 +91,7 @@
 
 // String returns the name of the effect, for logs.
 func (e MoveEffect) String() string {
-	return [...]string{"none", "done", "kept", "busy", "uncertain"}[e]
+	return [...]string{"none", "no run", "done", "kept", "busy", "uncertain"}[e]
 }
 
 // MoveAnswer is the answer of an endpoint to the order to move a run.
