Refuse answers with a status that no final answer may have

Callers of services got the statuses 000, 099, 600 and 999 as answers; WriteHeader panicked on 000 in a daemon that forwarded a request to a peer, and the connection of the caller ended. net/http reads any three digits as a status. It also returns 101, which answers a request to change the protocol that no client here makes.

httpconn.CheckStatus accepts 200 to 599 and is the one check of all clients. A malformed answer is a transport error of a request that was sent: the call may have run. The entry runs a forwarded request itself, a roll-out order goes to the next replica, and a promotion counts as unanswered, so that it may be sent again.

--- a/internal/adapter/callerhttp/forward.go
+++ b/internal/adapter/callerhttp/forward.go
@@ -5,14 +5,16 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 )
 
 // forwardBufferBytes is the size of the buffer that copies the answer of a peer.
 const forwardBufferBytes = 16 << 10
 
 // forward sends a request to another daemon and copies the answer to the caller
-// as it arrives. It reports whether the peer answered; if not, nothing was
-// written to the caller.
+// as it arrives. It reports whether the peer answered; if not, or if the answer
+// is malformed, nothing was written to the caller.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, baseURL string, body []byte) bool {
 	req, err := http.NewRequestWithContext(r.Context(), r.Method, baseURL+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
@@ -28,6 +30,9 @@
 		return false
 	}
 	defer resp.Body.Close()
+	if httpconn.CheckStatus(resp.StatusCode) != nil {
+		return false
+	}
 	header := w.Header()
 	for name, values := range resp.Header {
 		header[name] = values
--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -167,6 +167,9 @@
 		return &reply{body: resp.Body, use: use, pool: pool}, nil
 	}
 	defer resp.Body.Close()
+	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
+		return nil, &port.TransportError{Sent: true, Err: err}
+	}
 	return nil, readRefusal(resp)
 }
 
--- a/internal/adapter/jsonhttp/jsonhttp.go
+++ b/internal/adapter/jsonhttp/jsonhttp.go
@@ -48,7 +48,7 @@
 func (r *Response) Success() bool { return r.Status/100 == 2 }
 
 // Do makes a call with an optional JSON body and reads the complete response. If the
-// connection fails, the error is a *port.TransportError.
+// connection fails or the response is malformed, the error is a *port.TransportError.
 func (c *Client) Do(ctx context.Context, method, path string, body any) (*Response, error) {
 	var reader io.Reader
 	if body != nil {
@@ -71,6 +71,9 @@
 		return nil, &port.TransportError{Sent: use.Sent(), Err: err}
 	}
 	defer resp.Body.Close()
+	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
+		return nil, &port.TransportError{Sent: true, Err: err}
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	if err != nil {
 		return nil, &port.TransportError{Sent: true, Err: err}
--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -92,6 +92,9 @@
 		return nil, c.transportError(baseURL, pool, use, err)
 	}
 	defer resp.Body.Close()
+	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
+		return nil, &port.TransportError{Sent: true, Err: err}
+	}
 	// Services need not name the attempt. Of one that does not, a second copy of an answer
 	// is noticed only while the connection is idle, by net/http.
 	if answered := resp.Header.Get(endpoint.HeaderAttempt); answered != "" && answered != call.AttemptID {
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 	"github.com/boragelead/boragelead/internal/status"
 	"github.com/boragelead/boragelead/internal/telemetry"
 )
@@ -130,6 +131,9 @@
 		return result, &UnreachableError{Address: c.baseURL, Err: unwrapURLError(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := httpconn.CheckStatus(response.StatusCode); err != nil {
+		return result, &UnreachableError{Address: c.baseURL, Err: err}
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return result, &UnreachableError{Address: c.baseURL, Err: err}
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/boragelead/boragelead/api/endpoint"
+	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 )
 
 // Call is a request for one generation.
@@ -115,6 +116,9 @@
 		return &BrokenError{Code: "connect", Err: err}
 	}
 	defer resp.Body.Close()
+	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
+		return &BrokenError{Code: "status", Err: err}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return readRefusal(resp)
 	}
@@ -209,6 +213,9 @@
 		return &BrokenError{Code: "connect", Err: err}
 	}
 	defer resp.Body.Close()
+	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
+		return &BrokenError{Code: "status", Err: err}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return &RefusedError{Status: resp.StatusCode}
 	}
