Take the end of a connection for the end of an answer only after the request

Callers got the first part of a service's answer as a complete one. The service had answered an upload early, without a length or chunks, and then reset the connection. A reset is reported to one system call: the write of the request took it, and the read saw a clean end.

An answer that ends with its connection is now complete only if the request was written in full: net/http reports the write without an error, and no write to the connection has failed or is cut by the close. Otherwise the read returns an UnprovenEndError, and the call counts as sent: it may have run, is not repeated unless it is idempotent, and its claim ends as unknown.

A service may end a sound answer before the last write has returned in this process. The read therefore waits for that write. The wait needs no time-out: net/http closes the connection at the end of such a body, and a write to a closed connection returns. A write that has not started at the end is not waited for, since net/http may never start it. One gap remains: net/http reports the write before it flushes its last 4 KiB, so that an orderly close in that moment still ends an answer to an upload. A reset does not, since no write takes it.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -30,9 +30,16 @@
 	wroteByte     bool
 	pendingWrites int
 	writesBlocked bool
+	// writeFailed is set once a write has failed. writeReturned is signalled after each write.
+	writeFailed   bool
+	writeReturned *sync.Cond
 }
 
-func newConn(inner net.Conn) *Conn { return &Conn{Conn: inner} }
+func newConn(inner net.Conn) *Conn {
+	c := &Conn{Conn: inner}
+	c.writeReturned = sync.NewCond(&c.mu)
+	return c
+}
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -56,6 +63,8 @@
 	c.mu.Lock()
 	c.pendingWrites--
 	c.wroteByte = c.wroteByte || n > 0
+	c.writeFailed = c.writeFailed || err != nil
+	c.writeReturned.Broadcast()
 	c.mu.Unlock()
 	return n, err
 }
@@ -112,6 +121,8 @@
 	// firstByteTimeout bounds the time until the first byte of the response; 0 means
 	// no bound.
 	firstByteTimeout time.Duration
+	// written is the result of writing the request to the current connection.
+	written atomic.Pointer[writeResult]
 }
 
 // Track returns a context that makes a request report its connection to the Use, and
@@ -120,11 +131,15 @@
 // Use may be read once the round trip has returned.
 func Track(ctx context.Context, firstByteTimeout time.Duration) (context.Context, *Use) {
 	use := &Use{firstByteTimeout: firstByteTimeout}
-	trace := &httptrace.ClientTrace{GotConn: use.gotConn}
+	trace := &httptrace.ClientTrace{
+		GotConn:      use.gotConn,
+		WroteRequest: use.wroteRequest,
+	}
 	return httptrace.WithClientTrace(ctx, trace), use
 }
 
 func (u *Use) gotConn(info httptrace.GotConnInfo) {
+	u.written.Store(newWriteResult())
 	conn, tracked := info.Conn.(*Conn)
 	if !tracked {
 		u.maybeSent = true
@@ -146,6 +161,8 @@
 	}
 }
 
+func (u *Use) wroteRequest(info httptrace.WroteRequestInfo) { u.written.Load().set(info) }
+
 // Sent reports, after a failed round trip, whether a byte of the request may have
 // been sent. A result of false proves that none was sent and that none will be.
 func (u *Use) Sent() bool {
--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -95,6 +95,7 @@
 	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
 		return nil, &port.TransportError{Sent: true, Err: err}
 	}
+	use.VerifyEnd(resp)
 	// Services need not name the attempt. Of one that does not, a second copy of an answer
 	// is noticed only while the connection is idle, by net/http.
 	if answered := resp.Header.Get(endpoint.HeaderAttempt); answered != "" && answered != call.AttemptID {
