Do not pass on a part of a peer's answer as whole

A daemon that forwarded a long request passed on the first part of the peer's answer as a complete one, where the answer had neither a length nor chunks and the peer reset the connection before it had read the request. The cause is that of the calls to services: the write of the request takes the reset, and the read sees a clean end.

The answer is now read with the same check, and the connection of the caller is aborted. net/http may still replay a forwarded request on another connection as before, for which TrackReplayable exists: reading a request that a peer holds must not fail because an idle connection was closed. On connections with TLS the check knows only what net/http reports of the write.

TestAnswerOfPeerWithoutLengthIsPassedOn passes as before.

--- a/internal/adapter/callerhttp/forward.go
+++ b/internal/adapter/callerhttp/forward.go
@@ -16,7 +16,8 @@
 // as it arrives. It reports whether the peer answered; if not, or if the answer
 // is malformed, nothing was written to the caller.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, baseURL string, body []byte) bool {
-	req, err := http.NewRequestWithContext(r.Context(), r.Method, baseURL+r.URL.RequestURI(), bytes.NewReader(body))
+	ctx, use := httpconn.TrackReplayable(r.Context())
+	req, err := http.NewRequestWithContext(ctx, r.Method, baseURL+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -33,6 +34,7 @@
 	if httpconn.CheckStatus(resp.StatusCode) != nil {
 		return false
 	}
+	use.VerifyEnd(resp)
 	header := w.Header()
 	for name, values := range resp.Header {
 		header[name] = values
--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -123,6 +123,8 @@
 	firstByteTimeout time.Duration
 	// written is the result of writing the request to the current connection.
 	written atomic.Pointer[writeResult]
+	// replayable is set if net/http may replay the request.
+	replayable bool
 }
 
 // Track returns a context that makes a request report its connection to the Use, and
@@ -130,7 +132,15 @@
 // byte of the response must arrive within firstByteTimeout, unless that is 0. The
 // Use may be read once the round trip has returned.
 func Track(ctx context.Context, firstByteTimeout time.Duration) (context.Context, *Use) {
-	use := &Use{firstByteTimeout: firstByteTimeout}
+	return track(ctx, &Use{firstByteTimeout: firstByteTimeout})
+}
+
+// TrackReplayable is Track for a request that net/http may replay. Sent has no meaning for the Use.
+func TrackReplayable(ctx context.Context) (context.Context, *Use) {
+	return track(ctx, &Use{replayable: true})
+}
+
+func track(ctx context.Context, use *Use) (context.Context, *Use) {
 	trace := &httptrace.ClientTrace{
 		GotConn:      use.gotConn,
 		WroteRequest: use.wroteRequest,
@@ -147,7 +157,7 @@
 	}
 	// A second connection means that net/http replays the request. The replay is
 	// blocked unless it is proven that the first connection sent no byte of it.
-	replay := u.maybeSent || u.conn != nil && u.conn.sentOrBlockWrites(u.useNumber)
+	replay := !u.replayable && (u.maybeSent || u.conn != nil && u.conn.sentOrBlockWrites(u.useNumber))
 	u.maybeSent = replay
 	u.conn = conn
 	u.useNumber = conn.startUse()
