--- a/internal/adapter/callerhttp/forward_test.go
+++ b/internal/adapter/callerhttp/forward_test.go
@@ -58,11 +58,16 @@
 	doc.Models[0].MaxContextTokens = 2 * longPromptBytes
 	store := conf.NewStore()
 	store.Install(1, doc, "d", time.Now())
-	server := httptest.NewServer(callerhttp.New(callerhttp.Options{
+	return newServer(t, callerhttp.Options{
 		Name: "entry-1", Config: store, Completer: &fakePipeline{tokens: []string{"own"}}, Services: &fakeServices{},
 		Journals: &fakeJournals{}, NewID: func() string { return "entry-1.id" }, Peers: smallBufferTransport(),
 		OverloadPeer: func() string { return peer.URL }, Ready: func() error { return nil },
-	}).Handler())
+	})
+}
+
+// newServer starts a server with the given options and returns its base URL.
+func newServer(t *testing.T, options callerhttp.Options) string {
+	server := httptest.NewServer(callerhttp.New(options).Handler())
 	t.Cleanup(server.Close)
 	return server.URL
 }
