Send answers of services with their length

HTTP/1.0 callers got the answer of a service without a length, since net/http sends a longer body in chunks or, to these callers, until the close. A daemon that was killed in between left a part that reads as complete. The body is in memory when it is written, so that its length is known; it is now always sent. Answers without a body, such as those to HEAD, stay as they are.

--- a/internal/adapter/callerhttp/services.go
+++ b/internal/adapter/callerhttp/services.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/boragelead/boragelead/internal/core/conf"
@@ -117,6 +118,10 @@
 		header.Del(name)
 	}
 	header.Del("Content-Length")
+	// Without a length an HTTP/1.0 caller takes a part for the whole if this process dies while it writes.
+	if len(resp.Body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	}
 	if resp.Replayed {
 		header.Set(headerReplayed, "true")
 	}
