Keep the error of a broken stream apart from its end

A stream of an engine that ended without its done frame gave an error for which errors.Is(err, io.EOF) holds, which port.FrameStream reserves for a finished stream. The error wrapped io.ErrUnexpectedEOF under the message "EOF", and eris takes equal texts for equal errors. Nothing took such a stream for complete so far, because the entry also asks whether the done frame came.

The message now says what happened and no longer equals that of io.EOF.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -189,10 +189,11 @@
 
 // replaceEOF replaces io.EOF with io.ErrUnexpectedEOF, so that a broken connection
 // is not mistaken for the end of a stream: port.FrameStream returns io.EOF only
-// after the last frame.
+// after the last frame. An eris error matches each error whose text is its message,
+// so the message must not be that of io.EOF.
 func replaceEOF(err error) error {
 	if errors.Is(err, io.EOF) {
-		return eris.Wrap(io.ErrUnexpectedEOF, err.Error())
+		return eris.Wrapf(io.ErrUnexpectedEOF, "connection to endpoint ended: %v", err)
 	}
 	return err
 }
