Tell clients that do not know the moved event that the answer is a part

Callers with an unmodified OpenAI client library got the part of a stream up to a drain as the whole answer, without an error: the stream ended with the event moved and then in order, and the library ignores [DONE] that is missing and the type of the event.

The data of the event now has an error object with code moved as well, which these libraries report. The event, its location and its request ID are unchanged for clients that follow it. The error is in the stream itself, so that it does not depend on how the connection ends.

TestMovedStreamIsNoCompleteAnswer failed before (no error) and passes 20 times with -race.

--- a/internal/adapter/callerhttp/requests.go
+++ b/internal/adapter/callerhttp/requests.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/boragelead/boragelead/api/endpoint"
 	"github.com/boragelead/boragelead/internal/entry"
 )
 
@@ -151,7 +152,7 @@
 		r.writer.WriteHeader(http.StatusSeeOther)
 		return
 	}
-	data, _ := json.Marshal(movedBody{Location: location, RequestID: r.req.ID})
+	data, _ := json.Marshal(newMovedBody(location, r.req.ID))
 	r.buffer = append(r.buffer, "event: moved\ndata: "...)
 	r.buffer = append(r.buffer, data...)
 	r.buffer = append(r.buffer, "\n\n"...)
@@ -159,10 +160,23 @@
 }
 
 // movedBody is the data of the "moved" event, which ends a stream that a peer
-// continues.
+// continues. Client libraries that do not know the event report its error; without
+// one they take the part of the stream for the whole answer.
 type movedBody struct {
-	Location  string `json:"location"`
-	RequestID string `json:"request_id"`
+	Location  string      `json:"location"`
+	RequestID string      `json:"request_id"`
+	Error     errorDetail `json:"error"`
+}
+
+func newMovedBody(location, requestID string) movedBody {
+	detail := errorDetail{
+		Message:   "the answer is not complete and continues at " + location,
+		Type:      "server_error",
+		Code:      "moved",
+		Run:       string(endpoint.RunUnknown),
+		RequestID: requestID,
+	}
+	return movedBody{Location: location, RequestID: requestID, Error: detail}
 }
 
 // isMoved reports whether a request ended on this daemon because a peer took it over.
