Compare a download of weights with the size of the object

A stand-in engine took a part of its weights for the whole, where the answer had no length and its connection ended early; the size it reported came from the header. The client now compares the bytes it read with those that the size stands for, and returns a PartError otherwise. The store itself always sends a length, so its downloads are unchanged.

--- a/standin/weights/client.go
+++ b/standin/weights/client.go
@@ -18,6 +18,14 @@
 	return fmt.Sprintf("weight store answered with status %d", e.Status)
 }
 
+// PartError reports a download that ended before the object was complete.
+type PartError struct{ BodyBytes, Want int64 }
+
+// Error implements error.
+func (e *PartError) Error() string {
+	return fmt.Sprintf("download ended after %d of %d bytes", e.BodyBytes, e.Want)
+}
+
 // Client downloads weights for stand-in engines.
 type Client struct{ BaseURL string }
 
@@ -37,8 +45,16 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, &StatusError{Status: resp.StatusCode}
 	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	size, err := strconv.ParseInt(resp.Header.Get(weights.HeaderBytes), 10, 64)
+	if err != nil {
 		return 0, err
 	}
-	return strconv.ParseInt(resp.Header.Get(weights.HeaderBytes), 10, 64)
+	read, err := io.Copy(io.Discard, resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	if want := bodyBytesOf(size); read != want {
+		return 0, &PartError{BodyBytes: read, Want: want}
+	}
+	return size, nil
 }
--- a/standin/weights/client_test.go
+++ b/standin/weights/client_test.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -33,6 +34,7 @@
 			g.Expect(size).To(BeNumerically("==", objectBytes))
 			continue
 		}
-		g.Expect(err).To(HaveOccurred())
+		var part *PartError
+		g.Expect(errors.As(err, &part)).To(BeTrue(), "%v", err)
 	}
 }
--- a/standin/weights/store.go
+++ b/standin/weights/store.go
@@ -105,7 +105,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	bodyBytes := (size + weightBytesPerBodyByte - 1) / weightBytesPerBodyByte
+	bodyBytes := bodyBytesOf(size)
 	w.Header().Set(weights.HeaderBytes, strconv.FormatInt(size, 10))
 	w.Header().Set("Content-Length", strconv.FormatInt(bodyBytes, 10))
 	if r.Method == http.MethodHead {
@@ -114,6 +114,11 @@
 	s.send(w, r, size, bodyBytes)
 }
 
+// bodyBytesOf returns the length of the body that represents an object of the given size.
+func bodyBytesOf(size int64) int64 {
+	return (size + weightBytesPerBodyByte - 1) / weightBytesPerBodyByte
+}
+
 // send writes bodyBytes bytes that represent an object of size bytes, at the
 // rate that the limiter allows.
 func (s *Store) send(w http.ResponseWriter, r *http.Request, size, bodyBytes int64) {
