State that not_run does not depend on the body of the answer

A service says in the head of its answer that it did not run a call. The read error of the body behind it was dropped without a reason given; the statement stands, since the head is complete.

--- a/internal/adapter/servicehttp/answer_end_test.go
+++ b/internal/adapter/servicehttp/answer_end_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/boragelead/boragelead/api/endpoint"
 	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 	"github.com/boragelead/boragelead/internal/port"
 )
@@ -121,3 +122,17 @@
 		})
 	}
 }
+
+// Guards against a call that counts as possibly run although the head of its answer says that it did not run.
+func TestNotRunStandsWhereBodyIsCut(t *testing.T) {
+	g := NewWithT(t)
+	baseURL := serveConns(t, func(conn *net.TCPConn) {
+		defer conn.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\n"+endpoint.HeaderRun+": not_run\r\nContent-Length: 100\r\n\r\npart")
+	})
+	_, err := upload(baseURL, 10)
+	var refused *port.RefusedError
+	g.Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
+	g.Expect(refused.Body.Run).To(Equal(endpoint.NotRun))
+}
--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -125,7 +125,8 @@
 }
 
 // readResult reads the complete response. Once the status line was received, the call
-// counts as run, unless the service says that it did not run.
+// counts as run, unless the service says that it did not run. It says so in the head, which
+// is complete, so that a body which cannot be read does not matter then.
 func (c *Client) readResult(resp *http.Response) (*port.ServiceResult, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
 	if resp.Header.Get(endpoint.HeaderRun) == string(endpoint.NotRun) && resp.StatusCode/100 != 2 {
