--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -30,9 +30,16 @@
 	wroteByte     bool
 	pendingWrites int
 	writesBlocked bool
+	// writeFailed is set once a write has failed. writeReturned is signalled after each write.
+	writeFailed   bool
+	writeReturned *sync.Cond
 }
 
-func newConn(inner net.Conn) *Conn { return &Conn{Conn: inner} }
+func newConn(inner net.Conn) *Conn {
+	c := &Conn{Conn: inner}
+	c.writeReturned = sync.NewCond(&c.mu)
+	return c
+}
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -56,6 +63,8 @@
 	c.mu.Lock()
 	c.pendingWrites--
 	c.wroteByte = c.wroteByte || n > 0
+	c.writeFailed = c.writeFailed || err != nil
+	c.writeReturned.Broadcast()
 	c.mu.Unlock()
 	return n, err
 }
@@ -112,6 +121,10 @@
 	// firstByteTimeout bounds the time until the first byte of the response; 0 means
 	// no bound.
 	firstByteTimeout time.Duration
+	// written is the result of writing the request to the current connection.
+	written atomic.Pointer[writeResult]
+	// replayable is set if net/http may replay the request.
+	replayable bool
 }
 
 // Track returns a context that makes a request report its connection to the Use, and
@@ -119,12 +132,24 @@
 // byte of the response must arrive within firstByteTimeout, unless that is 0. The
 // Use may be read once the round trip has returned.
 func Track(ctx context.Context, firstByteTimeout time.Duration) (context.Context, *Use) {
-	use := &Use{firstByteTimeout: firstByteTimeout}
-	trace := &httptrace.ClientTrace{GotConn: use.gotConn}
+	return track(ctx, &Use{firstByteTimeout: firstByteTimeout})
+}
+
+// TrackReplayable is Track for a request that net/http may replay. Sent has no meaning for the Use.
+func TrackReplayable(ctx context.Context) (context.Context, *Use) {
+	return track(ctx, &Use{replayable: true})
+}
+
+func track(ctx context.Context, use *Use) (context.Context, *Use) {
+	trace := &httptrace.ClientTrace{
+		GotConn:      use.gotConn,
+		WroteRequest: use.wroteRequest,
+	}
 	return httptrace.WithClientTrace(ctx, trace), use
 }
 
 func (u *Use) gotConn(info httptrace.GotConnInfo) {
+	u.written.Store(newWriteResult())
 	conn, tracked := info.Conn.(*Conn)
 	if !tracked {
 		u.maybeSent = true
@@ -132,7 +157,7 @@
 	}
 	// A second connection means that net/http replays the request. The replay is
 	// blocked unless it is proven that the first connection sent no byte of it.
-	replay := u.maybeSent || u.conn != nil && u.conn.sentOrBlockWrites(u.useNumber)
+	replay := !u.replayable && (u.maybeSent || u.conn != nil && u.conn.sentOrBlockWrites(u.useNumber))
 	u.maybeSent = replay
 	u.conn = conn
 	u.useNumber = conn.startUse()
@@ -146,6 +171,8 @@
 	}
 }
 
+func (u *Use) wroteRequest(info httptrace.WroteRequestInfo) { u.written.Load().set(info) }
+
 // Sent reports, after a failed round trip, whether a byte of the request may have
 // been sent. A result of false proves that none was sent and that none will be.
 func (u *Use) Sent() bool {
