Do not take a reset early answer without a length for complete

Callers got the first part of an answer as a complete one. The endpoint answered a long upload at once, without a length, and reset the connection while the request was being written. The kernel reports a reset to one system call only. If the concurrent write of the request took the error, which was dropped, the reader of the answer saw the connection end as after a close in order.

A body that ends with its connection now counts as complete only once the write of its request has succeeded; otherwise the error is ErrRequestNotWritten with the cause. The reader waits for the write, since an endpoint that has ended its answer may still read the rest of the request. There is no new time-out: a reset ends the write, the end of the context resets the connection, and the deadline for reading now limits the write once the body has ended. Framed answers prove their end and do not wait; a HEAD answer without a length counts as framed, as it has no body.

--- a/internal/adapter/exchange/conn.go
+++ b/internal/adapter/exchange/conn.go
@@ -16,10 +16,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrRequestNotWritten reports that an answer was read to its end before its request
-// was written in full.
-var ErrRequestNotWritten = errors.New("request not written in full")
-
 const (
 	readBufferBytes = 4 << 10
 	// maxHeadBytes limits the status line and header of an answer together with the
@@ -61,9 +57,8 @@
 	reused  bool
 	// sendStarted is set before the first byte of a request is written.
 	sendStarted atomic.Bool
-	// writePending is set while a request is written concurrently with reading
-	// its answer. It remains set if the write fails.
-	writePending atomic.Bool
+	// write is that of the current request; nil if it ended before its answer was read.
+	write *requestWrite
 	// expiresAt is the time from which an idle connection must not be used.
 	expiresAt time.Time
 }
@@ -82,6 +77,7 @@
 		return nil, err
 	}
 	c.sendStarted.Store(true)
+	c.write = nil
 	if len(req.Body) < concurrentWriteBytes {
 		buffer.Write(req.Body)
 		_, err := c.Write(buffer.Bytes())
@@ -90,23 +86,11 @@
 			return nil, err
 		}
 	} else {
-		c.writePending.Store(true)
-		go c.writeConcurrently(buffer, req.Body)
+		c.write = startWrite(c.Conn, buffer, req.Body)
 	}
 	return c.readHead(req.Method)
 }
 
-// writeConcurrently writes a long request while the answer is read. A write error
-// is not reported, because reading the answer then fails as well.
-func (c *conn) writeConcurrently(head *bytes.Buffer, body []byte) {
-	parts := net.Buffers{head.Bytes(), body}
-	_, err := parts.WriteTo(c.Conn)
-	buffers.Put(head)
-	if err == nil {
-		c.writePending.Store(false)
-	}
-}
-
 // abort resets the connection and discards data that was not delivered yet. After
 // a normal close during a network partition, the kernel could still deliver a
 // request seconds after its caller disconnected.
@@ -164,21 +148,28 @@
 	pool     *pool
 	address  string
 	stop     func() bool
+	deadline readDeadline
 	complete bool
 	closed   bool
 }
 
-// Read reads the body. io.EOF means that the body is complete.
+// Read reads the body. io.EOF means that the body is complete. If the body ends with its
+// connection and the request was not written in full, the error is ErrRequestNotWritten.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		a.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if unproven := a.proveEnd(); unproven != nil {
+		return n, unproven
 	}
+	a.complete = true
 	return n, err
 }
 
-// SetDeadline sets the deadline for reading; the zero time removes it.
-func (a *Answer) SetDeadline(t time.Time) { _ = a.conn.SetReadDeadline(t) }
+// SetDeadline sets the deadline for reading; the zero time removes it. It may be called while
+// another goroutine reads.
+func (a *Answer) SetDeadline(t time.Time) { a.deadline.set(a.conn, t) }
 
 // Reused reports whether the request was sent over a pooled connection.
 func (a *Answer) Reused() bool { return a.conn.reused }
@@ -191,7 +182,7 @@
 	}
 	a.closed = true
 	notAborted := a.stop()
-	reusable := notAborted && a.complete && !a.Response.Close && !a.conn.writePending.Load() && a.conn.reader.Buffered() == 0
+	reusable := notAborted && a.complete && !a.Response.Close && a.conn.write.succeeded() && a.conn.reader.Buffered() == 0
 	if !reusable {
 		a.conn.abort()
 		return
--- a/internal/adapter/exchange/early_test.go
+++ b/internal/adapter/exchange/early_test.go
@@ -39,9 +39,13 @@
 
 // post sends a request with a body of a size, and reads its answer.
 func post(ctx context.Context, address string, size int) (string, error) {
+	return send(ctx, http.MethodPost, address, size)
+}
+
+func send(ctx context.Context, method, address string, size int) (string, error) {
 	c := New(Options{IdleTimeout: time.Minute})
 	defer c.Close()
-	answer, err := c.Do(ctx, address, &Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: largeBody[:size]})
+	answer, err := c.Do(ctx, address, &Request{Method: method, Target: "/x", Host: "h", Header: http.Header{}, Body: largeBody[:size]})
 	if err != nil {
 		return "", err
 	}
@@ -131,14 +135,16 @@
 
 // Guards against a framed early answer that waits for an endpoint that never reads the request.
 func TestFramedEarlyAnswerDoesNotWaitForTheRequest(t *testing.T) {
-	for _, text := range []string{lengthHead + "done", chunkedHead + "done\r\n0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n"} {
+	for text, method := range map[string]string{
+		lengthHead + "done": "POST", chunkedHead + "done\r\n0\r\n\r\n": "POST", "HTTP/1.1 204 No Content\r\n\r\n": "POST", unframedHead: "HEAD",
+	} {
 		released := make(chan struct{})
 		address := startPeer(t, func(conn net.Conn, reader *bufio.Reader) {
 			_, _ = answerEarly(conn, reader, text)
 			<-released
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		_, err := post(ctx, address, unsentBytes)
+		_, err := send(ctx, method, address, unsentBytes)
 		cancel()
 		close(released)
 		NewWithT(t).Expect(err).NotTo(HaveOccurred(), text)
--- a/internal/adapter/exchange/framing.go
+++ b/internal/adapter/exchange/framing.go
@@ -12,7 +12,8 @@
 	// FramingChunked marks the end by the last chunk.
 	FramingChunked Framing = "chunked"
 	// FramingClose ends the body with its connection. It proves that the body is complete
-	// only as long as nobody else has a reason to close the connection.
+	// only if the request was written in full, and as long as nobody else has a reason to close
+	// the connection.
 	FramingClose Framing = "close"
 )
 
@@ -21,7 +22,7 @@
 	switch {
 	case len(answer.TransferEncoding) > 0:
 		return FramingChunked
-	case answer.ContentLength >= 0:
+	case answer.ContentLength >= 0, answer.Body == http.NoBody:
 		return FramingLength
 	}
 	return FramingClose
