Reject statuses below 100 and 101 instead of skipping their answers

Callers got the body of an answer as a sealed answer with status 200, and a non-idempotent request counted as done. readHead skipped every answer with a status below 200 as an interim one, so that with 000, 001, +20, 099 or 101 the bytes of its body were read as the next answer. With another body the attempt hung until the connection ended.

Interim answers are now 100 and 102 to 199. A lower status, and 101, which no request asks for, are a *StatusError in the *port.TransportError of Do, with Sent set, like any other malformed answer: the caller gets 502, or the answer of another endpoint if the request may be repeated, and no second run otherwise.

--- a/internal/adapter/exchange/conn.go
+++ b/internal/adapter/exchange/conn.go
@@ -111,7 +111,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		interim, err := isInterim(resp.StatusCode)
+		if err != nil {
+			return nil, err
+		}
+		if !interim {
 			return &Answer{Response: resp, conn: c}, nil
 		}
 	}
--- a/internal/adapter/exchange/status_test.go
+++ b/internal/adapter/exchange/status_test.go
@@ -74,3 +74,11 @@
 		NewWithT(t).Expect(body).To(Equal("ok"), text)
 	}
 }
+
+// Guards against an error of a status that its callers cannot tell from a lost connection.
+func TestUnusableStatusHasATypedError(t *testing.T) {
+	var failure *StatusError
+	_, err := answerTo(t, "HTTP/1.1 099 Odd\r\n\r\n"+okResponse)
+	NewWithT(t).Expect(errors.As(err, &failure)).To(BeTrue(), "%v", err)
+	NewWithT(t).Expect(failure.Status).To(Equal(99))
+}
