Reject statuses above 599

The client returned answers with statuses of 600 to 999, which HTTP does not have (RFC 9110, section 15), and the entry would pass them on. They are now a *StatusError like statuses below 100: what sent such a status line sent no sound answer.

--- a/internal/adapter/exchange/status.go
+++ b/internal/adapter/exchange/status.go
@@ -5,6 +5,9 @@
 	"net/http"
 )
 
+// maxStatus is the highest status of HTTP, RFC 9110, section 15.
+const maxStatus = 599
+
 // StatusError reports an answer whose status no request of this client can get.
 type StatusError struct{ Status int }
 
@@ -17,7 +20,7 @@
 // *StatusError.
 func isInterim(status int) (bool, error) {
 	switch {
-	case status < http.StatusContinue:
+	case status < http.StatusContinue, status > maxStatus:
 		return false, &StatusError{status}
 	case status == http.StatusSwitchingProtocols:
 		// It ends HTTP on the connection, and no request asks for that.
