Limit the number of interim answers before a final one

The client skipped as many interim answers as fit into the 64 KB of a head, so that an endpoint could hold an attempt up with them at little cost. More than 16 are now ErrTooManyInterim, in the *port.TransportError of Do with Sent set.

--- a/internal/adapter/exchange/conn.go
+++ b/internal/adapter/exchange/conn.go
@@ -102,11 +102,12 @@
 	_ = c.Close()
 }
 
-// readHead reads the status line and header of the final answer.
+// readHead reads the status line and header of the final answer. The error is a *StatusError or
+// ErrTooManyInterim if an answer can be parsed but not used.
 func (c *conn) readHead(method string) (*Answer, error) {
 	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 	defer func() { c.limiter.limited = false }()
-	for {
+	for range maxInterimAnswers + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -119,6 +120,7 @@
 			return &Answer{Response: resp, conn: c}, nil
 		}
 	}
+	return nil, ErrTooManyInterim
 }
 
 // isUsable reports whether an idle connection is open and no unread data has
--- a/internal/adapter/exchange/status.go
+++ b/internal/adapter/exchange/status.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 )
@@ -8,6 +9,13 @@
 // maxStatus is the highest status of HTTP, RFC 9110, section 15.
 const maxStatus = 599
 
+// maxInterimAnswers bounds the interim answers before a final one, of which one or two are usual. The
+// bound on the bytes of a head alone let 1000 of them pass.
+const maxInterimAnswers = 16
+
+// ErrTooManyInterim reports an answer that is preceded by more than maxInterimAnswers.
+var ErrTooManyInterim = errors.New("too many interim answers")
+
 // StatusError reports an answer whose status no request of this client can get.
 type StatusError struct{ Status int }
 
--- a/internal/adapter/exchange/status_test.go
+++ b/internal/adapter/exchange/status_test.go
@@ -54,11 +54,18 @@
 
 // Guards against interim answers without end that hold an attempt up.
 func TestInterimAnswersAreLimited(t *testing.T) {
-	const many = 1000
-	_, err := answerTo(t, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", many)+okResponse)
-	var failure *port.TransportError
-	NewWithT(t).Expect(errors.As(err, &failure)).To(BeTrue(), "%v", err)
-	NewWithT(t).Expect(failure.Sent).To(BeTrue())
+	g := NewWithT(t)
+	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
+	for _, count := range []int{maxInterimAnswers + 1, 1000} {
+		_, err := answerTo(t, strings.Repeat(interim, count)+okResponse)
+		var failure *port.TransportError
+		g.Expect(errors.As(err, &failure)).To(BeTrue(), "%v", err)
+		g.Expect(failure.Sent).To(BeTrue())
+		g.Expect(err).To(MatchError(ErrTooManyInterim))
+	}
+	body, err := answerTo(t, strings.Repeat(interim, maxInterimAnswers)+okResponse)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("ok"))
 }
 
 // Guards against a sound answer that is rejected for its status or its interim answers.
