Reset the connection of an HTTP/1.0 answer that is not whole

HTTP/1.0 callers of every listener took the part of an answer for whole after an abort or a panic of the handler, an eviction, a failed write, the end of the grace period and SIGKILL: the answer had no length, so its end was that of the connection, and the kernel ended the connection in order in all these cases.

From before the first byte of an answer to HTTP/1.0 until the server has passed all of it to the kernel, SO_LINGER is 0, so that any close, also that of a killed process, resets the connection. After an abort or a failed write nothing more is written, or the end of a TLS session would tell a client that the answer is whole.

net/http has no hook for the end of an answer. It removes the write deadline after the last write and before the close, which Conn takes as that end. If it stops doing so, whole answers are reset, which TestWholeAnswerReachesSlowReader shows.

--- a/internal/inlet/answer_end_test.go
+++ b/internal/inlet/answer_end_test.go
@@ -108,39 +108,52 @@
 	}
 }
 
+// breakOff ends an answer in the middle by a function, and checks what its caller sees.
+func breakOff(t *testing.T, head string, secure bool, end func(*httptest.Server, *Listener)) {
+	var server *httptest.Server
+	var listener *Listener
+	read := make(chan struct{})
+	server, listener = startAnswering(t, secure, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, answerPart)
+		_ = http.NewResponseController(w).Flush()
+		<-read
+		_, _ = io.WriteString(w, answerPart)
+		end(server, listener)
+	})
+	conn := request(t, server, head)
+	before := readPart(t, conn)
+	close(read)
+	body, err := rest(conn, before)
+	NewWithT(t).Expect(err).To(HaveOccurred(), "whole for the caller: %q", body)
+}
+
 // Guards against an answer that breaks off and looks complete to its caller.
 func TestBrokenAnswerIsNotComplete(t *testing.T) {
+	causes := map[string]func(*httptest.Server, *Listener){
+		"abort": func(*httptest.Server, *Listener) { panic(http.ErrAbortHandler) },
+		"panic": func(*httptest.Server, *Listener) { panic("handler failed") },
+		"close": func(server *httptest.Server, _ *Listener) { _ = server.Config.Close() },
+		"evict": func(_ *httptest.Server, l *Listener) { evictAll(l) },
+	}
 	for name, head := range callerHeads {
-		for _, secure := range []bool{false, true} {
-			for cause, end := range map[string]func(*httptest.Server, *Listener){
-				"abort": func(*httptest.Server, *Listener) { panic(http.ErrAbortHandler) },
-				"panic": func(*httptest.Server, *Listener) { panic("handler failed") },
-				"close": func(server *httptest.Server, _ *Listener) { _ = server.Config.Close() },
-				"evict": func(_ *httptest.Server, l *Listener) { evictAll(l) },
-			} {
-				transport := map[bool]string{false: "TCP", true: "TLS"}[secure]
-				t.Run(name+"/"+transport+"/"+cause, func(t *testing.T) {
-					var server *httptest.Server
-					var listener *Listener
-					read := make(chan struct{})
-					server, listener = startAnswering(t, secure, func(w http.ResponseWriter, _ *http.Request) {
-						_, _ = io.WriteString(w, answerPart)
-						_ = http.NewResponseController(w).Flush()
-						<-read
-						_, _ = io.WriteString(w, answerPart)
-						end(server, listener)
-					})
-					conn := request(t, server, head)
-					before := readPart(t, conn)
-					close(read)
-					body, err := rest(conn, before)
-					NewWithT(t).Expect(err).To(HaveOccurred(), "whole for the caller: %q", body)
-				})
+		for cause, end := range causes {
+			t.Run(name+"/TCP/"+cause, func(t *testing.T) { breakOff(t, head, false, end) })
+			if cause != "close" {
+				t.Run(name+"/TLS/"+cause, func(t *testing.T) { breakOff(t, head, true, end) })
 			}
 		}
 	}
 }
 
+// Guards against a broken answer that looks complete because its server ended the TLS session.
+func TestAnswerOfClosedTLSServerIsNotComplete(t *testing.T) {
+	for name, head := range callerHeads {
+		t.Run(name, func(t *testing.T) {
+			breakOff(t, head, true, func(server *httptest.Server, _ *Listener) { _ = server.Config.Close() })
+		})
+	}
+}
+
 // Guards against an answer that looks complete although a write to the caller failed.
 func TestUnwrittenAnswerIsNotComplete(t *testing.T) {
 	for cause, part := range map[string]int{"budget is full": 32 << 20, "caller does not read": 32 << 10} {
--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -64,6 +64,8 @@
 	headStart atomic.Int64
 	// headTaken is what the account holds for the head.
 	headTaken atomic.Int64
+	// end is an answerEnd.
+	end       atomic.Int32
 	closeOnce sync.Once
 
 	mu sync.Mutex
@@ -185,6 +187,18 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	if answerEnd(c.end.Load()) == endBroken {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: ErrAnswerBroken}
+	}
+	n, err := c.write(p)
+	if err != nil {
+		c.breakAnswer()
+	}
+	return n, err
+}
+
+// write writes within the limits of the listener.
+func (c *Conn) write(p []byte) (int, error) {
 	if held := int64(len(p)); c.listener.countAnswers && held > writeBytes {
 		if err := c.account.Add(held); err != nil {
 			c.listener.inlet.events.record(ReasonMemory, c.listener.name, c.RemoteAddr().String())
@@ -222,8 +236,12 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// SetWriteDeadline implements net.Conn.
+// SetWriteDeadline implements net.Conn. net/http removes the deadline between the last write of
+// an answer and the close of the connection, and tells the end of the answer in no other way.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.finishAnswer()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeDeadline = t
@@ -299,6 +317,7 @@
 // free at once, since its handler ends shortly after.
 func (c *Conn) evict(reason Reason) {
 	c.listener.inlet.events.record(reason, c.listener.name, c.RemoteAddr().String())
+	c.breakAnswer()
 	_ = c.Close()
 }
 
--- a/internal/inlet/server.go
+++ b/internal/inlet/server.go
@@ -73,6 +73,17 @@
 	}
 	c.startRequest(r.ContentLength != 0)
 	defer c.endRequest()
+	if endedByClose(r) {
+		c.beginAnswer()
+	}
+	returned := false
+	defer func() { c.endHandler(returned) }()
+	l.handle(next, copies, w, r, c)
+	returned = true
+}
+
+// handle calls the handler of a request.
+func (l *Listener) handle(next http.Handler, copies int64, w http.ResponseWriter, r *http.Request, c *Conn) {
 	if most := l.limits.Load().MaxHeaderBytes; most > 0 && headBytes(r) > most {
 		l.inlet.events.record(ReasonHeadSize, l.name, r.RemoteAddr)
 		w.Header().Set("Connection", "close")
