Break off answers before the servers of a daemon are closed

An HTTP/1.0 caller of the own daemon's TLS listener took the part of a stream for whole when the daemon was closed, also after a drain that took too long. net/http closes a TLS connection by the end of the session (close_notify), which the client reads before the reset that follows, and which marks the end of an answer without a length.

Listener.CloseServer first marks all answers whose end a close marks as broken, so that nothing more is written on their connections, and then closes the server. The daemon uses it. The gateway's roles have no TLS for HTTP; there the reset is enough.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 	// forwardTLS verifies the certificates of peers when requests are forwarded to them.
 	forwardTLS *tls.Config
 	listeners  listeners
-	servers    []*http.Server
+	servers    []boundServer
 	group      sync.WaitGroup
 	cancel     context.CancelFunc
 	notReady   atomic.Bool
@@ -194,12 +194,18 @@
 	d.log.Info("Daemon started.", zap.String("callers", d.CallerAddress()), zap.String("peers", d.PeerAddress()))
 }
 
+// boundServer is an HTTP server with the listener that it serves.
+type boundServer struct {
+	*http.Server
+	listener *inlet.Listener
+}
+
 // serve accepts HTTP connections on a listener in the background; it uses TLS
 // if a TLS configuration is given.
 func (d *Daemon) serve(listener *inlet.Listener, handler http.Handler, config *tls.Config) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, TLSConfig: config}
 	inlet.Bound(server, listener, bodyCopies)
-	d.servers = append(d.servers, server)
+	d.servers = append(d.servers, boundServer{Server: server, listener: listener})
 	d.group.Go(func() {
 		if config != nil {
 			_ = server.ServeTLS(listener, "", "")
@@ -225,7 +231,7 @@
 func (d *Daemon) stop(leaveCluster func()) {
 	d.closeOnce.Do(func() {
 		for _, server := range d.servers {
-			_ = server.Close()
+			_ = server.listener.CloseServer(server.Server)
 		}
 		d.listeners.close()
 		if d.cancel != nil {
--- a/internal/inlet/answer_end.go
+++ b/internal/inlet/answer_end.go
@@ -41,6 +41,9 @@
 func (c *Conn) beginAnswer() {
 	c.setLinger(lingerReset)
 	c.end.Store(int32(endByClose))
+	if c.listener.closing.Load() {
+		c.breakAnswer()
+	}
 }
 
 // endHandler is called when the handler of a request has ended.
@@ -73,3 +76,19 @@
 		_ = socket.SetLinger(seconds)
 	}
 }
+
+// CloseServer closes the server of the listener at once. It breaks off answers whose ends a close
+// marks, since a server ends a TLS session in order, which a client takes for the end of an answer.
+func (l *Listener) CloseServer(server *http.Server) error {
+	l.closing.Store(true)
+	l.breakAnswers()
+	return server.Close()
+}
+
+func (l *Listener) breakAnswers() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.breakAnswer()
+	}
+}
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -106,6 +106,8 @@
 	// boundBuffers is set where the kernel buffers of connections are bounded.
 	boundBuffers bool
 	limits       atomic.Pointer[Limits]
+	// closing is set once CloseServer was called.
+	closing atomic.Bool
 
 	mu        sync.Mutex
 	conns     map[*Conn]struct{}
