Break off a resumed answer whose caller seems gone

Callers of GET /v1/requests/ID who had closed the sending half of their connection got an answer that ended in order: a stream with its last chunk, though the run went on, or a 200 without a body where they asked for JSON. net/http cancels the context of a request when it reads the end of a connection; the handler then returned, and net/http ended the answer as a whole one. All other writers abort, or write an error, when the context ends.

The handler now aborts.

--- a/internal/adapter/callerhttp/requests.go
+++ b/internal/adapter/callerhttp/requests.go
@@ -92,7 +92,7 @@
 }
 
 // follow sends the tokens of a journal from an offset on, until the journal
-// ends or the caller disconnects. Meanwhile the caller is attached as a reader.
+// ends or the caller disconnects, which breaks the answer off. Meanwhile the caller is attached as a reader.
 func (s *Server) follow(w http.ResponseWriter, r *http.Request, journal *entry.Journal, offset int) {
 	journal.Attach()
 	defer func() { journal.Detach(time.Now(), entry.ResumeGrace) }()
@@ -115,7 +115,8 @@
 		select {
 		case <-snapshot.Changed:
 		case <-r.Context().Done():
-			return
+			// The caller may still read. A return would end the answer in order.
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -1,6 +1,7 @@
 package callerhttp_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -250,6 +251,25 @@
 		Expect(text).NotTo(ContainSubstring("[DONE]"))
 	})
 
+	// Guards against a resumed answer that looks whole because its caller has closed the sending half of the connection.
+	DescribeTable("breaks off a resumed answer whose caller is gone", func(accept string) {
+		journal := entry.NewJournal(&entry.Request{ID: "entry-1.id", Workspace: "ws", Model: "m"})
+		journal.Append(1, "one")
+		journals.byID["entry-1.id"] = journal
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		_, err = io.WriteString(conn, "GET /v1/requests/entry-1.id HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+secret+"\r\nAccept: "+accept+"\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		Expect(err).To(HaveOccurred())
+	}, Entry("stream", "text/event-stream"), Entry("JSON", "application/json"))
+
 	// Guards against missing or repeated tokens when a stream is resumed.
 	It("continues a stream after the last event ID", func() {
 		journal := entry.NewJournal(&entry.Request{ID: "entry-1.r", Workspace: "ws", Model: "m", Chat: true})
