--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -92,6 +92,10 @@
 		return nil, c.transportError(baseURL, pool, use, err)
 	}
 	defer resp.Body.Close()
+	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
+		return nil, &port.TransportError{Sent: true, Err: err}
+	}
+	use.VerifyEnd(resp)
 	// Services need not name the attempt. Of one that does not, a second copy of an answer
 	// is noticed only while the connection is idle, by net/http.
 	if answered := resp.Header.Get(endpoint.HeaderAttempt); answered != "" && answered != call.AttemptID {
@@ -121,7 +125,8 @@
 }
 
 // readResult reads the complete response. Once the status line was received, the call
-// counts as run, unless the service says that it did not run.
+// counts as run, unless the service says that it did not run. It says so in the head, which
+// is complete, so that a body which cannot be read does not matter then.
 func (c *Client) readResult(resp *http.Response) (*port.ServiceResult, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
 	if resp.Header.Get(endpoint.HeaderRun) == string(endpoint.NotRun) && resp.StatusCode/100 != 2 {
--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -24,9 +24,6 @@
 	// moved. A shorter time spares the moves of streams that end before; a longer
 	// one is needed because all copies share the network link of the endpoint.
 	moveLeadTime = 800 * time.Millisecond
-	// minNotice is how long a draining endpoint on a reclaimable VM is assumed to
-	// stay if it does not announce a time.
-	minNotice = 1500 * time.Millisecond
 	// maxConcurrentMoves limits the concurrent moves that this entry requests
 	// from one endpoint: a run stops when its move is requested, and then waits
 	// for the network link.
@@ -36,6 +33,9 @@
 	// returnMargin is how long before the end of its drain a draining endpoint gets the last
 	// requests: it began to drain before this entry learned of it.
 	returnMargin = 250 * time.Millisecond
+	// busyOrderPause is the pause before an order is repeated while an earlier one is carried
+	// out.
+	busyOrderPause = 50 * time.Millisecond
 	// maxMoveReplyBytes limits the body of an endpoint's answer to a move.
 	maxMoveReplyBytes = 4 << 10
 )
@@ -43,14 +43,12 @@
 // migrations moves the running streams of this entry, with their KV caches, away
 // from endpoints that are about to shut down.
 type migrations struct {
-	entry *Entry
+	entry  *Entry
+	drains *drains
 
 	mu sync.Mutex
 	// running holds the running streams by endpoint ID.
 	running map[string]map[*streamRun]struct{}
-	// handled holds, by endpoint ID, the incarnation of each endpoint that shuts
-	// down and whose moves are scheduled.
-	handled map[string]int64
 }
 
 // streamRun is a stream that runs at an endpoint.
@@ -75,7 +73,9 @@
 	effect   port.MoveEffect
 	choice   *pick.Choice
 	kvHandle string
-	err      error
+	// pending is set if an order without an answer may still be carried out.
+	pending bool
+	err     error
 }
 
 // goesOn reports whether the run can go on from its KV cache, after an order with the given
@@ -97,12 +97,14 @@
 // hop returns the hop of the attempt that continues the run.
 func (mv *move) hop() *hop {
 	h := directHop(mv.choice)
-	h.returns = mv.effect == port.MoveKept
+	if mv.effect == port.MoveKept {
+		h.returnBy, h.mayBeStopped = mv.returnBy, mv.pending
+	}
 	return h
 }
 
 func newMigrations(e *Entry) *migrations {
-	return &migrations{entry: e, running: make(map[string]map[*streamRun]struct{}), handled: make(map[string]int64)}
+	return &migrations{entry: e, drains: newDrains(), running: make(map[string]map[*streamRun]struct{})}
 }
 
 // trackRun records a stream that runs at an endpoint. The caller must call
@@ -136,48 +138,22 @@
 // moveFromDraining schedules the moves of streams from endpoints that drain
 // and shut down before their work has ended.
 func (m *migrations) moveFromDraining(list []registry.Endpoint) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	now := time.Now()
 	for i := range list {
 		e := &list[i]
-		notice := noticeOf(e)
-		if notice <= 0 || m.handled[e.ID] == e.Born {
+		if e.State != registry.Draining {
 			continue
 		}
-		m.handled[e.ID] = e.Born
-		m.entry.goTask(func() { m.evacuate(e, notice) })
-	}
-}
-
-// noticeOf returns the remaining time of an endpoint that shuts down before its
-// work has ended, or 0 for other endpoints.
-func noticeOf(e *registry.Endpoint) time.Duration {
-	switch {
-	case e.State != registry.Draining:
-		return 0
-	case e.TimeLeftMS > 0:
-		return time.Duration(e.TimeLeftMS) * time.Millisecond
-	case e.Reclaimable:
-		return minNotice
-	}
-	return 0
-}
-
-// forgetUnknown drops the state of endpoints that are not in the list.
-func (m *migrations) forgetUnknown(list []registry.Endpoint) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for id := range m.handled {
-		if !slices.ContainsFunc(list, func(e registry.Endpoint) bool { return e.ID == id }) {
-			delete(m.handled, id)
+		if d, unhandled := m.drains.takeUnhandled(e, now); unhandled {
+			m.entry.goTask(func() { m.evacuate(e, noticeOf(e), d.since) })
 		}
 	}
 }
 
 // evacuate moves the streams that still run at an endpoint shortly before it shuts
-// down.
-func (m *migrations) evacuate(from *registry.Endpoint, notice time.Duration) {
-	returnBy := time.Now().Add(m.entry.options.Settings.Bounds.Drain() - returnMargin)
+// down. It has drained since the given time.
+func (m *migrations) evacuate(from *registry.Endpoint, notice time.Duration, since time.Time) {
+	returnBy := since.Add(m.entry.options.Settings.Bounds.Drain() - returnMargin)
 	if !wait.For(m.entry.ctx, notice-moveLeadTime) {
 		return
 	}
@@ -251,8 +227,8 @@
 		return err
 	}
 	mv.moveRequest = port.Move{EndpointID: from.ID, AttemptID: run.attemptID, From: from.Address, To: choice.Endpoint.Address}
-	answer, err := m.sendOrder(mv.moveRequest)
-	mv.effect, mv.kvHandle = answer.Effect, answer.KVHandle
+	answer, pending, err := m.sendOrder(mv.moveRequest)
+	mv.effect, mv.kvHandle, mv.pending = answer.Effect, answer.KVHandle, pending
 	if err != nil {
 		choice.End()
 		e.rollouts.Return(decision.Exposure)
@@ -262,22 +238,30 @@
 	return nil
 }
 
-// sendOrder orders an endpoint to move a run, and once more if the connection breaks off without
-// an answer. The answer is valid also with an error.
-func (m *migrations) sendOrder(request port.Move) (port.MoveAnswer, error) {
+// sendOrder orders an endpoint to move a run, and again while an earlier order is carried out, or
+// once if the connection breaks off without an answer. The answer is valid also with an error.
+// pending is set if the first order may still be carried out.
+func (m *migrations) sendOrder(request port.Move) (answer port.MoveAnswer, pending bool, err error) {
 	ctx, cancel := context.WithTimeout(m.entry.ctx, moveTimeout)
 	defer cancel()
-	answer, err := m.sendOrderOnce(ctx, request)
-	var refused *port.MoveError
-	if answer.Effect != port.MoveUncertain || errors.As(err, &refused) || ctx.Err() != nil {
-		return answer, err
-	}
-	again, errAgain := m.sendOrderOnce(ctx, request)
-	if again.Effect == port.MoveNone {
-		// The run may be gone because the first order stopped it.
-		again.Effect = port.MoveUncertain
+	for repeated := false; ; repeated = true {
+		answer, err = m.sendOrderOnce(ctx, request)
+		var refused *port.MoveError
+		switch {
+		case answer.Effect == port.MoveBusy:
+			if wait.For(ctx, busyOrderPause) {
+				continue
+			}
+			answer.Effect = port.MoveUncertain
+		case answer.Effect == port.MoveUncertain && !errors.As(err, &refused) && !pending && ctx.Err() == nil:
+			pending = true
+			continue
+		case answer.Effect == port.MoveNoRun && repeated:
+			// The run may be gone because an earlier order stopped it.
+			answer.Effect = port.MoveUncertain
+		}
+		return answer, pending, err
 	}
-	return again, errAgain
 }
 
 func (m *migrations) sendOrderOnce(ctx context.Context, request port.Move) (port.MoveAnswer, error) {
