--- a/internal/inlet/doc.go
+++ b/internal/inlet/doc.go
@@ -7,4 +7,7 @@
 // idle ones. A connection is not closed for others while its request runs and no answer is being
 // written. What connections hold (buffers, heads, bodies) is taken from one budget in bytes. A
 // request whose head or body was not read to its end has not run.
+//
+// An answer to HTTP/1.0 may end with its connection only. Such a connection ends in order after
+// the whole answer, and is reset by any other end, also by that of the process.
 package inlet
