--- a/internal/adapter/exchange/conn.go
+++ b/internal/adapter/exchange/conn.go
@@ -102,8 +102,8 @@
 	_ = c.Close()
 }
 
-// readHead reads the status line and header of the final answer. The error is a *StatusError or
-// ErrTooManyInterim if an answer can be parsed but not used.
+// readHead reads the status line and header of the final answer. The error is a
+// *httpconn.StatusError or ErrTooManyInterim if an answer can be parsed but not used.
 func (c *conn) readHead(method string) (*Answer, error) {
 	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 	defer func() { c.limiter.limited = false }()
--- a/internal/adapter/exchange/status_test.go
+++ b/internal/adapter/exchange/status_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/boragelead/boragelead/internal/adapter/httpconn"
 	"github.com/boragelead/boragelead/internal/port"
 )
 
@@ -84,7 +85,7 @@
 
 // Guards against an error of a status that its callers cannot tell from a lost connection.
 func TestUnusableStatusHasATypedError(t *testing.T) {
-	var failure *StatusError
+	var failure *httpconn.StatusError
 	_, err := answerTo(t, "HTTP/1.1 099 Odd\r\n\r\n"+okResponse)
 	NewWithT(t).Expect(errors.As(err, &failure)).To(BeTrue(), "%v", err)
 	NewWithT(t).Expect(failure.Status).To(Equal(99))
