Split the delivery of a plain answer by its steps

deliverPlain read the body, judged its end, recorded the endpoint's failure, decided on a further attempt and wrote the answer in one function of 48 lines. Each step has a function now; the behaviour is the same.

--- a/internal/gateway/entry/answer.go
+++ b/internal/gateway/entry/answer.go
@@ -104,58 +104,83 @@
 // deliverPlain reads the complete answer before it forwards it. If the answer is
 // truncated, the request can then still be retried or answered with an error.
 func (c *call) deliverPlain(ctx context.Context, h *hop, answer *wire.Answer) outcome {
+	buffer := c.entry.buffers.newBuffer(plainBuffer)
+	defer buffer.release()
+	body, next, err := c.readPlain(h, answer, buffer)
+	if err != nil {
+		return c.replaced(c.plainFailure(ctx, h, err), next)
+	}
+	c.releaseReplacement(next)
+	c.countUsage()
+	c.complete = true
+	if retried := c.judgePlain(ctx, h, answer.StatusCode); retried != nil {
+		return *retried
+	}
+	header := c.w.Header()
+	copyHeader(header, answer.Header)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	c.startResponse(h, answer.StatusCode)
+	if _, err := c.w.Write(body); err != nil {
+		return outcome{done: true, sent: true, err: &CallerError{Err: err}}
+	}
+	return outcome{done: true, sent: true}
+}
+
+// readPlain reads the body of an answer, and checks that its end proves that it is complete. The
+// next hop is set if a silenceWatch has ended the attempt. The body is valid until the buffer is
+// released.
+func (c *call) readPlain(h *hop, answer *wire.Answer, buffer *buffer) (body []byte, next *hop, err error) {
 	var watch *silenceWatch
 	if answer.ContentLength < 0 {
 		// Without a length, only the time tells that a body does not end.
 		watch = c.watchSilence(h, c.silenceTimeout(), c.attempts(), func() { answer.SetDeadline(time.Unix(1, 0)) })
 	}
-	buffer := c.entry.buffers.newBuffer(plainBuffer)
-	defer buffer.release()
-	body, err := buffer.readBody(answer)
+	body, err = buffer.readBody(answer)
 	if err == nil {
 		err = c.checkEnd(h, answer, time.Now())
 	}
-	next := watch.stop()
-	if err == nil {
-		c.releaseReplacement(next)
-	} else {
+	if err != nil {
 		answer.Discard()
-		if errors.Is(err, errBuffersFull) {
-			// The memory of this entry is used up, which is no fault of the endpoint.
-			h.choice.RecordSuccess(time.Now())
-			return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}, next)
-		}
-		if !errors.Is(err, errEndNotProven) {
-			h.recordFailure(time.Now(), false)
-			c.checkForCrash(ctx, h)
-		}
-		return c.replaced(outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}, next)
 	}
-	c.countUsage()
-	c.complete = true
+	return body, watch.stop(), err
+}
+
+// plainFailure returns the outcome of an attempt whose answer was not read to its end, and records
+// what that says about the endpoint.
+func (c *call) plainFailure(ctx context.Context, h *hop, err error) outcome {
+	switch {
+	case errors.Is(err, errBuffersFull):
+		// The memory of this entry is used up, which is no fault of the endpoint.
+		h.choice.RecordSuccess(time.Now())
+		return outcome{sent: true, err: &AnswerError{h.endpoint.ID, err.Error()}}
+	case !errors.Is(err, errEndNotProven):
+		h.recordFailure(time.Now(), false)
+		c.checkForCrash(ctx, h)
+	}
+	return outcome{sent: true, err: &AnswerError{h.endpoint.ID, "body not complete: " + err.Error()}}
+}
+
+// judgePlain records what the status of a complete answer says about the endpoint. It returns an
+// outcome if the request is sent again instead: an error is the answer unless another attempt is
+// certain to start.
+func (c *call) judgePlain(ctx context.Context, h *hop, status int) *outcome {
 	now := time.Now()
-	if answer.StatusCode >= http.StatusInternalServerError {
-		h.recordError(now)
-		c.possiblyRan = true
-		if answer.StatusCode != http.StatusGatewayTimeout {
-			// The error is the answer unless another attempt is certain to start.
-			if next := c.nextAfterError(ctx); next != nil {
-				return outcome{sent: true, next: next, err: &AnswerError{h.endpoint.ID, "status " + strconv.Itoa(answer.StatusCode)}}
-			}
-		}
-	} else {
+	if status < http.StatusInternalServerError {
 		h.choice.RecordSuccess(now)
 		c.trial.noteAnswered(now)
 		c.watch.survived()
+		return nil
 	}
-	header := c.w.Header()
-	copyHeader(header, answer.Header)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	c.startResponse(h, answer.StatusCode)
-	if _, err := c.w.Write(body); err != nil {
-		return outcome{done: true, sent: true, err: &CallerError{Err: err}}
+	h.recordError(now)
+	c.possiblyRan = true
+	if status == http.StatusGatewayTimeout {
+		return nil
 	}
-	return outcome{done: true, sent: true}
+	next := c.nextAfterError(ctx)
+	if next == nil {
+		return nil
+	}
+	return &outcome{sent: true, next: next, err: &AnswerError{h.endpoint.ID, "status " + strconv.Itoa(status)}}
 }
 
 // startResponse writes the response header to the caller.
