Split the loop of attempts of a request by its steps

run set up the request, made the attempts, decided after each whether another one follows and logged it, in one function of 70 lines. The decision and the log line have functions of their own; the behaviour is the same. The tests of retries, lost connections, moves and refusals in platform pass (35 s).

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -186,10 +186,16 @@
 	if err := c.placeTakeUp(ctx); err != nil {
 		return err
 	}
+	return c.attemptUntilAnswered(ctx)
+}
+
+// attemptUntilAnswered makes one attempt after the other.
+func (c *call) attemptUntilAnswered(ctx context.Context) error {
 	connectFailures := 0
+	retrying := false
 	var next *hop
 	defer func() { c.releaseReplacement(next) }()
-	for retrying := false; ; {
+	for {
 		var err error
 		if next == nil {
 			next, err = c.nextHop(ctx)
@@ -200,51 +206,69 @@
 			}
 			return c.finalError(ctx, err)
 		}
-		retrying = false
 		current := next
 		next = nil
 		result := c.attempt(ctx, current)
-		next = result.next
-		if result.mayHaveRun() {
-			c.possiblyRan = true
-			c.countUsage()
+		next, retrying = result.next, false
+		if !result.sent && !current.keptOnly {
+			connectFailures++
+		}
+		if final, err := c.isFinal(ctx, &result, connectFailures); final {
+			return err
 		}
 		switch {
-		case result.refusal != nil:
-			return c.finalError(ctx, result.refusal)
-		case result.done && result.err != nil:
-			return &Refusal{Reason: ReasonCallerGone, Err: result.err}
-		case result.done:
-			return nil
 		case result.moved != nil:
 			c.moves++
 			c.possiblyRan = true
 			next, c.kvHandle = result.moved.hop(), result.moved.kvHandle
 			continue
-		case c.r.Context().Err() != nil:
-			return &Refusal{Reason: ReasonCallerGone, Err: context.Cause(c.r.Context())}
 		case !result.sent:
-			if !current.keptOnly {
-				connectFailures++
-			}
-			if connectFailures < maxConnectFailures && c.mayRunElsewhere() {
-				continue
-			}
-			return c.finalError(ctx, result.err)
-		case ctx.Err() != nil:
-			return c.finalError(ctx, result.err)
-		}
-		if next == nil {
+			continue
+		case next == nil:
 			if retrying = c.mayRetry(); !retrying {
 				return c.finalError(ctx, result.err)
 			}
 		}
-		c.entry.metrics.retries.Inc()
-		c.entry.log.Info("Request sent again.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", current.endpoint.ID), zap.String("peer", current.peerName()),
-			zap.Int("attempts", len(c.tried)), zap.Bool("not_run", result.notRun), zap.Int64("after_event", c.lastEventID), c.sharedPartsField(), zap.Error(result.err))
+		c.logRepeat(current, &result)
 	}
 }
 
+// isFinal reports whether no further attempt follows an attempt, and what then becomes of the
+// request. It records what the attempt means for the request.
+func (c *call) isFinal(ctx context.Context, result *outcome, connectFailures int) (final bool, err error) {
+	if result.mayHaveRun() {
+		c.possiblyRan = true
+		c.countUsage()
+	}
+	switch {
+	case result.refusal != nil:
+		return true, c.finalError(ctx, result.refusal)
+	case result.done && result.err != nil:
+		return true, &Refusal{Reason: ReasonCallerGone, Err: result.err}
+	case result.done:
+		return true, nil
+	case result.moved != nil:
+		return false, nil
+	case c.r.Context().Err() != nil:
+		return true, &Refusal{Reason: ReasonCallerGone, Err: context.Cause(c.r.Context())}
+	case !result.sent:
+		if connectFailures < maxConnectFailures && c.mayRunElsewhere() {
+			return false, nil
+		}
+		return true, c.finalError(ctx, result.err)
+	case ctx.Err() != nil:
+		return true, c.finalError(ctx, result.err)
+	}
+	return false, nil
+}
+
+// logRepeat records that a request is sent again after an attempt.
+func (c *call) logRepeat(former *hop, result *outcome) {
+	c.entry.metrics.retries.Inc()
+	c.entry.log.Info("Request sent again.", zap.String("request", c.meta.AttemptID), zap.String("endpoint", former.endpoint.ID), zap.String("peer", former.peerName()),
+		zap.Int("attempts", len(c.tried)), zap.Bool("not_run", result.notRun), zap.Int64("after_event", c.lastEventID), c.sharedPartsField(), zap.Error(result.err))
+}
+
 // mayRunElsewhere reports whether another endpoint may run the request, either
 // from the start or after the last event. A request that may have run must be
 // repeatable; this includes a moved run whose new endpoint cannot be connected.
