Add failing tests of resumed streams that are given up

A stream whose silent endpoint was replaced is broken off if the next endpoint was not listed for a while, or refused another connection, although it did not start again. Streams change places while all endpoints stand still.

--- a/internal/gateway/pick/pick_test.go
+++ b/internal/gateway/pick/pick_test.go
@@ -269,3 +269,35 @@
 	b.SetRates(nil, now)
 	g.Expect(choose(g, b, newRequest(now)).Endpoint.ID).To(Equal("one"))
 }
+
+// Guards against an endpoint that is taken for another one since it was not listed for a while,
+// and against one that is taken for the former one after it has started again.
+func TestRelistedIncarnationIsNotDoubtful(t *testing.T) {
+	g := NewWithT(t)
+	endpoint := newEngine("one", "a")
+	b := newBoard(endpoint)
+	c := choose(g, b, newRequest(start))
+	g.Expect(c.VersionIsDoubtful(start)).To(BeFalse())
+	b.Update(nil)
+	g.Expect(c.VersionIsDoubtful(start)).To(BeTrue())
+	endpoint.Seq++
+	b.Update([]registry.Endpoint{endpoint})
+	g.Expect(c.VersionIsDoubtful(start)).To(BeFalse())
+	b.Update(nil)
+	endpoint.Born++
+	b.Update([]registry.Endpoint{endpoint})
+	g.Expect(c.VersionIsDoubtful(start)).To(BeTrue())
+}
+
+// Guards against a refused connection that is forgotten since the endpoint was not listed at that
+// moment: a late announcement of the process that ended lists it again.
+func TestRefusalOfAnUnlistedEndpointCounts(t *testing.T) {
+	g := NewWithT(t)
+	endpoint := newEngine("one", "a")
+	b := newBoard(endpoint)
+	c := choose(g, b, newRequest(start))
+	b.Update(nil)
+	b.RecordRefused("one", endpoint.Born, start)
+	b.Update([]registry.Endpoint{endpoint})
+	g.Expect(c.VersionIsDoubtful(start)).To(BeTrue())
+}
