Keep what is known of an endpoint with running attempts while it is not listed

Callers saw resumed streams broken off with seconds left: an endpoint that was unlisted for a moment and listed again with the same incarnation counted as another one, since the board gave it new statistics. Shown by TestRelistedIncarnationIsNotDoubtful and the first case of TestResumedStreamGoesOnAtAnUnlistedEndpoint. The statistics now outlive the listing while attempts run or a connection was refused lately, so that the same incarnation is recognized, its running attempts stay counted, and a refusal is not forgotten when a late announcement lists the endpoint again. Expire drops them once nothing is left to remember.

--- a/internal/gateway/pick/backoff.go
+++ b/internal/gateway/pick/backoff.go
@@ -121,7 +121,7 @@
 }
 
 // Expire returns the back-offs that have ended and whose end is to be logged, and forgets
-// endpoints that are neither listed nor wait for the end of a back-off.
+// endpoints that are not listed and of which nothing is left to remember.
 func (b *Board) Expire(now time.Time) (ended []Backoff) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -133,7 +133,7 @@
 	}
 	b.expireBrittle(now)
 	for id, s := range b.unlisted {
-		if !s.backoff.active(now) {
+		if s.isForgettable(now) {
 			delete(b.unlisted, id)
 		}
 	}
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -88,8 +88,8 @@
 	models map[string]*prefillModel
 	work   map[string]*demand.Meter
 	paces  map[string]*usualPace
-	// unlisted holds the endpoints that are not listed at present and that wanted no
-	// requests, in case that they are listed again meanwhile.
+	// unlisted holds the endpoints that are not listed at present and of which something must
+	// not be forgotten, in case that they are listed again meanwhile.
 	unlisted map[string]*stats
 	// brittle holds the services whose endpoints fail if they reject too many requests.
 	brittle map[string]*brittleness
@@ -154,13 +154,25 @@
 		if !used[s.endpoint.Address] {
 			unused = append(unused, s.endpoint.Address)
 		}
-		if b.endpoints[id] == nil && !s.backoff.until.IsZero() {
+		if b.endpoints[id] == nil && s.isKeptUnlisted() {
 			b.unlisted[id] = s
 		}
 	}
 	return unused
 }
 
+// isKeptUnlisted reports whether the statistics outlive the listing of the endpoint: it wants no
+// requests, refused a connection, or has attempts that run, whose endpoint the same incarnation
+// is once it is listed again.
+func (s *stats) isKeptUnlisted() bool {
+	return !s.backoff.until.IsZero() || !s.refusedAt.IsZero() || s.inFlight > 0
+}
+
+// isForgettable reports whether an endpoint that is not listed need not be remembered any more.
+func (s *stats) isForgettable(now time.Time) bool {
+	return !s.backoff.active(now) && !s.mayHaveRestarted(now) && s.inFlight == 0
+}
+
 // restartDoubt is how long the announcement of a restarted endpoint may be late.
 const restartDoubt = 8 * time.Second
 
@@ -174,7 +186,11 @@
 func (b *Board) RecordRefused(id string, born int64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.endpoints[id]; s != nil && s.endpoint.Born == born {
+	s := b.endpoints[id]
+	if s == nil {
+		s = b.unlisted[id]
+	}
+	if s != nil && s.endpoint.Born == born {
 		s.refusedAt = now
 	}
 }
