Trust the endpoint of a stream despite a connection that was refused later

Callers saw a resumed stream broken off since its endpoint refused the connection of another request while the stream waited (TestResumedStreamGoesOnDespiteALaterRefusal). A connection leads to the process that listened when it was established and ends with it, so a later refusal says nothing about that process; a refusal counts from the time at which it was tried, since it may become known late. A request that is bound to a version is not sent on a connection that may lead to another incarnation: the stream goes on elsewhere without an attempt.

--- a/internal/gateway/entry/attempt.go
+++ b/internal/gateway/entry/attempt.go
@@ -215,7 +215,7 @@
 		c.entry.reach.suspect(choice.Endpoint.Service)
 	}
 	if showsCrash(err) {
-		c.entry.board.RecordRefused(choice.Endpoint.ID, choice.Endpoint.Born, time.Now())
+		choice.RecordRefused(time.Now())
 	}
 	return outcome{sent: sent, err: err}
 }
--- a/internal/gateway/entry/crash.go
+++ b/internal/gateway/entry/crash.go
@@ -95,6 +95,7 @@
 func (c *crashDetector) probe(endpoint *registry.Endpoint, fingerprints []suspect.Fingerprint) {
 	ctx, cancel := context.WithTimeout(c.entry.ctx, probeTimeout)
 	defer cancel()
+	began := time.Now()
 	err := c.entry.client.Probe(ctx, endpoint.Address)
 	if err == nil || c.entry.ctx.Err() != nil {
 		return
@@ -107,7 +108,7 @@
 		c.entry.log.Warn("Endpoint refuses connections, as all do.", zap.String("endpoint", endpoint.ID), zap.Int("running", len(fingerprints)))
 		return
 	}
-	c.entry.board.RecordRefused(endpoint.ID, endpoint.Born, time.Now())
+	c.entry.board.RecordRefused(endpoint.ID, endpoint.Born, began, time.Now())
 	c.tracker.Crash(endpoint.ID, uint64(endpoint.Born), fingerprints, time.Now())
 	c.entry.log.Warn("Endpoint crashed.", zap.String("endpoint", endpoint.ID), zap.Int64("born", endpoint.Born), zap.Int("running", len(fingerprints)), zap.Error(err))
 	c.report(ctx)
--- a/internal/gateway/entry/rollouts.go
+++ b/internal/gateway/entry/rollouts.go
@@ -103,10 +103,11 @@
 	return h, nil
 }
 
-// checkSend reports whether an endpoint may still get the request, just before it is sent. The
-// error is a *WithdrawnError.
+// checkSend reports whether an endpoint may still get the request, once it is connected and just
+// before the request is sent. The error is a *WithdrawnError.
 func (c *call) checkSend(h *hop) error {
 	choice := h.choice
+	choice.RecordConnected(time.Now())
 	if !h.returnBy.IsZero() {
 		if time.Now().Before(h.returnBy) {
 			return nil
@@ -116,6 +117,9 @@
 	if !c.entry.rollouts.MayReceive(choice.Endpoint.Service, choice.Endpoint.SoftwareVersion, bootclock.Now()) {
 		return &WithdrawnError{Endpoint: choice.Endpoint.ID}
 	}
+	if c.softwareVersion != nil && choice.Identity(time.Now()) == pick.PossiblyAnother {
+		return &WithdrawnError{Endpoint: choice.Endpoint.ID}
+	}
 	return checkChoice(choice)
 }
 
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -58,8 +58,9 @@
 	// backoff is the time in which the endpoint wants no requests.
 	backoff backoff
 	// refusedAt is when the endpoint last refused a connection: its process had ended,
-	// and the next one may have another software version.
-	refusedAt time.Time
+	// and the next one may have another software version. refusalBegan is when the first of
+	// the connections was tried that it refused lately.
+	refusedAt, refusalBegan time.Time
 	// pace is the learned time between the events of its streams.
 	pace pace
 	// slowdown is the ratio of the last time between two events to the pace, at slowdownAt.
@@ -182,8 +183,16 @@
 	return !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < restartDoubt
 }
 
-// RecordRefused records that an endpoint refused a connection.
-func (b *Board) RecordRefused(id string, born int64, now time.Time) {
+// noteRefusal records a refused connection.
+func (s *stats) noteRefusal(began, now time.Time) {
+	if !s.mayHaveRestarted(now) || began.Before(s.refusalBegan) {
+		s.refusalBegan = began
+	}
+	s.refusedAt = now
+}
+
+// RecordRefused records that an endpoint refused a connection that was tried since began.
+func (b *Board) RecordRefused(id string, born int64, began, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.endpoints[id]
@@ -191,7 +200,7 @@
 		s = b.unlisted[id]
 	}
 	if s != nil && s.endpoint.Born == born {
-		s.refusedAt = now
+		s.noteRefusal(began, now)
 	}
 }
 
--- a/internal/gateway/pick/choice.go
+++ b/internal/gateway/pick/choice.go
@@ -29,6 +29,9 @@
 	// at the endpoint when the attempt started.
 	queuedTokens int
 	startedAt    time.Time
+	// connectedAt is when the connection of the attempt was known to be established; zero
+	// before.
+	connectedAt time.Time
 	// secondsPerToken is the estimated time to process a prompt token.
 	secondsPerToken float64
 	// lastEventAt is when events of the stream last arrived.
@@ -191,12 +194,3 @@
 	defer c.board.mu.Unlock()
 	return c.stats.endpoint.State != registry.Ready || c.stats.backoff.active(now)
 }
-
-// VersionIsDoubtful reports whether the endpoint may have started again, at another software
-// version than the announced one, before the attempt: it refused a connection lately, or
-// another incarnation was announced since the choice.
-func (c *Choice) VersionIsDoubtful(now time.Time) bool {
-	c.board.mu.Lock()
-	defer c.board.mu.Unlock()
-	return c.stats.mayHaveRestarted(now) || c.board.endpoints[c.Endpoint.ID] != c.stats
-}
