Hold back a resumed stream while its endpoint is not listed

Callers saw a resumed stream broken off with seconds left: its endpoint had stood still for longer than its lease, and was not listed when its first event came, so that the entry took it for another incarnation (TestResumedStreamGoesOnAtAnUnlistedEndpoint, TestResumedStreamLeavesARestartedEndpoint). If the endpoint is listed again with the same incarnation, the stream goes on: an announcement of an incarnation that replaced it would have taken precedence. Another incarnation, or no announcement in time, ends the attempt, and the retry budget, the route and the deadline decide whether another endpoint goes on. Endpoints that are listed are checked as before.

--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -81,7 +81,7 @@
 			r.comments = append(r.comments, block...)
 			continue
 		}
-		if failed := r.forward(block); failed != nil {
+		if failed := r.forward(ctx, block); failed != nil {
 			return *failed
 		}
 		silentSince = time.Now()
@@ -90,13 +90,13 @@
 
 // forward writes a block of complete events to the caller. It returns the outcome of the attempt
 // if the attempt cannot go on, and nil otherwise.
-func (r *streamRelay) forward(block []byte) *outcome {
+func (r *streamRelay) forward(ctx context.Context, block []byte) *outcome {
 	c, h := r.call, r.hop
 	h.choice.RecordEvents(bytes.Count(block, eventEnd), time.Now())
 	if len(r.comments) > 0 {
 		block, r.comments = append(r.comments, block...), nil
 	}
-	if rejected := r.noteEvent(); rejected != nil {
+	if rejected := r.noteEvent(ctx, len(block)); rejected != nil {
 		return rejected
 	}
 	if r.resuming {
@@ -117,9 +117,9 @@
 	return nil
 }
 
-// noteEvent records the arrival of an event. It returns an outcome if the first one shows that
-// the answer cannot be used.
-func (r *streamRelay) noteEvent() *outcome {
+// noteEvent records the arrival of a block of events of some size. It returns an outcome if the
+// first one shows that the answer cannot be used.
+func (r *streamRelay) noteEvent(ctx context.Context, size int) *outcome {
 	c, now := r.call, time.Now()
 	if !r.firstEventAt.IsZero() {
 		if now.Sub(r.firstEventAt) >= survivalTime {
@@ -128,7 +128,7 @@
 		return nil
 	}
 	r.firstEventAt = now
-	if c.softwareVersion != nil && r.hop.versionIsDoubtful(now) {
+	if c.softwareVersion != nil && !c.awaitIncarnation(ctx, r.hop, size) {
 		rejected := c.rejectAnswer(r.hop, r.answer, "software version of the endpoint is no longer known")
 		return &rejected
 	}
