Replace a silent attempt only by an endpoint that is likely to answer

The choice of a replacement only weighed how long an endpoint had been silent. With none left the attempt stays.

--- a/internal/gateway/entry/silence.go
+++ b/internal/gateway/entry/silence.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelead/boragelead/internal/gateway/failover"
+	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/guard"
 	"github.com/boragelead/boragelead/internal/port"
 )
@@ -141,7 +142,7 @@
 	e, service := w.call.entry, w.call.service.Name
 	s := failover.Silence{Waited: now.Sub(w.silentSince), Timeout: w.timeout, Probe: w.probe, LinksLost: e.reach.monitor.CutOff(service)}
 	if !w.hop.viaPeer() {
-		s.Silent, s.Busy = e.board.CountSilent(service, time.Duration(similarSilence*float64(s.Waited)), now)
+		s.Silent, s.Busy = e.board.CountSilent(service, similarTo(s.Waited), now)
 	}
 	return s
 }
@@ -150,7 +151,7 @@
 // caller must hold mu.
 func (w *silenceWatch) replace(now time.Time, s *failover.Silence) bool {
 	c := w.call
-	next, err := c.reserveReplacement(w.hop, now)
+	next, err := c.reserveReplacement(w.hop, s, now)
 	if err != nil {
 		if !w.denied {
 			w.denied = true
@@ -191,7 +192,7 @@
 
 // reserveReplacement chooses what would replace a silent attempt, and takes the retry from
 // the budget. The error tells what prevents it.
-func (c *call) reserveReplacement(silent *hop, now time.Time) (*hop, error) {
+func (c *call) reserveReplacement(silent *hop, s *failover.Silence, now time.Time) (*hop, error) {
 	if time.Until(c.deadline) < minAttemptTime {
 		return nil, context.DeadlineExceeded
 	}
@@ -207,7 +208,7 @@
 		c.entry.metrics.repeatsDenied.Inc()
 		return nil, &BudgetError{Service: c.service.Name}
 	}
-	next, err := c.chooseReplacement(silent, now)
+	next, err := c.chooseReplacement(silent, s, now)
 	if err != nil {
 		c.entry.retries.ReturnRepeat(c.service.Name, now)
 	}
@@ -216,7 +217,7 @@
 
 // chooseReplacement picks another endpoint, or a peer while this entry reaches no endpoint of the
 // service.
-func (c *call) chooseReplacement(silent *hop, now time.Time) (*hop, error) {
+func (c *call) chooseReplacement(silent *hop, s *failover.Silence, now time.Time) (*hop, error) {
 	if c.entry.reach.monitor.CutOff(c.service.Name) {
 		avoided := c.avoidedPeers
 		if silent.viaPeer() {
@@ -228,9 +229,27 @@
 	request.Now, request.TimeOfDay = now, c.entry.clock.Now()
 	request.Avoid = append(slices.Clone(request.Avoid), silent.endpoint.ID)
 	request.WithRoom = true
+	requireEvidence(request, s)
 	return c.chooseOnce(request)
 }
 
+// requireEvidence restricts the choice of a replacement to endpoints that are likely to answer.
+func requireEvidence(request *pick.Request, s *failover.Silence) {
+	evidence := s.Evidence()
+	if evidence == failover.NoneNeeded {
+		return
+	}
+	request.MaxSilence = similarTo(s.Waited)
+	request.PreferHeard = evidence == failover.HeardPreferred
+	request.OnlyHeard = evidence == failover.HeardOnly
+}
+
+// similarTo returns for how long another endpoint must be silent to count as silent for the same
+// reason as one that is silent for a time.
+func similarTo(silence time.Duration) time.Duration {
+	return time.Duration(similarSilence * float64(silence))
+}
+
 // releaseReplacement gives back what was reserved for an attempt that is not made, since the
 // silent one has ended by itself.
 func (c *call) releaseReplacement(next *hop) {
--- a/internal/gateway/failover/failover.go
+++ b/internal/gateway/failover/failover.go
@@ -70,3 +70,32 @@
 
 // isCommon reports whether most of the busy endpoints are silent.
 func (s *Silence) isCommon() bool { return s.Silent >= minCommon && 2*s.Silent > s.Busy }
+
+// Evidence is what must be known of an endpoint for it to replace a silent one.
+type Evidence int
+
+// Evidence on the endpoint of a replacement.
+const (
+	// NoneNeeded admits any endpoint, since the attempt cannot go on.
+	NoneNeeded Evidence = iota
+	// NotSilent admits endpoints that are not known to be silent themselves.
+	NotSilent
+	// HeardPreferred prefers endpoints that have sent something during the silence: with several
+	// silent ones, an idle endpoint may be one of them.
+	HeardPreferred
+	// HeardOnly admits only endpoints that have sent something during the silence.
+	HeardOnly
+)
+
+// Evidence returns what must be known of an endpoint that replaces the silent one.
+func (s *Silence) Evidence() Evidence {
+	switch {
+	case s.Probe == Failed || s.LinksLost:
+		return NoneNeeded
+	case s.isCommon():
+		return HeardOnly
+	case s.Silent >= minCommon:
+		return HeardPreferred
+	}
+	return NotSilent
+}
--- a/internal/gateway/failover/failover_test.go
+++ b/internal/gateway/failover/failover_test.go
@@ -38,3 +38,19 @@
 		})
 	}
 }
+
+// Guards against an attempt that is given up for an endpoint which is silent as well, and against
+// a single straggler that must wait for more evidence than before.
+func TestEvidenceFollowsTheSilenceOfOthers(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence failover.Silence
+		want    failover.Evidence
+	}{
+		"straggler":        {failover.Silence{Silent: 1, Busy: 13}, failover.NotSilent},
+		"some":             {failover.Silence{Silent: 5, Busy: 13}, failover.HeardPreferred},
+		"most":             {failover.Silence{Silent: 7, Busy: 13}, failover.HeardOnly},
+		"endpoint is lost": {failover.Silence{Silent: 7, Busy: 13, Probe: failover.Failed}, failover.NoneNeeded},
+	} {
+		t.Run(name, func(t *testing.T) { NewWithT(t).Expect(c.silence.Evidence()).To(Equal(c.want)) })
+	}
+}
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -29,7 +29,14 @@
 	// WithRoom drops endpoints whose slots are taken, as far as this entry knows: the request
 	// gives up another attempt, and a rejection would be its end.
 	WithRoom bool
-	Now      time.Time
+	// MaxSilence drops endpoints that have sent nothing for that long although attempts of this
+	// entry run there; 0 drops none.
+	MaxSilence time.Duration
+	// PreferHeard prefers endpoints that have sent something within MaxSilence, and OnlyHeard
+	// drops all others.
+	PreferHeard, OnlyHeard bool
+
+	Now time.Time
 	// TimeOfDay is the time that all entries agree on. They take turns at brittle endpoints
 	// by it.
 	TimeOfDay time.Time
@@ -127,6 +134,9 @@
 		for _, scorer := range b.scorers {
 			scores[i] += scorer.Seconds(r, &views[i])
 		}
+		if r.PreferHeard {
+			scores[i] += UnheardScorer{}.Seconds(r, &views[i])
+		}
 	}
 	chosen := b.picker.Pick(scores)
 	choice := b.startAttempt(r, &views[chosen], scores[chosen], len(views))
@@ -219,7 +229,11 @@
 			return filter.Name()
 		}
 	}
-	// Few endpoints are brittle, and each filter costs time for all of them.
+	// Few requests leave a silent endpoint, few endpoints are brittle, and each filter costs
+	// time for all of them.
+	if r.MaxSilence > 0 && !(SilenceFilter{}).Keep(r, v) {
+		return SilenceFilter{}.Name()
+	}
 	if v.rejections != nil && !(BrittleFilter{}).Keep(r, v) {
 		return BrittleFilter{}.Name()
 	}
--- a/internal/gateway/pick/quiet.go
+++ b/internal/gateway/pick/quiet.go
@@ -48,18 +48,26 @@
 			continue
 		}
 		busy++
-		// Without an answer under way, silentSince is zero after the last byte.
-		since := s.quietSince()
-		if since.Before(s.lastByteAt) {
-			since = s.lastByteAt
-		}
-		if now.Sub(since) >= silence {
+		if s.isSilent(silence, now) {
 			silent++
 		}
 	}
 	return silent, busy
 }
 
+// isSilent reports whether an endpoint has sent nothing for a time although attempts run there.
+func (s *stats) isSilent(silence time.Duration, now time.Time) bool {
+	if s.inFlight == 0 {
+		return false
+	}
+	// Without an answer under way, silentSince is zero after the last byte.
+	since := s.quietSince()
+	if since.Before(s.lastByteAt) {
+		since = s.lastByteAt
+	}
+	return now.Sub(since) >= silence
+}
+
 // SilentFor returns how long no byte of an endpoint of a service has been received; very long
 // if none ever was.
 func (b *Board) SilentFor(service string, now time.Time) time.Duration {
