--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -58,8 +58,9 @@
 	// backoff is the time in which the endpoint wants no requests.
 	backoff backoff
 	// refusedAt is when the endpoint last refused a connection: its process had ended,
-	// and the next one may have another software version.
-	refusedAt time.Time
+	// and the next one may have another software version. refusalBegan is when the first of
+	// the connections was tried that it refused lately.
+	refusedAt, refusalBegan time.Time
 	// pace is the learned time between the events of its streams.
 	pace pace
 	// slowdown is the ratio of the last time between two events to the pace, at slowdownAt.
@@ -88,8 +89,8 @@
 	models map[string]*prefillModel
 	work   map[string]*demand.Meter
 	paces  map[string]*usualPace
-	// unlisted holds the endpoints that are not listed at present and that wanted no
-	// requests, in case that they are listed again meanwhile.
+	// unlisted holds the endpoints that are not listed at present and of which something must
+	// not be forgotten, in case that they are listed again meanwhile.
 	unlisted map[string]*stats
 	// brittle holds the services whose endpoints fail if they reject too many requests.
 	brittle map[string]*brittleness
@@ -154,13 +155,25 @@
 		if !used[s.endpoint.Address] {
 			unused = append(unused, s.endpoint.Address)
 		}
-		if b.endpoints[id] == nil && !s.backoff.until.IsZero() {
+		if b.endpoints[id] == nil && s.isKeptUnlisted() {
 			b.unlisted[id] = s
 		}
 	}
 	return unused
 }
 
+// isKeptUnlisted reports whether the statistics outlive the listing of the endpoint: it wants no
+// requests, refused a connection, or has attempts that run, whose endpoint the same incarnation
+// is once it is listed again.
+func (s *stats) isKeptUnlisted() bool {
+	return !s.backoff.until.IsZero() || !s.refusedAt.IsZero() || s.inFlight > 0
+}
+
+// isForgettable reports whether an endpoint that is not listed need not be remembered any more.
+func (s *stats) isForgettable(now time.Time) bool {
+	return !s.backoff.active(now) && !s.mayHaveRestarted(now) && s.inFlight == 0
+}
+
 // restartDoubt is how long the announcement of a restarted endpoint may be late.
 const restartDoubt = 8 * time.Second
 
@@ -170,12 +183,24 @@
 	return !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < restartDoubt
 }
 
-// RecordRefused records that an endpoint refused a connection.
-func (b *Board) RecordRefused(id string, born int64, now time.Time) {
+// noteRefusal records a refused connection.
+func (s *stats) noteRefusal(began, now time.Time) {
+	if !s.mayHaveRestarted(now) || began.Before(s.refusalBegan) {
+		s.refusalBegan = began
+	}
+	s.refusedAt = now
+}
+
+// RecordRefused records that an endpoint refused a connection that was tried since began.
+func (b *Board) RecordRefused(id string, born int64, began, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.endpoints[id]; s != nil && s.endpoint.Born == born {
-		s.refusedAt = now
+	s := b.endpoints[id]
+	if s == nil {
+		s = b.unlisted[id]
+	}
+	if s != nil && s.endpoint.Born == born {
+		s.noteRefusal(began, now)
 	}
 }
 
--- a/internal/gateway/pick/pick_test.go
+++ b/internal/gateway/pick/pick_test.go
@@ -269,3 +269,62 @@
 	b.SetRates(nil, now)
 	g.Expect(choose(g, b, newRequest(now)).Endpoint.ID).To(Equal("one"))
 }
+
+// Guards against an endpoint that is taken for another one since it was not listed for a while,
+// and against one that is taken for the former one after it has started again.
+func TestRelistedIncarnationIsNotDoubtful(t *testing.T) {
+	g := NewWithT(t)
+	endpoint := newEngine("one", "a")
+	b := newBoard(endpoint)
+	c := choose(g, b, newRequest(start))
+	g.Expect(c.VersionIsDoubtful(start)).To(BeFalse())
+	b.Update(nil)
+	g.Expect(c.VersionIsDoubtful(start)).To(BeTrue())
+	endpoint.Seq++
+	b.Update([]registry.Endpoint{endpoint})
+	g.Expect(c.VersionIsDoubtful(start)).To(BeFalse())
+	b.Update(nil)
+	endpoint.Born++
+	b.Update([]registry.Endpoint{endpoint})
+	g.Expect(c.VersionIsDoubtful(start)).To(BeTrue())
+}
+
+// Guards against a refused connection that is forgotten since the endpoint was not listed at that
+// moment: a late announcement of the process that ended lists it again.
+func TestRefusalOfAnUnlistedEndpointCounts(t *testing.T) {
+	g := NewWithT(t)
+	endpoint := newEngine("one", "a")
+	b := newBoard(endpoint)
+	c := choose(g, b, newRequest(start))
+	b.Update(nil)
+	b.RecordRefused("one", endpoint.Born, start, start)
+	b.Update([]registry.Endpoint{endpoint})
+	g.Expect(c.VersionIsDoubtful(start)).To(BeTrue())
+}
+
+// Guards against a stream that joins two software versions, since a connection was refused before
+// its own was made, however late that became known; and against one that is given up since
+// another connection was refused later.
+func TestRefusalCountsIfItPrecedesTheConnection(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for name, c := range map[string]struct {
+		refusals []int
+		doubtful bool
+	}{
+		"before":           {refusals: []int{5}, doubtful: true},
+		"after":            {refusals: []int{15}},
+		"before and after": {refusals: []int{5, 15}, doubtful: true},
+		"after and before": {refusals: []int{15, 5}, doubtful: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newBoard(newEngine("one", "a"))
+			choice := choose(g, b, newRequest(start))
+			choice.RecordConnected(at(10))
+			for _, began := range c.refusals {
+				b.RecordRefused("one", 1, at(began), at(20))
+			}
+			g.Expect(choice.VersionIsDoubtful(at(30))).To(Equal(c.doubtful))
+		})
+	}
+}
