Make up for requests that are sent without a permit of the endpoint's limit

Runs that return to the endpoint that keeps their KV cache start an attempt without asking for a permit. Where none was left, the attempt was not counted, and the entry sent its whole share besides: with a limit of 3 requests/s and 12 returns an endpoint got 24 requests in 4 s where 23 are allowed. Such an attempt now takes a permit that is issued later, so that new requests wait for it. At most the permits of 4 s are taken ahead, the time over which the users judge, so that no entry stops for long. TestReturnsCountAgainstTheRateLimit failed before (24 requests).

--- a/internal/core/limit/permits_test.go
+++ b/internal/core/limit/permits_test.go
@@ -108,3 +108,25 @@
 	g.Expect(p.Take(now)).To(BeFalse())
 	g.Expect(p.Available(now.Add(time.Second))).To(BeTrue())
 }
+
+// Guards against requests without a permit that are not made up for, and against a debt
+// that stops an entry for long, also after its share has fallen.
+func TestPermitsTakenAheadAreMadeUpFor(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPermits(2, 0, epoch)
+	p.TakeAhead(epoch)
+	g.Expect(p.Take(epoch)).To(BeFalse())
+	g.Expect(p.Available(epoch.Add(500 * time.Millisecond))).To(BeFalse())
+	g.Expect(p.NextAt(epoch)).To(Equal(epoch.Add(time.Second)))
+	g.Expect(p.Available(epoch.Add(time.Second))).To(BeTrue())
+	for range 100 {
+		p.TakeAhead(epoch)
+	}
+	g.Expect(p.NextAt(epoch)).To(Equal(epoch.Add(maxDebtTime + time.Second/2)))
+	p.SetRate(0.5, epoch)
+	g.Expect(p.NextAt(epoch)).To(Equal(epoch.Add(maxDebtTime + 2*time.Second)))
+	p.SetRate(0, epoch)
+	p.TakeAhead(epoch)
+	p.SetRate(1, epoch)
+	g.Expect(p.NextAt(epoch)).To(Equal(epoch.Add(2 * time.Second)))
+}
--- a/internal/gateway/pick/pick.go
+++ b/internal/gateway/pick/pick.go
@@ -234,7 +234,7 @@
 		Candidates: candidates, board: b, stats: s, uncachedTokens: v.uncachedTokens, queuedTokens: s.prefillTokens, startedAt: r.Now, awaitingAnswer: true, secondsPerToken: v.secondsPerToken,
 	}
 	if s.permits != nil {
-		s.permits.Take(r.Now)
+		s.permits.TakeAhead(r.Now)
 	}
 	if s.rejections != nil && r.crowded {
 		s.rejections.Sent(s.inFlight, r.TimeOfDay)
--- a/internal/gateway/pick/pick_test.go
+++ b/internal/gateway/pick/pick_test.go
@@ -269,3 +269,28 @@
 	b.SetRates(nil, now)
 	g.Expect(choose(g, b, newRequest(now)).Endpoint.ID).To(Equal("one"))
 }
+
+// Guards against runs that return to an endpoint beyond its limit, because their attempts
+// start without a permit. The bound is that of the users: in 4 s one and a half times the
+// limit and 5 more.
+func TestReturnsCountAgainstTheRateLimit(t *testing.T) {
+	const perS, returns, step = 3.0, 12, 20 * time.Millisecond
+	g := NewWithT(t)
+	b := newBoard(newEngine("one", "a"))
+	kept := choose(g, b, newRequest(start))
+	b.SetRates(map[string]float64{"one": perS}, start)
+	returned, chosen := 0, 0
+	from := start.Add(4 * time.Second)
+	for now := from; now.Before(from.Add(4 * time.Second)); now = now.Add(step) {
+		if returned < returns {
+			kept.Again(now)
+			returned++
+		}
+		if choice, err := b.Choose(newRequest(now)); err == nil {
+			choice.End()
+			chosen++
+		}
+	}
+	g.Expect(returned + chosen).To(BeNumerically("<=", 1.5*perS*4+5))
+	g.Expect(chosen).To(BeNumerically(">", 0))
+}
