--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -107,6 +107,8 @@
 	complete bool
 	// framing is how the end of the last answer is marked, for the log.
 	framing wire.Framing
+	// ordered is what the last orders to move the run did, for the log; empty if there were none.
+	ordered string
 	// fingerprint identifies the content of the request in crash records, and parts
 	// the parts of its prompt that requests share.
 	fingerprint suspect.Fingerprint
--- a/internal/gateway/entry/finish.go
+++ b/internal/gateway/entry/finish.go
@@ -83,6 +83,9 @@
 	if c.framing != "" {
 		fields = append(fields, zap.String("framing", string(c.framing)), zap.Int64("last_event", c.lastEventID), zap.Int("moves", c.moves))
 	}
+	if c.ordered != "" {
+		fields = append(fields, zap.String("ordered", c.ordered))
+	}
 	if c.peer != "" {
 		fields = append(fields, zap.String("peer", c.peer))
 	}
--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -73,6 +73,8 @@
 	effect   port.MoveEffect
 	choice   *pick.Choice
 	kvHandle string
+	// orders holds what each order did as far as its own answer shows, for the log.
+	orders []port.MoveEffect
 	// pending is set if an order without an answer may still be carried out.
 	pending bool
 	err     error
@@ -163,7 +165,7 @@
 		running = append(running, run)
 	}
 	m.mu.Unlock()
-	m.entry.log.Info("Endpoint shuts down soon; its streams are moved.", zap.String("endpoint", from.ID), zap.Duration("notice", notice), zap.Int("streams", len(running)))
+	m.entry.log.Info("Endpoint shuts down soon; its streams are moved.", zap.String("endpoint", from.ID), zap.Int64("born", from.Born), zap.Duration("notice", notice), zap.Int("streams", len(running)))
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrentMoves)
 	for _, run := range running {
@@ -192,11 +194,11 @@
 	}
 	if mv.err = m.requestMove(mv, run, from); mv.err != nil {
 		e.metrics.movesFailed.Inc()
-		e.log.Warn("Stream not moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.Stringer("effect", mv.effect), zap.Error(mv.err))
+		e.log.Warn("Stream not moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.Stringer("effect", mv.effect), zap.Stringers("orders", mv.orders), zap.Error(mv.err))
 		return
 	}
 	e.metrics.moves.Inc()
-	e.log.Info("Stream moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.String("to", mv.choice.Endpoint.ID))
+	e.log.Info("Stream moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.String("to", mv.choice.Endpoint.ID), zap.Stringers("orders", mv.orders))
 }
 
 // requestMove chooses another endpoint and asks the current one to move the run there.
@@ -227,7 +229,7 @@
 		return err
 	}
 	mv.moveRequest = port.Move{EndpointID: from.ID, AttemptID: run.attemptID, From: from.Address, To: choice.Endpoint.Address}
-	answer, pending, err := m.sendOrder(mv.moveRequest)
+	answer, pending, err := m.sendOrder(mv)
 	mv.effect, mv.kvHandle, mv.pending = answer.Effect, answer.KVHandle, pending
 	if err != nil {
 		choice.End()
@@ -241,11 +243,12 @@
 // sendOrder orders an endpoint to move a run, and again while an earlier order is carried out, or
 // once if the connection breaks off without an answer. The answer is valid also with an error.
 // pending is set if the first order may still be carried out.
-func (m *migrations) sendOrder(request port.Move) (answer port.MoveAnswer, pending bool, err error) {
+func (m *migrations) sendOrder(mv *move) (answer port.MoveAnswer, pending bool, err error) {
 	ctx, cancel := context.WithTimeout(m.entry.ctx, moveTimeout)
 	defer cancel()
 	for repeated := false; ; repeated = true {
-		answer, err = m.sendOrderOnce(ctx, request)
+		answer, err = m.sendOrderOnce(ctx, mv.moveRequest)
+		mv.orders = append(mv.orders, answer.Effect)
 		var refused *port.MoveError
 		switch {
 		case answer.Effect == port.MoveBusy:
--- a/internal/gateway/entry/stream_end.go
+++ b/internal/gateway/entry/stream_end.go
@@ -69,6 +69,9 @@
 	reason := r.call.reasonToClose(r.hop, time.Now())
 	r.answer.Discard()
 	mv, effect := r.awaitMove(ctx)
+	if mv != nil {
+		r.call.ordered = effect.String()
+	}
 	if effect == port.MoveNone && r.hop.mayBeStopped {
 		effect = port.MoveUncertain
 	}
