Keep what earlier orders may have done to a run when a further one is not sent

Callers got a part of an unframed stream as a complete answer (ORDER): an endpoint that was about to be reclaimed carried out the final order, closed the stream and was gone before its answer arrived. The entry repeated the order, the connection was refused, and the effect "none: it was not sent" of that repetition replaced the effect "uncertain" of the first order, so that the close of the stream counted as its end. A 409 before the refused connection did the same.

The effect of orders is now the join over all of them, in one type (runOrders): an order that was not sent adds nothing, and a 404 proves that the run had ended by itself only if no order before may have stopped it. The same join replaces the special case of a returned run.

--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -68,16 +68,12 @@
 	returnBy time.Time
 	// done is closed when the move has ended. The fields below are set before.
 	done chan struct{}
-	// effect is what the order did to the run. choice is set for port.MoveDone, and kvHandle
+	// orders is what the orders did to the run. choice is set for port.MoveDone, and kvHandle
 	// also for port.MoveKept.
-	effect   port.MoveEffect
+	orders   runOrders
 	choice   *pick.Choice
 	kvHandle string
-	// orders holds what each order did as far as its own answer shows, for the log.
-	orders []port.MoveEffect
-	// pending is set if an order without an answer may still be carried out.
-	pending bool
-	err     error
+	err      error
 }
 
 // goesOn reports whether the run can go on from its KV cache, after an order with the given
@@ -99,8 +95,8 @@
 // hop returns the hop of the attempt that continues the run.
 func (mv *move) hop() *hop {
 	h := directHop(mv.choice)
-	if mv.effect == port.MoveKept {
-		h.returnBy, h.mayBeStopped = mv.returnBy, mv.pending
+	if mv.orders.effect == port.MoveKept {
+		h.returnBy, h.mayBeStopped = mv.returnBy, mv.orders.unanswered
 	}
 	return h
 }
@@ -194,11 +190,11 @@
 	}
 	if mv.err = m.requestMove(mv, run, from); mv.err != nil {
 		e.metrics.movesFailed.Inc()
-		e.log.Warn("Stream not moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.Stringer("effect", mv.effect), zap.Stringers("orders", mv.orders), zap.Error(mv.err))
+		e.log.Warn("Stream not moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.Stringer("effect", mv.orders.effect), zap.Stringers("orders", mv.orders.effects), zap.Error(mv.err))
 		return
 	}
 	e.metrics.moves.Inc()
-	e.log.Info("Stream moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.String("to", mv.choice.Endpoint.ID), zap.Stringers("orders", mv.orders))
+	e.log.Info("Stream moved.", zap.String("request", run.attemptID), zap.String("from", from.ID), zap.String("to", mv.choice.Endpoint.ID), zap.Stringers("orders", mv.orders.effects))
 }
 
 // requestMove chooses another endpoint and asks the current one to move the run there.
@@ -208,7 +204,7 @@
 		return &BudgetError{Service: run.request.Service}
 	}
 	err := m.callMove(mv, run, from)
-	if err != nil && mv.effect != port.MoveKept {
+	if err != nil && mv.orders.effect != port.MoveKept {
 		e.retries.ReturnRepeat(run.request.Service, time.Now())
 	}
 	return err
@@ -229,9 +225,7 @@
 		return err
 	}
 	mv.moveRequest = port.Move{EndpointID: from.ID, AttemptID: run.attemptID, From: from.Address, To: choice.Endpoint.Address}
-	answer, pending, err := m.sendOrder(mv)
-	mv.effect, mv.kvHandle, mv.pending = answer.Effect, answer.KVHandle, pending
-	if err != nil {
+	if mv.kvHandle, err = m.sendOrder(&mv.orders, mv.moveRequest); err != nil {
 		choice.End()
 		e.rollouts.Return(decision.Exposure)
 		return err
@@ -241,29 +235,24 @@
 }
 
 // sendOrder orders an endpoint to move a run, and again while an earlier order is carried out, or
-// once if the connection breaks off without an answer. The answer is valid also with an error.
-// pending is set if the first order may still be carried out.
-func (m *migrations) sendOrder(mv *move) (answer port.MoveAnswer, pending bool, err error) {
+// once if the connection breaks off without an answer. It records the orders. The handle of the KV
+// cache is valid also with an error.
+func (m *migrations) sendOrder(orders *runOrders, request port.Move) (kvHandle string, err error) {
 	ctx, cancel := context.WithTimeout(m.entry.ctx, moveTimeout)
 	defer cancel()
-	for repeated := false; ; repeated = true {
-		answer, err = m.sendOrderOnce(ctx, mv.moveRequest)
-		mv.orders = append(mv.orders, answer.Effect)
+	for {
+		mayRepeat := !orders.unanswered
+		answer, err := m.sendOrderOnce(ctx, request)
 		var refused *port.MoveError
+		answered := err == nil || errors.As(err, &refused)
+		orders.add(answer.Effect, answered)
 		switch {
-		case answer.Effect == port.MoveBusy:
-			if wait.For(ctx, busyOrderPause) {
-				continue
-			}
-			answer.Effect = port.MoveUncertain
-		case answer.Effect == port.MoveUncertain && !errors.As(err, &refused) && !pending && ctx.Err() == nil:
-			pending = true
+		case answer.Effect == port.MoveBusy && wait.For(ctx, busyOrderPause):
+			continue
+		case answer.Effect == port.MoveUncertain && !answered && mayRepeat && ctx.Err() == nil:
 			continue
-		case answer.Effect == port.MoveNoRun && repeated:
-			// The run may be gone because an earlier order stopped it.
-			answer.Effect = port.MoveUncertain
 		}
-		return answer, pending, err
+		return answer.KVHandle, err
 	}
 }
 
--- a/internal/gateway/entry/stream_end.go
+++ b/internal/gateway/entry/stream_end.go
@@ -72,8 +72,8 @@
 	if mv != nil {
 		r.call.ordered = effect.String()
 	}
-	if effect == port.MoveNone && r.hop.mayBeStopped {
-		effect = port.MoveUncertain
+	if r.hop.mayBeStopped {
+		effect = joinEffects(port.MoveUncertain, effect)
 	}
 	switch {
 	case mv != nil && mv.goesOn(effect, r.hop):
@@ -110,7 +110,7 @@
 	return outcome{done: true, sent: true}
 }
 
-// awaitMove waits for the answer to the order to move the run, and returns what the order did.
+// awaitMove waits for the orders to move the run to end, and returns what they did.
 // The move is nil if there was no order. The run is no longer tracked.
 func (r *streamRelay) awaitMove(ctx context.Context) (*move, port.MoveEffect) {
 	if r.run == nil {
@@ -122,7 +122,7 @@
 	}
 	select {
 	case <-mv.done:
-		return mv, mv.effect
+		return mv, mv.orders.effect
 	case <-ctx.Done():
 		return mv, port.MoveUncertain
 	}
