Do not let a second move of a run hide the orders of the first one

An endpoint that is evacuated twice (announced as another incarnation while its drain goes on, or after its record was dropped) got a second move for runs whose first order might still be carried out. The second move replaced the first: with its order refused, the stream that the first order stopped counted as complete. A run is now moved again only if no order of its earlier move was sent.

--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -92,6 +92,16 @@
 	return false
 }
 
+// isUnsent reports whether the move has ended and none of its orders was sent.
+func (mv *move) isUnsent() bool {
+	select {
+	case <-mv.done:
+		return mv.orders.effect == port.MoveNone
+	default:
+		return false
+	}
+}
+
 // hop returns the hop of the attempt that continues the run.
 func (mv *move) hop() *hop {
 	h := directHop(mv.choice)
@@ -174,18 +184,19 @@
 	group.Wait()
 }
 
-// moveRun moves one run, unless the run has already ended.
+// moveRun moves one run, unless the run has already ended or been ordered to move.
 func (m *migrations) moveRun(run *streamRun, from *registry.Endpoint, returnBy time.Time) {
 	e := m.entry
 	mv := &move{service: run.request.Service, done: make(chan struct{}), returnBy: returnBy}
 	defer close(mv.done)
 	m.mu.Lock()
 	_, running := m.running[from.ID][run]
-	if running {
+	begins := running && (run.move == nil || run.move.isUnsent())
+	if begins {
 		run.move = mv
 	}
 	m.mu.Unlock()
-	if !running {
+	if !begins {
 		return
 	}
 	if mv.err = m.requestMove(mv, run, from); mv.err != nil {
