--- a/internal/gateway/quota/leases_test.go
+++ b/internal/gateway/quota/leases_test.go
@@ -137,3 +137,34 @@
 	g.Expect(lease.share("w")).To(BeNumerically("~", 0.0625, rounding))
 	g.Expect(lease.share("unknown")).To(BeNumerically("~", 0.25, rounding))
 }
+
+// Guards against giving others what an entry may use that got a lease for few entries and then lost the answer with the next
+// one, for more entries: it may use the even share of the earlier lease.
+func TestLostLeaseDoesNotHideTheEarlierOne(t *testing.T) {
+	g := NewWithT(t)
+	leases, now := NewLeases(), time.Unix(1000, 0)
+	grant := func(entry string, last uint64, entries int) *Lease {
+		return leases.Grant(&LeaseRequest{
+			Entry: entry, LastID: last, Demand: map[string]float64{"w": 1},
+			Total: demand.Total{Entries: entries, PerS: map[string]float64{"w": float64(entries)}}, Workspaces: []string{"w"},
+		}, now)
+	}
+	held := grant("cut-off", 0, 1)
+	grant("cut-off", held.ID, 10) // the answer is lost
+	now = now.Add(LeaseTTL + time.Second)
+	sum := min(held.share("w"), held.Even) // what Limiter uses until evenTTL
+	last := make(map[string]*Lease)
+	for range 3 {
+		for _, entry := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+			id := uint64(0)
+			if last[entry] != nil {
+				id = last[entry].ID
+			}
+			last[entry] = grant(entry, id, 10)
+		}
+	}
+	for _, lease := range last {
+		sum += lease.share("w")
+	}
+	g.Expect(sum).To(BeNumerically("<=", 1+rounding))
+}
