--- a/internal/entry/handover_test.go
+++ b/internal/entry/handover_test.go
@@ -239,3 +239,20 @@
 	g.Expect(s.Journal("r")).To(BeNil())
 	g.Eventually(cancelled).Should(Equal(2))
 }
+
+// Guards against a request that a peer handed over before its first token and that counts as not run, because no endpoint takes
+// it here: the peer may have sent it to an endpoint.
+func TestRequestTakenOverMayHaveRunAtThePeer(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestService(t, &fakeEngine{})
+	request := testRequest()
+	request.Model = "loaded nowhere"
+	params, err := json.Marshal(takeOverMessage{Request: *request, Offer: "1"})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = s.takeOver(t.Context(), params)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() bool { return s.Journal("r").Read(0).Ended }, 5*time.Second).Should(BeTrue())
+	var refusal *RefusalError
+	g.Expect(errors.As(s.Journal("r").Read(0).Err, &refusal)).To(BeTrue())
+	g.Expect(refusal.Run).To(Equal(endpoint.RunUnknown))
+}
