--- a/internal/gateway/scale/plan_test.go
+++ b/internal/gateway/scale/plan_test.go
@@ -296,3 +296,17 @@
 		}
 	}
 }
+
+// Guards against endpoints that an order removes and that count as reclaimed, because the cloud refused a later order of the
+// same pool.
+func TestRefusalDoesNotHideAnEarlierOrder(t *testing.T) {
+	g := NewWithT(t)
+	p, k := New(), poolKey{"a", true}
+	in := &Input{Now: start, Service: service(), Domains: domains}
+	p.ready["a"] = 6
+	p.RecordOrder(port.CountOrder{Service: "pool", FailureDomain: "a", Count: 2, Reclaimable: true}, start)
+	p.RecordRefusal(port.CountOrder{Service: "pool", FailureDomain: "a", Count: 6, Reclaimable: true}, start.Add(time.Second))
+	in.Now = start.Add(2 * time.Second)
+	p.noteReclaims(in, map[poolKey]int{k: 2})
+	g.Expect(p.reclaimedDomains(in.Now)).To(BeZero())
+}
