--- a/cmd/boragelead/command_test.go
+++ b/cmd/boragelead/command_test.go
@@ -161,6 +161,29 @@
 		Expect(errs.String()).To(MatchRegexp(`the outcome is unknown; resend with --operation-id \S+ --first`))
 	})
 
+	// Guards against an operator who learns of the failure of a resend only, although an earlier attempt took effect: a proxy or a
+	// daemon that fails decides nothing.
+	It("reports the outcome as unknown when a resend fails without a decision", func() {
+		inner := handler
+		var puts atomic.Int32
+		handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case r.Method == http.MethodPut && puts.Add(1) == 1:
+				inner.ServeHTTP(httptest.NewRecorder(), r)
+				panic(http.ErrAbortHandler)
+			case r.Method == http.MethodPut:
+				w.WriteHeader(http.StatusBadGateway)
+			default:
+				inner.ServeHTTP(w, r)
+			}
+		})
+		Expect(run("config", "promote", example, "--first")).NotTo(Equal(exitOK))
+		history, err := ledger.History(context.Background(), 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(history).To(HaveLen(1))
+		Expect(errs.String()).To(MatchRegexp(`the outcome is unknown; resend with --operation-id \S+ --first`))
+	})
+
 	// Guards against an operator who cannot complete an attempt whose outcome is unknown.
 	It("prints the flags for a resend and accepts them", func() {
 		Expect(run("config", "promote", example, "--first")).To(Equal(exitOK))
--- a/cmd/boragelead/rollout_test.go
+++ b/cmd/boragelead/rollout_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -75,6 +76,19 @@
 		Expect(out.String()).To(HavePrefix("reverted to v2"))
 	})
 
+	// Guards against an operator who learns of the last, unsent call only, although an earlier call of the order took effect.
+	It("say that an order may have taken effect if its answer was lost", func() {
+		inner := server.Config.Handler
+		server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			inner.ServeHTTP(httptest.NewRecorder(), r)
+			_ = server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		})
+		Expect(run("start", "--duration", "10m", "--timeout", "400ms", "chat", "v2")).NotTo(Equal(exitOK))
+		Expect(replicas.order).To(Equal(rollout.Order{Service: "chat", To: "v2", Duration: 600e9}))
+		Expect(errs.String()).To(MatchRegexp("outcome is unknown|may (still )?(have taken|take) effect"))
+	})
+
 	// Guards against a refusal that a script takes for a success or for another one.
 	It("tell refusals apart by exit code", func() {
 		Expect(run("start", "chat", "v2")).To(Equal(exitUsage))
