--- a/internal/gateway/registry/registry.go
+++ b/internal/gateway/registry/registry.go
@@ -59,7 +59,8 @@
 }
 
 // isEquivalent reports whether two announcements differ at most in the sequence
-// number and in the time left, which shrinks with every announcement.
+// number and in the time left, which shrinks with every announcement. That an endpoint leaves
+// earlier than watchers know is found by record.leavesEarlier.
 func (e *Endpoint) isEquivalent(old *Endpoint) bool {
 	a, b := *e, *old
 	a.Seq, b.Seq = 0, 0
@@ -77,12 +78,34 @@
 	seenAt time.Time
 	// local is set if the last announcement arrived here and not at another replica.
 	local bool
+	// leavesAt is when the endpoint shuts down, as watchers know; zero if they do not.
+	leavesAt time.Time
 	// version is the registry version at which watchers last saw this record
 	// change.
 	version uint64
 	expired bool
 }
 
+// visibleAdvance is by how much earlier an endpoint must announce to leave for watchers to be told:
+// announcements take some time to arrive.
+const visibleAdvance = 250 * time.Millisecond
+
+// endOf returns when an endpoint shuts down whose announcement arrives at a time; zero if that is
+// not known.
+func endOf(e *Endpoint, arrivedAt time.Time) time.Time {
+	if e.TimeLeftMS <= 0 {
+		return time.Time{}
+	}
+	return arrivedAt.Add(time.Duration(e.TimeLeftMS) * time.Millisecond)
+}
+
+// leavesEarlier reports whether an announcement says that the endpoint leaves clearly earlier than
+// watchers know.
+func (rec *record) leavesEarlier(e *Endpoint, arrivedAt time.Time) bool {
+	end := endOf(e, arrivedAt)
+	return !end.IsZero() && !rec.leavesAt.IsZero() && end.Before(rec.leavesAt.Add(-visibleAdvance))
+}
+
 // tombstoneTTL is how long a withdrawn endpoint stays in the registry. A partition
 // may delay announcements for this long, and they must not revive the endpoint.
 const tombstoneTTL = 2 * time.Minute
@@ -121,7 +144,7 @@
 		if e.State == Gone {
 			r.history.note(&e, arrivedAt)
 		}
-		r.records[e.ID] = &record{endpoint: e, seenAt: arrivedAt, local: local}
+		r.records[e.ID] = &record{endpoint: e, seenAt: arrivedAt, local: local, leavesAt: endOf(&e, arrivedAt)}
 		r.markChanged(r.records[e.ID])
 		return true
 	}
@@ -132,12 +155,13 @@
 	if e.SoftwareVersion != old.endpoint.SoftwareVersion || e.State == Gone {
 		r.history.note(&old.endpoint, arrivedAt)
 	}
-	visible := old.expired || !e.isEquivalent(&old.endpoint)
+	visible := old.expired || !e.isEquivalent(&old.endpoint) || old.leavesEarlier(&e, arrivedAt)
 	old.endpoint = e
 	old.seenAt = arrivedAt
 	old.local = local
 	old.expired = false
 	if visible {
+		old.leavesAt = endOf(&e, arrivedAt)
 		r.markChanged(old)
 	}
 	return visible
--- a/internal/gateway/registry/registry_test.go
+++ b/internal/gateway/registry/registry_test.go
@@ -164,3 +164,17 @@
 		})
 	}
 }
+
+// Guards against watchers that do not learn that a draining endpoint leaves earlier than it said first.
+func TestEarlierShutdownIsAChange(t *testing.T) {
+	g := NewWithT(t)
+	r, start := New(time.Minute), time.Unix(1000, 0)
+	announce := func(seq uint64, left, at time.Duration) bool {
+		e := Endpoint{ID: "i", Born: 1, State: Draining, Seq: seq, TimeLeftMS: left.Milliseconds()}
+		return r.Announce(e, start.Add(at))
+	}
+	g.Expect(announce(1, 20*time.Second, 0)).To(BeTrue())
+	g.Expect(announce(2, 19*time.Second, time.Second)).To(BeFalse())
+	g.Expect(announce(3, 700*time.Millisecond, 2*time.Second)).To(BeTrue())
+	g.Expect(announce(4, 200*time.Millisecond, 2500*time.Millisecond)).To(BeFalse())
+}
