Remember an unanswered order over further returns of a run

A run that returned to its endpoint a second time was no longer known as one that an unanswered order may still stop, so that the close of its unframed stream counted as its end. TestUnansweredOrderHoldsForFurtherReturns could not be written before (newMove is new).

--- a/internal/gateway/entry/migrate.go
+++ b/internal/gateway/entry/migrate.go
@@ -57,7 +57,9 @@
 	request   pick.Request
 	// attempt describes the move for the roll-out of the service.
 	attempt rollout.Attempt
-	move    *move
+	// mayBeStopped is set if an order for an earlier run of the attempt may still stop this one.
+	mayBeStopped bool
+	move         *move
 }
 
 // move is the move of a run to another endpoint.
@@ -76,6 +78,12 @@
 	err      error
 }
 
+func newMove(run *streamRun, returnBy time.Time) *move {
+	mv := &move{service: run.request.Service, done: make(chan struct{}), returnBy: returnBy}
+	mv.orders.unanswered = run.mayBeStopped
+	return mv
+}
+
 // goesOn reports whether the run can go on from its KV cache, after an order with the given
 // effect. If the cache is kept at the current endpoint of the run, it chooses that one again.
 func (mv *move) goesOn(effect port.MoveEffect, current *hop) bool {
@@ -117,8 +125,9 @@
 
 // trackRun records a stream that runs at an endpoint. The caller must call
 // untrackRun when the stream ends.
-func (m *migrations) trackRun(c *call, endpoint string) *streamRun {
-	run := &streamRun{attemptID: c.meta.AttemptID, request: *c.pickRequest(), attempt: c.rolloutAttempt()}
+func (m *migrations) trackRun(c *call, h *hop) *streamRun {
+	endpoint := h.endpoint.ID
+	run := &streamRun{attemptID: c.meta.AttemptID, request: *c.pickRequest(), attempt: c.rolloutAttempt(), mayBeStopped: h.mayBeStopped}
 	run.request.Avoid = slices.Clone(c.tried)
 	// The KV cache is copied, so the new endpoint does not process the prompt again.
 	run.request.PromptTokens, run.request.Prefix = 0, nil
@@ -187,7 +196,7 @@
 // moveRun moves one run, unless the run has already ended or been ordered to move.
 func (m *migrations) moveRun(run *streamRun, from *registry.Endpoint, returnBy time.Time) {
 	e := m.entry
-	mv := &move{service: run.request.Service, done: make(chan struct{}), returnBy: returnBy}
+	mv := newMove(run, returnBy)
 	defer close(mv.done)
 	m.mu.Lock()
 	_, running := m.running[from.ID][run]
@@ -251,8 +260,7 @@
 func (m *migrations) sendOrder(orders *runOrders, request port.Move) (kvHandle string, err error) {
 	ctx, cancel := context.WithTimeout(m.entry.ctx, moveTimeout)
 	defer cancel()
-	for {
-		mayRepeat := !orders.unanswered
+	for repeated := false; ; {
 		answer, err := m.sendOrderOnce(ctx, request)
 		var refused *port.MoveError
 		answered := err == nil || errors.As(err, &refused)
@@ -260,7 +268,8 @@
 		switch {
 		case answer.Effect == port.MoveBusy && wait.For(ctx, busyOrderPause):
 			continue
-		case answer.Effect == port.MoveUncertain && !answered && mayRepeat && ctx.Err() == nil:
+		case answer.Effect == port.MoveUncertain && !answered && !repeated && ctx.Err() == nil:
+			repeated = true
 			continue
 		}
 		return answer.KVHandle, err
--- a/internal/gateway/entry/run_orders_test.go
+++ b/internal/gateway/entry/run_orders_test.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/boragelead/boragelead/internal/gateway/pick"
 	"github.com/boragelead/boragelead/internal/port"
 )
 
@@ -55,3 +57,14 @@
 	orders.add(port.MoveKept, true)
 	g.Expect(orders.unanswered).To(BeTrue())
 }
+
+// Guards against a run that returns to its endpoint a second time and counts as complete although the first order may still stop it.
+func TestUnansweredOrderHoldsForFurtherReturns(t *testing.T) {
+	g := NewWithT(t)
+	for _, mayBeStopped := range []bool{false, true} {
+		mv := newMove(&streamRun{mayBeStopped: mayBeStopped}, time.Now())
+		mv.choice = &pick.Choice{}
+		mv.orders.add(port.MoveKept, true)
+		g.Expect(mv.hop().mayBeStopped).To(Equal(mayBeStopped))
+	}
+}
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -112,7 +112,7 @@
 		return &outcome{done: true, sent: true, err: &CallerError{Err: err}}
 	}
 	if r.run == nil && c.isMovable(h) {
-		r.run = c.entry.migrations.trackRun(c, h.endpoint.ID)
+		r.run = c.entry.migrations.trackRun(c, h)
 	}
 	return nil
 }
