Keep back the even share of each lease that a silent entry may hold

A workspace could exceed its limit for up to 20 s when an entry was cut off just as the number of entries grew: a lease whose answer was lost replaced the earlier one at the leader, which then kept back the even share of the newer lease only (1/10), while the entry went on with that of the earlier one (1/1).

The leader keeps the largest even share of the leases that an entry may have, until the entry shows that it has the newest one. TestLostLeaseDoesNotHideTheEarlierOne failed before (shares in use 1.9, bound 1) and passes.

--- a/internal/gateway/quota/leases.go
+++ b/internal/gateway/quota/leases.go
@@ -80,7 +80,10 @@
 	lease *Lease
 	// usable holds, by workspace, the share that the entry may use: the largest of the
 	// leases that it may have.
-	usable   map[string]float64
+	usable map[string]float64
+	// even is the even share that the entry may use once it reaches no leader: the largest of
+	// those leases.
+	even     float64
 	leasedAt time.Time
 	reduced  bool
 }
@@ -109,7 +112,7 @@
 			continue
 		}
 		l.holders[entry] = &holder{
-			lease: &Lease{Even: last.Even}, leasedAt: last.PolledAt, reduced: true, usable: make(map[string]float64),
+			lease: &Lease{Even: last.Even}, even: last.Even, leasedAt: last.PolledAt, reduced: true, usable: make(map[string]float64),
 		}
 	}
 }
@@ -128,6 +131,7 @@
 	}
 	if h.lease != nil && (r.WithoutLeases || r.LastID == h.lease.ID) {
 		// The entry no longer uses an earlier lease.
+		h.even = h.lease.Even
 		for workspace := range h.usable {
 			l.setUsable(h, workspace, h.lease.share(workspace))
 		}
@@ -142,7 +146,7 @@
 		}
 		l.setUsable(h, workspace, max(h.usable[workspace], lease.share(workspace)))
 	}
-	h.lease, h.leasedAt, h.reduced = lease, now, false
+	h.lease, h.even, h.leasedAt, h.reduced = lease, max(h.even, lease.Even), now, false
 	return lease
 }
 
@@ -166,7 +170,7 @@
 	l.sums[workspace] = 0
 	for _, h := range l.holders {
 		if h.lease != nil {
-			l.setUsable(h, workspace, h.lease.Even)
+			l.setUsable(h, workspace, h.even)
 		}
 	}
 }
@@ -192,7 +196,7 @@
 		if silent > LeaseTTL && !h.reduced {
 			h.reduced = true
 			for workspace, share := range h.usable {
-				h.usable[workspace] = min(share, h.lease.Even)
+				h.usable[workspace] = min(share, h.even)
 			}
 		}
 		for workspace, share := range h.usable {
