Keep the last order of a pool that may be in force when a later one is refused

Endpoints that an order removed counted as reclaimed if the cloud refused a later order of the same pool, so that more on-demand endpoints were ordered for 6 s: a refusal dropped the record of the earlier order. The record now stays; refusals are noted apart. TestRefusalDoesNotHideAnEarlierOrder failed before and passes; the other tests of the package pass unchanged.

--- a/internal/gateway/scale/plan.go
+++ b/internal/gateway/scale/plan.go
@@ -100,7 +100,8 @@
 
 // Planner plans one service. It is not safe for concurrent use.
 type Planner struct {
-	refusedAt  map[poolKey]time.Time
+	refusedAt map[poolKey]time.Time
+	// lastOrders holds the last order of each pool that may be in force: a refused one is not.
 	lastOrders map[poolKey]order
 	// surplusSince holds since when a pool has more endpoints than wanted.
 	surplusSince map[poolKey]time.Time
@@ -137,9 +138,7 @@
 
 // RecordRefusal records that the cloud refused an order.
 func (p *Planner) RecordRefusal(o port.CountOrder, now time.Time) {
-	k := poolKey{o.FailureDomain, o.Reclaimable}
-	p.refusedAt[k] = now
-	delete(p.lastOrders, k)
+	p.refusedAt[poolKey{o.FailureDomain, o.Reclaimable}] = now
 }
 
 // RecordOrder records an order that was accepted, or that may have been.
