Leave the outcome of a promotion unknown until the replicated state decides it

Operators were told of a 502 of a proxy, or of an internal error, as the end of a promotion although an earlier attempt, whose answer was lost, had taken effect: only an unreachable daemon and a missing quorum left the outcome open. Now only answers with which the replicated state settles a promotion end the resends. The spec "reports the outcome as unknown when a resend fails without a decision" failed before and passes.

--- a/cmd/boragelead/promote.go
+++ b/cmd/boragelead/promote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -195,12 +196,17 @@
 	return errors.As(err, &apiErr) && apiErr.Detail.MayTakeEffect != nil && *apiErr.Detail.MayTakeEffect
 }
 
-// undecided reports whether an attempt ended without a decision of the replicated
-// state. Such an attempt does not settle the outcome of an earlier one.
+// decidingCodes are those of the answers with which the replicated state settles a promotion.
+var decidingCodes = []status.ErrorCode{status.CodeConflict, status.CodePrecondition, status.CodeOperationReused, status.CodeInvalidDocument}
+
+// undecided reports whether an attempt ended without a decision of the replicated state, for
+// example at a proxy. Such an attempt does not settle the outcome of an earlier one.
 func undecided(err error) bool {
-	var unreachable *adminclient.UnreachableError
+	if err == nil {
+		return false
+	}
 	var apiErr *adminclient.Error
-	return errors.As(err, &unreachable) || errors.As(err, &apiErr) && apiErr.Detail.Code == status.CodeNoQuorum
+	return !errors.As(err, &apiErr) || !slices.Contains(decidingCodes, apiErr.Detail.Code)
 }
 
 // waitForGeneration returns when all daemons have the generation. If the context ends
