--- a/cmd/boragelead/rollout_test.go
+++ b/cmd/boragelead/rollout_test.go
@@ -78,13 +78,15 @@
 
 	// Guards against an operator who learns of the last, unsent call only, although an earlier call of the order took effect.
 	It("say that an order may have taken effect if its answer was lost", func() {
-		inner := server.Config.Handler
+		inner, carriedOut := server.Config.Handler, make(chan struct{}, 1)
 		server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			inner.ServeHTTP(httptest.NewRecorder(), r)
+			carriedOut <- struct{}{}
 			_ = server.Listener.Close()
 			panic(http.ErrAbortHandler)
 		})
 		Expect(run("start", "--duration", "10m", "--timeout", "400ms", "chat", "v2")).NotTo(Equal(exitOK))
+		Expect(carriedOut).To(Receive())
 		Expect(replicas.order).To(Equal(rollout.Order{Service: "chat", To: "v2", Duration: 600e9}))
 		Expect(errs.String()).To(MatchRegexp("outcome is unknown|may (still )?(have taken|take) effect"))
 	})
