Do not call a request not run that a peer may have run

Callers got `run` = `not_run` without X-Should-Retry: false for a request that this daemon forwarded to a peer, whose answer was lost, and then refused itself, for instance because it had no endpoint. Client libraries sent it again although the peer may have run it.

The cause: the refusal named the attempts of this daemon only. forward now tells a request that was not sent (refused connections, dial errors) from one whose answer was lost, and entry.Request carries MayHaveRun into the refusals, explain records and answers to resumed requests. X-Should-Retry follows the run state for all statuses, because client libraries also retry 429, which a refused admission gives. httpconn.Use.Sent is now valid for replayable requests too.

--- a/internal/adapter/callerhttp/completions.go
+++ b/internal/adapter/callerhttp/completions.go
@@ -23,9 +23,11 @@
 			writeError(w, id, err)
 			return
 		}
-		if s.forwardIfOverloaded(w, r, accepted.data) {
+		forwarded := s.forwardIfOverloaded(w, r, accepted.data)
+		if forwarded == forwardAnswered {
 			return
 		}
+		accepted.req.MayHaveRun = forwarded == forwardLost
 		accepted.req.ID = id
 		accepted.req.Arrived = arrived
 		reply := newReply(w, format, accepted.body, accepted.req)
@@ -42,14 +44,16 @@
 }
 
 // forwardIfOverloaded forwards a new request to a peer with free capacity when
-// this daemon is near its own limit. A request is forwarded at most once. It
-// reports whether the peer answered.
-func (s *Server) forwardIfOverloaded(w http.ResponseWriter, r *http.Request, data []byte) bool {
+// this daemon is near its own limit. A request is forwarded at most once.
+func (s *Server) forwardIfOverloaded(w http.ResponseWriter, r *http.Request, data []byte) forwardResult {
 	if r.Header.Get(HeaderForwarded) != "" {
-		return false
+		return forwardNotSent
 	}
 	baseURL := s.OverloadPeer()
-	return baseURL != "" && s.forward(w, r, baseURL, data)
+	if baseURL == "" {
+		return forwardNotSent
+	}
+	return s.forward(w, r, baseURL, data)
 }
 
 // acceptedRequest is a valid request: its raw body, its decoded body and the
--- a/internal/adapter/callerhttp/errors.go
+++ b/internal/adapter/callerhttp/errors.go
@@ -48,47 +48,58 @@
 
 // writeError writes a response with the error object of the OpenAI API.
 func writeError(w http.ResponseWriter, requestID string, err error) {
-	status, detail, retryAfter := describeError(err)
-	detail.RequestID = requestID
+	writeDescription(w, describeError(requestID, err))
+}
+
+// writeDescription writes a response with the error object of the OpenAI API.
+func writeDescription(w http.ResponseWriter, d errorDescription) {
 	w.Header().Set("Content-Type", "application/json")
-	if retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	if d.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(d.retryAfter.Seconds()))))
 	}
-	if !resendable(status, detail) {
+	if !d.resendable() {
 		w.Header().Set(headerShouldRetry, "false")
 	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(errorBody{Error: detail})
+	w.WriteHeader(d.status)
+	_ = json.NewEncoder(w).Encode(errorBody{Error: d.detail})
 }
 
 // headerShouldRetry tells OpenAI client libraries whether to retry a request.
-// Without it they retry after status 409 and all 5xx statuses.
+// Without it they retry after status 408, 409, 429 and all 5xx statuses.
 const headerShouldRetry = "X-Should-Retry"
 
 // resendable reports whether a client library may retry a request by itself. It
 // must not retry a request that crashes endpoints or one that may have run.
-func resendable(status int, detail errorDetail) bool {
-	if detail.Code == string(entry.RefusedQuarantine) {
+func (d errorDescription) resendable() bool {
+	if d.detail.Code == string(entry.RefusedQuarantine) {
 		return false
 	}
-	return status < http.StatusInternalServerError || detail.Run == string(endpoint.NotRun)
+	return d.detail.Run == string(endpoint.NotRun)
+}
+
+// errorDescription describes an error to the caller.
+type errorDescription struct {
+	status int
+	detail errorDetail
+	// retryAfter is the Retry-After time; 0 means no header.
+	retryAfter time.Duration
 }
 
-// describeError returns the HTTP status, the error object and the Retry-After
-// time for an error; a time of 0 means that there is no Retry-After header.
-func describeError(err error) (int, errorDetail, time.Duration) {
+// describeError describes an error of the request with the given ID, which may be empty.
+func describeError(requestID string, err error) errorDescription {
 	var requestErr *requestError
 	if errors.As(err, &requestErr) {
-		detail := errorDetail{Message: requestErr.message, Type: requestErr.kind, Code: requestErr.code, Run: string(endpoint.NotRun)}
+		detail := errorDetail{Message: requestErr.message, Type: requestErr.kind, Code: requestErr.code, Run: string(endpoint.NotRun), RequestID: requestID}
 		if requestErr.param != "" {
 			detail.Param = &requestErr.param
 		}
-		return requestErr.status, detail, 0
+		return errorDescription{status: requestErr.status, detail: detail}
 	}
 	var refusal *entry.RefusalError
 	if errors.As(err, &refusal) {
-		detail := errorDetail{Message: refusal.Message, Type: "server_error", Code: string(refusal.Type), Run: string(refusal.Run)}
-		return statusOf(refusal.Type), detail, refusal.RetryAfter
+		detail := errorDetail{Message: refusal.Message, Type: "server_error", Code: string(refusal.Type), Run: string(refusal.Run), RequestID: requestID}
+		return errorDescription{status: statusOf(refusal.Type), detail: detail, retryAfter: refusal.RetryAfter}
 	}
-	return http.StatusInternalServerError, errorDetail{Message: "internal error", Type: "server_error", Code: "internal", Run: string(endpoint.RunUnknown)}, 0
+	detail := errorDetail{Message: "internal error", Type: "server_error", Code: "internal", Run: string(endpoint.RunUnknown), RequestID: requestID}
+	return errorDescription{status: http.StatusInternalServerError, detail: detail}
 }
--- a/internal/adapter/callerhttp/reply.go
+++ b/internal/adapter/callerhttp/reply.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/boragelead/boragelead/api/endpoint"
 	"github.com/boragelead/boragelead/internal/entry"
 )
 
@@ -226,14 +227,20 @@
 // response.
 func (r *reply) fail(err error) {
 	if !r.started {
-		writeError(r.writer, r.req.ID, err)
+		writeDescription(r.writer, r.describe(err))
 		return
 	}
-	_, detail, _ := describeError(err)
-	detail.RequestID = r.req.ID
-	data, _ := json.Marshal(errorBody{Error: detail})
+	data, _ := json.Marshal(errorBody{Error: r.describe(err).detail})
 	r.buffer = append(r.buffer, "event: error\ndata: "...)
 	r.buffer = append(r.buffer, data...)
 	r.buffer = append(r.buffer, "\n\n"...)
 	_ = r.Flush()
 }
+
+// describe describes an error of the request. Its run state includes a run by
+// another daemon before.
+func (r *reply) describe(err error) errorDescription {
+	description := describeError(r.req.ID, err)
+	description.detail.Run = string(r.req.RunState(endpoint.RunState(description.detail.Run)))
+	return description
+}
--- a/internal/adapter/callerhttp/requests.go
+++ b/internal/adapter/callerhttp/requests.go
@@ -87,7 +87,7 @@
 		writeError(w, id, requestNotFound(id))
 		return
 	}
-	if !s.forward(w, r, baseURL, nil) {
+	if s.forward(w, r, baseURL, nil) != forwardAnswered {
 		writeError(w, id, &requestError{status: http.StatusServiceUnavailable, kind: "server_error", code: "holder_unreachable", message: "the daemon that holds the request does not answer; ask again"})
 	}
 }
--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -135,7 +135,7 @@
 	return track(ctx, &Use{firstByteTimeout: firstByteTimeout})
 }
 
-// TrackReplayable is Track for a request that net/http may replay. Sent has no meaning for the Use.
+// TrackReplayable is Track for a request that net/http may replay. Sent covers all replays.
 func TrackReplayable(ctx context.Context) (context.Context, *Use) {
 	return track(ctx, &Use{replayable: true})
 }
@@ -157,12 +157,11 @@
 	}
 	// A second connection means that net/http replays the request. The replay is
 	// blocked unless it is proven that the first connection sent no byte of it.
-	replay := !u.replayable && (u.maybeSent || u.conn != nil && u.conn.sentOrBlockWrites(u.useNumber))
-	u.maybeSent = replay
+	u.maybeSent = u.maybeSent || u.conn != nil && u.conn.sentOrBlockWrites(u.useNumber)
 	u.conn = conn
 	u.useNumber = conn.startUse()
 	u.reused = info.Reused
-	if replay {
+	if u.maybeSent && !u.replayable {
 		conn.blockWrites()
 		return
 	}
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -61,7 +61,7 @@
 // Complete answers a request. The error is a *RefusalError or a *MovedError.
 func (s *Service) Complete(ctx context.Context, req *Request, sink Sink) (Result, error) {
 	if s.draining.Load() {
-		return Result{}, &RefusalError{Type: RefusedShutdown, Run: endpoint.NotRun, RetryAfter: time.Second, Message: "this daemon is shutting down"}
+		return Result{}, &RefusalError{Type: RefusedShutdown, Run: req.RunState(endpoint.NotRun), RetryAfter: time.Second, Message: "this daemon is shutting down"}
 	}
 	return s.run(ctx, NewJournal(req), sink)
 }
@@ -282,8 +282,9 @@
 }
 
 // callerError converts the cause of a failed request to the error for the
-// caller.
-func (g *generation) callerError(cause error, run endpoint.RunState) error {
+// caller. The run state is that of the attempts by this daemon.
+func (g *generation) callerError(cause error, here endpoint.RunState) error {
+	run := g.req.RunState(here)
 	var moved *MovedError
 	if errors.As(cause, &moved) {
 		return moved
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -37,6 +37,18 @@
 	// Fingerprint is a hash of the content, used to detect requests that crash
 	// endpoints.
 	Fingerprint suspect.Fingerprint
+	// MayHaveRun is set if another daemon may have run the request before. A refusal
+	// by this daemon then does not prove that the request did not run.
+	MayHaveRun bool `json:"-"`
+}
+
+// RunState returns the run state of the request, given the run state of its
+// attempts by this daemon.
+func (r *Request) RunState(here endpoint.RunState) endpoint.RunState {
+	if r.MayHaveRun && here == endpoint.NotRun {
+		return endpoint.RunUnknown
+	}
+	return here
 }
 
 // Sink receives the answer of a request. Each token is delivered once and in
