Tell a peer that takes a request over whether it may have run

Callers got `run` = `not_run` for a request that a draining daemon had sent to an endpoint and handed to a peer before its first token, if the peer then refused it. Client libraries sent it again although the endpoint may have run it.

The cause: the peer knew of earlier attempts only by the tokens in the hand-over. The message now carries `may_have_run`; without the field, as from older daemons, it counts as true. The sender states false only while no attempt may have run. If one is sent while the peer is asked, the statement no longer holds: the hand-over is dropped, the peer is told to release the request, and the request is offered again.

--- a/internal/core/attempt/machine.go
+++ b/internal/core/attempt/machine.go
@@ -42,6 +42,9 @@
 	silent bool
 }
 
+// mayHaveRun reports whether the attempt may have run. A missing attempt has not.
+func (a *attemptState) mayHaveRun() bool { return a != nil && a.sent && !a.provenNotRun }
+
 // Machine is the state machine of one request.
 type Machine struct {
 	config Config
@@ -84,6 +87,11 @@
 // that has not ended.
 func (m *Machine) Running(id string) bool { return m.find(id) != nil }
 
+// MayHaveRun reports whether an attempt may have run, including those that still run.
+func (m *Machine) MayHaveRun() bool {
+	return m.mayHaveRun || m.primary.mayHaveRun() || m.successor.mayHaveRun()
+}
+
 // Stats returns the counters so far.
 func (m *Machine) Stats() Stats { return m.stats }
 
@@ -319,9 +327,7 @@
 
 // recordPossibleRun sets mayHaveRun if an attempt may have run.
 func (m *Machine) recordPossibleRun(a *attemptState) {
-	if a.sent && !a.provenNotRun {
-		m.mayHaveRun = true
-	}
+	m.mayHaveRun = m.mayHaveRun || a.mayHaveRun()
 }
 
 // dropSuccessor removes the successor and delivers the tokens of the primary
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -45,10 +45,17 @@
 	Request Request `json:"request"`
 	Text    string  `json:"text"`
 	Tokens  int     `json:"tokens"`
+	// MayHaveRun is false if it is proven that the request did not run. Older daemons
+	// do not send it.
+	MayHaveRun *bool `json:"may_have_run,omitempty"`
 	// Offer identifies the hand-over in a releaseMessage.
 	Offer string `json:"offer,omitempty"`
 }
 
+// mayHaveRun reports whether the request may have run before the hand-over. Without
+// the field nothing is proven.
+func (m *takeOverMessage) mayHaveRun() bool { return m.MayHaveRun == nil || *m.MayHaveRun }
+
 // releaseMessage tells a peer that it need not continue a request, because the
 // hand-over was not used.
 type releaseMessage struct {
@@ -85,9 +92,11 @@
 // request continue, but their tokens are held back: a peer that accepts the
 // request continues after the tokens that the caller had when it was asked.
 type offer struct {
-	id   string
-	held []attempt.Action
-	done chan struct{}
+	id string
+	// mayHaveRun is what the peer was told: whether the request may have run.
+	mayHaveRun bool
+	held       []attempt.Action
+	done       chan struct{}
 }
 
 // handOver offers the request to the live peers until one accepts it or the
@@ -137,11 +146,17 @@
 	if g.closing || g.err != nil || g.machine.Ended() {
 		return nil, nil
 	}
-	g.offer = &offer{id: newUUID(), done: make(chan struct{})}
+	g.offer = &offer{id: newUUID(), mayHaveRun: g.mayHaveRun(), done: make(chan struct{})}
 	chunk := g.journal.Read(0).Chunk
-	return g.offer, &takeOverMessage{Request: *g.req, Text: chunk.Text, Tokens: chunk.Count, Offer: g.offer.id}
+	return g.offer, &takeOverMessage{
+		Request: *g.req, Text: chunk.Text, Tokens: chunk.Count, MayHaveRun: &g.offer.mayHaveRun, Offer: g.offer.id,
+	}
 }
 
+// mayHaveRun reports whether this daemon or one before may have run the request.
+// The caller holds the lock.
+func (g *generation) mayHaveRun() bool { return g.req.MayHaveRun || g.machine.MayHaveRun() }
+
 // sendOffer asks a peer to take the request over. A nil error means that it accepted.
 func (g *generation) sendOffer(ctx context.Context, peer member.Peer, message *takeOverMessage) error {
 	params, err := json.Marshal(message)
@@ -165,12 +180,15 @@
 
 // endOffer ends the request here after a peer has accepted it. If the request has
 // already ended with its whole answer, or its caller has gone, the peer is told
-// that it need not continue. endOffer reports whether the request has moved.
+// that it need not continue. The same holds if the request was sent to an endpoint
+// after the peer was told that it had not run: the peer would report not_run for a
+// request that may have run. endOffer reports whether the request has moved.
 func (g *generation) endOffer(o *offer, peer member.Peer) bool {
 	moved := &MovedError{RequestID: g.req.ID, Peer: peer.Name}
 	g.mu.Lock()
 	complete := g.machine.Ended() && g.err == nil
-	if complete || context.Cause(g.runCtx) != nil {
+	outdated := !o.mayHaveRun && g.mayHaveRun()
+	if complete || outdated || context.Cause(g.runCtx) != nil {
 		g.mu.Unlock()
 		g.dropOffer(o)
 		g.releasePeer(peer, o)
@@ -252,6 +270,7 @@
 	if err := json.Unmarshal(params, &message); err != nil {
 		return nil, eris.Wrap(err, "decode hand-over")
 	}
+	message.Request.MayHaveRun = message.mayHaveRun()
 	journal := NewJournal(&message.Request)
 	journal.takenOver = true
 	journal.offer = message.Offer
--- a/internal/entry/handover_test.go
+++ b/internal/entry/handover_test.go
@@ -256,3 +256,81 @@
 	g.Expect(errors.As(s.Journal("r").Read(0).Err, &refusal)).To(BeTrue())
 	g.Expect(refusal.Run).To(Equal(endpoint.RunUnknown))
 }
+
+// offerWaiting starts a request whose model is not loaded yet and offers it to the fake peer. It returns the offer and the function
+// that loads the model.
+func offerWaiting(t *testing.T) (h *handOver, offer takeOverMessage, load func()) {
+	h = &handOver{GomegaWithT: NewWithT(t), peer: newFakePeer(), gate: make(chan int), ended: make(chan error, 1), sink: &fakeSink{}}
+	h.engine = &fakeEngine{scripts: []script{{tokens: 0, gate: h.gate}}}
+	h.service = newTestService(t, h.engine, func(o *Options) {
+		o.Cluster, o.Peers = h.peer, h.peer
+		load = func() {
+			o.Registry.Announce(endpoint.Announcement{
+				ID: "e3", Incarnation: 1, BaseURL: "http://e3", FailureDomain: "a", Kind: endpoint.KindEngine, Slots: 4,
+				State: endpoint.StateReady, LeaseMS: 60_000, KVCapacityTokens: 100_000, Models: []endpoint.LoadedModel{{Name: "late"}},
+			}, time.Now())
+		}
+	})
+	request := testRequest()
+	request.Model = "late"
+	go func() {
+		_, err := h.service.Complete(t.Context(), request, h.sink)
+		h.ended <- err
+	}()
+	h.Eventually(func() int { return h.service.HandOverAll(time.Now().Add(time.Minute)) }).Should(Equal(1))
+	return h, h.awaitOffer(), load
+}
+
+// Guards against a peer that takes a request for not run although an attempt was sent here, and against one that takes a request
+// for possibly run although none was.
+func TestOfferTellsWhetherTheRequestMayHaveRun(t *testing.T) {
+	t.Run("sent", func(t *testing.T) {
+		h := startHandOver(t, time.Minute)
+		h.answer(errors.New("draining"))
+		offer := h.awaitOffer()
+		h.Expect(offer.MayHaveRun).To(HaveValue(BeTrue()))
+		h.answer(nil)
+	})
+	t.Run("waits for an endpoint", func(t *testing.T) {
+		h, offer, _ := offerWaiting(t)
+		h.Expect(offer.MayHaveRun).To(HaveValue(BeFalse()))
+		h.answer(nil)
+		var moved *MovedError
+		h.Expect(errors.As(h.awaitEnd(), &moved)).To(BeTrue())
+	})
+}
+
+// Guards against a peer that reports a request as not run, because the request was sent to an endpoint here after the offer and
+// before the peer accepted it.
+func TestRequestSentWhileAPeerIsAskedDoesNotMoveAsNotRun(t *testing.T) {
+	h, offer, load := offerWaiting(t)
+	h.Expect(offer.MayHaveRun).To(HaveValue(BeFalse()))
+	load()
+	h.Eventually(h.engine.receivedRequests, 5*time.Second).Should(HaveLen(1))
+	h.answer(nil)
+	h.Eventually(h.peer.releases, 5*time.Second).Should(Receive(HaveField("Offer", offer.Offer)))
+	h.Expect(h.awaitOffer().MayHaveRun).To(HaveValue(BeTrue()))
+	h.answer(nil)
+	var moved *MovedError
+	h.Expect(errors.As(h.awaitEnd(), &moved)).To(BeTrue())
+}
+
+// Guards against a run state that the receiver of a request drops: one that may have run counts as not run, or one that did not
+// run counts as possibly run. The receiver states it again if it hands the request over in turn.
+func TestRunStateOfARequestTakenOver(t *testing.T) {
+	for value, run := range map[bool]endpoint.RunState{true: endpoint.RunUnknown, false: endpoint.NotRun} {
+		g := NewWithT(t)
+		s := newTestService(t, &fakeEngine{})
+		request := testRequest()
+		request.Model = "loaded nowhere"
+		params, err := json.Marshal(takeOverMessage{Request: *request, Offer: "1", MayHaveRun: &value})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = s.takeOver(t.Context(), params)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Journal("r").Request().MayHaveRun).To(Equal(value))
+		g.Eventually(func() bool { return s.Journal("r").Read(0).Ended }, 5*time.Second).Should(BeTrue())
+		var refusal *RefusalError
+		g.Expect(errors.As(s.Journal("r").Read(0).Err, &refusal)).To(BeTrue())
+		g.Expect(refusal.Run).To(Equal(run))
+	}
+}
