Ask each replica for a new document before one that failed is asked again

Among the replicas with the newest document, the one whose last failure is longer ago is asked first. TestUnreachableReplicasDoNotKeepADocumentFromAnEntry asked 2 of 4 replicas before, and all 4 now.

--- a/internal/gateway/entry/documents.go
+++ b/internal/gateway/entry/documents.go
@@ -45,8 +45,16 @@
 // documentOffer is the newest generation that a replica has.
 type documentOffer struct {
 	generation uint64
-	// retryAt is when the replica is asked again after a failed transfer.
-	retryAt time.Time
+	// failedAt is when the last transfer failed; zero if none did.
+	failedAt time.Time
+}
+
+// retryAt returns when the replica may be asked again.
+func (o *documentOffer) retryAt() time.Time {
+	if o.failedAt.IsZero() {
+		return time.Time{}
+	}
+	return o.failedAt.Add(documentRetryPause)
 }
 
 func newDocuments(e *Entry) *documents {
@@ -101,24 +109,32 @@
 	for _, offer := range d.offers {
 		newest = max(newest, offer.generation)
 	}
-	best := uint64(0)
+	var best *documentOffer
 	for address, offer := range d.offers {
-		switch {
+		switch at := offer.retryAt(); {
 		case offer.generation < newest:
-		case now.Before(offer.retryAt):
-			if retryAt.IsZero() || offer.retryAt.Before(retryAt) {
-				retryAt = offer.retryAt
-			}
-		default:
-			// Entries prefer different replicas, so that these share the transfers.
-			if rank := spreadHash(d.entry.options.Settings.Name, address); replica == "" || rank < best {
-				replica, best = address, rank
+		case now.Before(at):
+			if retryAt.IsZero() || at.Before(retryAt) {
+				retryAt = at
 			}
+		case best == nil || d.isPreferred(address, offer, replica, best):
+			replica, best = address, offer
 		}
 	}
 	return replica, retryAt
 }
 
+// isPreferred reports whether a replica is asked before another one: the one whose last failure is
+// longer ago, since a call takes longer than the pause after a failure. Else entries prefer
+// different replicas, so that these share the transfers.
+func (d *documents) isPreferred(address string, offer *documentOffer, other string, otherOffer *documentOffer) bool {
+	if !offer.failedAt.Equal(otherOffer.failedAt) {
+		return offer.failedAt.Before(otherOffer.failedAt)
+	}
+	name := d.entry.options.Settings.Name
+	return spreadHash(name, address) < spreadHash(name, other)
+}
+
 // fetchFrom fetches the newest document of a replica and puts it in force.
 func (d *documents) fetchFrom(replica string) {
 	start := time.Now()
@@ -128,14 +144,19 @@
 	}
 	if err != nil {
 		d.entry.log.Warn("Document not fetched.", zap.String("replica", replica), zap.Int64("ms", time.Since(start).Milliseconds()), zap.Error(err))
-		d.mu.Lock()
-		d.offers[replica].retryAt = time.Now().Add(documentRetryPause)
-		d.mu.Unlock()
+		d.noteFailure(replica, time.Now())
 		return
 	}
 	d.finish(generation)
 }
 
+// noteFailure records a failed transfer from a replica.
+func (d *documents) noteFailure(replica string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.offers[replica].failedAt = now
+}
+
 // finish drops the offers of documents that are not newer than a fetched one.
 func (d *documents) finish(generation uint64) {
 	d.mu.Lock()
--- a/internal/gateway/entry/documents_test.go
+++ b/internal/gateway/entry/documents_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -41,3 +42,22 @@
 	}()
 	g.Eventually(closed, "2s").Should(BeClosed())
 }
+
+// Guards against an entry that asks two unreachable replicas for the document in turn, because the pause after a failure is
+// shorter than a call, and never one that it reaches.
+func TestUnreachableReplicasDoNotKeepADocumentFromAnEntry(t *testing.T) {
+	g := NewWithT(t)
+	e := New(Options{Settings: &settings.Gateway{Name: "e"}, Log: zap.NewNop(), Metrics: telemetry.NewRegistry()})
+	replicas := []string{"a", "b", "c", "d"}
+	for _, replica := range replicas {
+		e.documents.offer(replica, 1)
+	}
+	now, asked := time.Now(), map[string]bool{}
+	for range replicas {
+		replica, _ := e.documents.nextReplica(now)
+		asked[replica] = true
+		now = now.Add(documentCallTimeout)
+		e.documents.noteFailure(replica, now)
+	}
+	g.Expect(asked).To(HaveLen(len(replicas)))
+}
