Let a resumed stream go on at an endpoint that withdrew meanwhile

The entry held the events back for 2 s until the endpoint would be listed again, which it never is after a withdrawal, and broke the stream off.

A withdrawal names the incarnation, which serves until it exits: the attempt goes on there. An incarnation that is announced after it is another one, as before. TestResumedStreamGoesOnAtAWithdrawnEndpoint failed before and passes; TestResumedStreamDoesNotGoOnAtTheSuccessorOfAWithdrawnEndpoint passes before and after.

--- a/internal/gateway/entry/poll.go
+++ b/internal/gateway/entry/poll.go
@@ -182,6 +182,7 @@
 	list := c.directory.Endpoints()
 	e.noteVersions(list)
 	unusedAddresses := e.departures.updateBoard(list, now)
+	e.noteWithdrawn(reply.Endpoints)
 	c.mu.Unlock()
 	e.queues.wakeAll()
 	e.migrations.moveFromDraining(list)
@@ -242,3 +243,12 @@
 		return err != nil
 	})
 }
+
+// noteWithdrawn records which endpoints withdrew. The board must have been updated before.
+func (e *Entry) noteWithdrawn(views []registry.View) {
+	for i := range views {
+		if endpoint := &views[i].Endpoint; endpoint.State == registry.Gone {
+			e.board.RecordWithdrawn(endpoint.ID, endpoint.Born)
+		}
+	}
+}
--- a/internal/gateway/pick/board.go
+++ b/internal/gateway/pick/board.go
@@ -29,6 +29,8 @@
 	// without an answer yet.
 	inFlight int
 	pending  int
+	// withdrawn is set if the endpoint is no longer listed because it withdrew.
+	withdrawn bool
 	// prefillTokens is the sum of the uncached prompt tokens of the pending attempts.
 	prefillTokens int
 	// reportedLoad is the newest load report, and sentSinceReport counts the
@@ -140,7 +142,7 @@
 		if s == nil || s.endpoint.Born != e.Born || s.endpoint.Address != e.Address {
 			s = &stats{slowness: 1, residentParts: newPartCache(), idHash: hashID(e.ID)}
 		}
-		s.endpoint = e
+		s.endpoint, s.withdrawn = e, false
 		if former != nil && former != s {
 			s.inheritBackoff(former)
 		}
--- a/internal/gateway/pick/identity.go
+++ b/internal/gateway/pick/identity.go
@@ -7,8 +7,8 @@
 
 // Identities of an endpoint.
 const (
-	// ChosenIncarnation means that the endpoint is listed with the chosen incarnation, and
-	// that nothing speaks against it.
+	// ChosenIncarnation means that the endpoint is listed with the chosen incarnation, or that
+	// this one withdrew and goes on serving until it exits, and that nothing speaks against it.
 	ChosenIncarnation Identity = iota
 	// Unlisted means that the endpoint is not listed at present. If it stood still for longer
 	// than its lease, it is listed again soon, with the same incarnation.
@@ -38,12 +38,22 @@
 	switch {
 	case current != nil && current != c.stats, c.refusedBeforeConnected(now):
 		return PossiblyAnother
-	case current == nil:
+	case current == nil && !c.stats.withdrawn:
 		return Unlisted
 	}
 	return ChosenIncarnation
 }
 
+// RecordWithdrawn records that an incarnation of an endpoint withdrew. It is no longer listed, and
+// goes on with its requests until it exits.
+func (b *Board) RecordWithdrawn(id string, born int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.unlisted[id]; s != nil && s.endpoint.Born == born {
+		s.withdrawn = true
+	}
+}
+
 // VersionIsDoubtful reports whether the endpoint may be at another software version than the
 // announced one.
 func (c *Choice) VersionIsDoubtful(now time.Time) bool { return c.Identity(now) != ChosenIncarnation }
